--- /dev/null
+++ b/internal/base/burdockclock/clock.go
@@ -0,0 +1,85 @@
+// Package burdockclock is the project's one notion of time: whole milliseconds.
+package burdockclock
+
+import (
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Millis is a span of time, or an instant counted from the Unix epoch, in
+// milliseconds.
+type Millis int64
+
+// Common spans.
+const (
+	Second Millis = 1000
+	Minute Millis = 60 * Second
+	Hour   Millis = 60 * Minute
+)
+
+// Duration converts a span to the standard library's type.
+func (m Millis) Duration() time.Duration { return time.Duration(m) * time.Millisecond }
+
+// Time converts an instant to the standard library's type, in UTC.
+func (m Millis) Time() time.Time { return time.UnixMilli(int64(m)).UTC() }
+
+// FromDuration converts a span, rounding towards zero.
+func FromDuration(d time.Duration) Millis { return Millis(d / time.Millisecond) }
+
+// Clock tells the time. The zero value is not usable; see System and NewManual.
+type Clock struct {
+	now  func() Millis
+	boot func() Millis
+}
+
+// Now returns the wall clock's instant. It may jump when the VM's clock is set.
+func (c Clock) Now() Millis { return c.now() }
+
+// Boot returns the time since some fixed instant, counting also while the VM
+// is suspended. Go's own monotonic clock stands still then, so a process that
+// was suspended past its lease would believe that it still holds it.
+func (c Clock) Boot() Millis { return c.boot() }
+
+// System returns the clock of the machine.
+func System() Clock {
+	return Clock{
+		now:  func() Millis { return Millis(time.Now().UnixMilli()) },
+		boot: bootMillis,
+	}
+}
+
+func bootMillis() Millis {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		// CLOCK_BOOTTIME exists on every Linux this project supports.
+		panic("burdockclock: CLOCK_BOOTTIME: " + err.Error())
+	}
+	return Millis(ts.Nano() / int64(time.Millisecond))
+}
+
+// Manual is a clock that moves only when told to, for tests and experiments.
+type Manual struct {
+	mu  sync.Mutex
+	now Millis
+}
+
+// NewManual returns a manual clock that stands at start.
+func NewManual(start Millis) *Manual { return &Manual{now: start} }
+
+// Clock returns the Clock that reads m.
+func (m *Manual) Clock() Clock { return Clock{now: m.read, boot: m.read} }
+
+// Advance moves the clock forward by d.
+func (m *Manual) Advance(d Millis) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.now += d
+}
+
+func (m *Manual) read() Millis {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.now
+}
