--- /dev/null
+++ b/internal/platform/burdockengine/engine.go
@@ -0,0 +1,44 @@
+// Package burdockengine is the agent's view of its upstream: a model engine or
+// a plain service on the same VM, reached over HTTP.
+package burdockengine
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/joomcode/errorx"
+)
+
+// Call is one request to hand to the upstream.
+type Call struct {
+	Method string
+	Path   string
+	Query  string
+	Header http.Header
+	Body   []byte
+}
+
+// Answer is what the upstream sends back. The body must be closed.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   io.ReadCloser
+}
+
+// Engine runs calls on the upstream.
+type Engine interface {
+	// Do hands the call over, once. An ErrNotSent says that no byte of it was
+	// written; any other error leaves open whether the upstream ran it.
+	Do(ctx context.Context, call Call) (Answer, error)
+}
+
+// Errors is the namespace of the errors that an Engine returns.
+var Errors = errorx.NewNamespace("engine")
+
+var (
+	// ErrNotSent says that the upstream never saw the call.
+	ErrNotSent = Errors.NewType("notSent")
+	// ErrBroken says that the connection broke after the call was begun.
+	ErrBroken = Errors.NewType("broken")
+)
--- /dev/null
+++ b/internal/platform/burdockstore/http.go
@@ -0,0 +1,169 @@
+package burdockstore
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"github.com/dghubble/sling"
+)
+
+const (
+	callTimeout    = 3 * time.Second
+	dialTimeout    = time.Second
+	idleTimeout    = 30 * time.Second
+	watchAllowance = 2 * time.Second
+	// maxAnswerBytes bounds a listing: all values together, with room for
+	// base64. A single value is a megabyte at most.
+	maxAnswerBytes = 64 << 20
+)
+
+// httpStore speaks to the store's HTTP interface.
+type httpStore struct {
+	client *http.Client
+	base   *sling.Sling
+}
+
+// NewHTTP returns a Store at baseURL, such as "http://10.0.0.7:2380".
+func NewHTTP(baseURL string) Store {
+	client := &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		IdleConnTimeout:     idleTimeout,
+		MaxIdleConnsPerHost: 2,
+	}}
+	return &httpStore{client: client, base: sling.New().Base(baseURL)}
+}
+
+type keyQuery struct {
+	Key  string   `url:"key"`
+	Prev Revision `url:"prev"`
+}
+
+type prefixQuery struct {
+	Prefix string   `url:"prefix"`
+	After  Revision `url:"after"`
+	Wait   int64    `url:"waitMillis"`
+}
+
+type leaseQuery struct {
+	Name   string `url:"name"`
+	Holder string `url:"holder"`
+	TTL    int64  `url:"ttlMillis"`
+}
+
+// Listing is the store's answer to a list or a watch.
+type Listing struct {
+	Entries  []Entry  `json:"entries"`
+	Revision Revision `json:"revision"`
+}
+
+// Granted is the store's answer to a call for a lease.
+type Granted struct {
+	Fence burdockid.Fence `json:"fence"`
+}
+
+// Written is the store's answer to a write.
+type Written struct {
+	Revision Revision `json:"revision"`
+}
+
+// Get implements Store.
+func (s *httpStore) Get(ctx context.Context, key string) (Entry, error) {
+	var e Entry
+	err := s.call(ctx, callTimeout, s.base.New().Get("/v1/key").QueryStruct(keyQuery{Key: key}), &e)
+	return e, err
+}
+
+// List implements Store.
+func (s *httpStore) List(ctx context.Context, prefix string) ([]Entry, Revision, error) {
+	var l Listing
+	err := s.call(ctx, callTimeout, s.base.New().Get("/v1/list").QueryStruct(prefixQuery{Prefix: prefix}), &l)
+	return l.Entries, l.Revision, err
+}
+
+// CompareAndSwap implements Store.
+func (s *httpStore) CompareAndSwap(ctx context.Context, key string, old Revision, value []byte) (Revision, error) {
+	req := s.base.New().Put("/v1/key").QueryStruct(keyQuery{Key: key, Prev: old}).Body(bytes.NewReader(value))
+	var written Written
+	err := s.call(ctx, callTimeout, req, &written)
+	return written.Revision, err
+}
+
+// Watch implements Store.
+func (s *httpStore) Watch(ctx context.Context, prefix string, after Revision, wait burdockclock.Millis) ([]Entry, Revision, error) {
+	req := s.base.New().Get("/v1/watch").QueryStruct(prefixQuery{Prefix: prefix, After: after, Wait: int64(wait)})
+	var l Listing
+	err := s.call(ctx, wait.Duration()+watchAllowance, req, &l)
+	return l.Entries, l.Revision, err
+}
+
+// Acquire implements Store.
+func (s *httpStore) Acquire(ctx context.Context, name, holder string, ttl burdockclock.Millis) (Lease, error) {
+	var granted Granted
+	q := leaseQuery{Name: name, Holder: holder, TTL: int64(ttl)}
+	err := s.call(ctx, callTimeout, s.base.New().Post("/v1/lease").QueryStruct(q), &granted)
+	return Lease{Name: name, Holder: holder, Fence: granted.Fence, TTL: ttl}, err
+}
+
+// Release implements Store.
+func (s *httpStore) Release(ctx context.Context, name, holder string) error {
+	q := leaseQuery{Name: name, Holder: holder}
+	return s.call(ctx, callTimeout, s.base.New().Delete("/v1/lease").QueryStruct(q), nil)
+}
+
+// call sends one request and reads its JSON answer into out.
+//
+// A call has a deadline of its own since the store can be slow for long
+// stretches: without it a caller would wait on a connection that nothing will
+// ever be sent on.
+func (s *httpStore) call(ctx context.Context, timeout time.Duration, b *sling.Sling, out any) error {
+	req, err := b.Request()
+	if err != nil {
+		return ErrUnavailable.Wrap(err, "build request")
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	res, err := s.client.Do(forbidResend(req.WithContext(ctx)))
+	if err != nil {
+		return ErrUnavailable.Wrap(err, "%s %s", req.Method, req.URL.Path)
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes))
+	if err != nil {
+		return ErrUnavailable.Wrap(err, "read answer to %s %s", req.Method, req.URL.Path)
+	}
+	return decode(res.StatusCode, body, req, out)
+}
+
+// forbidResend stops net/http from sending a write a second time by itself
+// when a kept-alive connection dies: the first may have taken effect, and the
+// second would report a conflict with the writer's own value.
+func forbidResend(req *http.Request) *http.Request {
+	req.GetBody = nil
+	return req
+}
+
+func decode(status int, body []byte, req *http.Request, out any) error {
+	switch status {
+	case http.StatusOK:
+	case http.StatusNotFound:
+		return ErrNotFound.New("%s", req.URL.Query().Get("key"))
+	case http.StatusConflict:
+		return ErrConflict.New("%s", body)
+	default:
+		return ErrUnavailable.New("%s %s: status %d", req.Method, req.URL.Path, status)
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(body, out); err != nil {
+		return ErrUnavailable.Wrap(err, "decode answer to %s %s", req.Method, req.URL.Path)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/burdockfakeengine/engine.go
@@ -0,0 +1,230 @@
+// Package burdockfakeengine is a stand-in for a model engine and for a plain
+// service, for tests and for trying the system out. Its answers follow from
+// the request alone, so that a test can compare them byte by byte.
+package burdockfakeengine
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"github.com/cespare/xxhash/v2"
+)
+
+// RequestIDHeader carries the request's id to the upstream.
+const RequestIDHeader = "Burdock-Request-Id"
+
+const (
+	defaultMaxTokens = 16
+	maxBodyBytes     = 16 << 20
+)
+
+// Config says how the stand-in behaves.
+type Config struct {
+	// Step is the time between two tokens of one answer.
+	Step time.Duration
+	// Prefill is the time to the first token.
+	Prefill time.Duration
+	// Models are the names that GET /v1/models lists.
+	Models []string
+}
+
+// Runs is what the stand-in counted, for comparison with what callers saw.
+type Runs struct {
+	Started   map[burdockid.Request]int `json:"started"`
+	Finished  int                       `json:"finished"`
+	Abandoned int                       `json:"abandoned"`
+	Running   int                       `json:"running"`
+}
+
+// Server is one stand-in engine.
+type Server struct {
+	cfg Config
+	mux *http.ServeMux
+
+	mu   sync.Mutex
+	runs Runs
+}
+
+// New returns a stand-in engine.
+func New(cfg Config) *Server {
+	s := &Server{cfg: cfg, mux: http.NewServeMux(), runs: Runs{Started: map[burdockid.Request]int{}}}
+	s.mux.HandleFunc("POST /v1/chat/completions", s.counted(s.chat))
+	s.mux.HandleFunc("POST /v1/completions", s.counted(s.completion))
+	s.mux.HandleFunc("GET /v1/models", s.models)
+	s.mux.HandleFunc("GET /runs", s.serveRuns)
+	s.mux.HandleFunc("/", s.counted(s.plain))
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// Runs returns a copy of the counts.
+func (s *Server) Runs() Runs {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	copied := s.runs
+	copied.Started = make(map[burdockid.Request]int, len(s.runs.Started))
+	for id, n := range s.runs.Started {
+		copied.Started[id] = n
+	}
+	return copied
+}
+
+func (s *Server) serveRuns(w http.ResponseWriter, _ *http.Request) {
+	_ = json.NewEncoder(w).Encode(s.Runs())
+}
+
+// counted counts a request as started before it is served, and as finished
+// only when its answer was written whole.
+func (s *Server) counted(serve func(http.ResponseWriter, *http.Request) bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		s.runs.Started[burdockid.Request(r.Header.Get(RequestIDHeader))]++
+		s.runs.Running++
+		s.mu.Unlock()
+		whole := serve(w, r)
+		s.mu.Lock()
+		s.runs.Running--
+		if whole {
+			s.runs.Finished++
+		} else {
+			s.runs.Abandoned++
+		}
+		s.mu.Unlock()
+	}
+}
+
+func (s *Server) models(w http.ResponseWriter, _ *http.Request) {
+	type model struct {
+		ID     string `json:"id"`
+		Object string `json:"object"`
+	}
+	list := struct {
+		Object string  `json:"object"`
+		Data   []model `json:"data"`
+	}{Object: "list"}
+	for _, name := range s.cfg.Models {
+		list.Data = append(list.Data, model{ID: name, Object: "model"})
+	}
+	writeJSON(w, list)
+}
+
+type completionRequest struct {
+	Model     string          `json:"model"`
+	Messages  json.RawMessage `json:"messages"`
+	Prompt    json.RawMessage `json:"prompt"`
+	MaxTokens int             `json:"max_tokens"`
+	Stream    bool            `json:"stream"`
+}
+
+func (s *Server) chat(w http.ResponseWriter, r *http.Request) bool {
+	return s.generate(w, r, chatShape{})
+}
+
+func (s *Server) completion(w http.ResponseWriter, r *http.Request) bool {
+	return s.generate(w, r, textShape{})
+}
+
+func (s *Server) generate(w http.ResponseWriter, r *http.Request, sh shape) bool {
+	var req completionRequest
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxBodyBytes)).Decode(&req); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return true
+	}
+	if req.MaxTokens <= 0 {
+		req.MaxTokens = defaultMaxTokens
+	}
+	words := Words(string(req.Messages)+string(req.Prompt), req.MaxTokens)
+	if req.Stream {
+		return s.stream(w, r, sh, req.Model, words)
+	}
+	if !s.pause(r, s.cfg.Prefill+time.Duration(len(words))*s.cfg.Step) {
+		return false
+	}
+	writeJSON(w, sh.whole(req.Model, words))
+	return true
+}
+
+func (s *Server) stream(w http.ResponseWriter, r *http.Request, sh shape, model string, words []string) bool {
+	w.Header().Set("Content-Type", "text/event-stream")
+	flusher := http.NewResponseController(w)
+	if !s.pause(r, s.cfg.Prefill) {
+		return false
+	}
+	next := time.Now()
+	for i, word := range words {
+		event, _ := json.Marshal(sh.delta(model, word, i == len(words)-1))
+		if _, err := fmt.Fprintf(w, "data: %s\n\n", event); err != nil {
+			return false
+		}
+		if flusher.Flush() != nil {
+			return false
+		}
+		next = next.Add(s.cfg.Step)
+		if !s.pause(r, time.Until(next)) {
+			return false
+		}
+	}
+	_, err := io.WriteString(w, "data: [DONE]\n\n")
+	return err == nil
+}
+
+// pause waits, and reports false when the caller went away.
+func (s *Server) pause(r *http.Request, d time.Duration) bool {
+	if d <= 0 {
+		return r.Context().Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+// PlainAnswer is what the stand-in answers to a call of a plain service.
+type PlainAnswer struct {
+	Method string `json:"method"`
+	Path   string `json:"path"`
+	Query  string `json:"query"`
+	Body   string `json:"body"`
+}
+
+func (s *Server) plain(w http.ResponseWriter, r *http.Request) bool {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBodyBytes))
+	if err != nil || !s.pause(r, s.cfg.Prefill) {
+		return false
+	}
+	writeJSON(w, PlainAnswer{Method: r.Method, Path: r.URL.Path, Query: r.URL.RawQuery, Body: string(body)})
+	return true
+}
+
+// Words returns the answer to a prompt: n words that follow from it alone.
+func Words(prompt string, n int) []string {
+	seed := xxhash.Sum64String(prompt)
+	words := make([]string, n)
+	for i := range words {
+		words[i] = fmt.Sprintf("w%x-%d ", seed&0xffff, i)
+	}
+	return words
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", fmt.Sprint(len(body)))
+	_, _ = w.Write(body)
+}
+
--- /dev/null
+++ b/internal/standin/burdockfakestore/store.go
@@ -0,0 +1,194 @@
+// Package burdockfakestore is a stand-in for the platform's configuration
+// store: in memory, over HTTP, for tests and for trying the system out.
+package burdockfakestore
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/platform/burdockstore"
+)
+
+// maxValueBytes is the largest value that the platform's store takes.
+const maxValueBytes = 1 << 20
+
+// Server holds the keys and leases.
+type Server struct {
+	clock burdockclock.Clock
+	mux   *http.ServeMux
+
+	mu       sync.Mutex
+	changed  chan struct{} // closed and replaced on each write
+	revision burdockstore.Revision
+	entries  map[string]burdockstore.Entry
+	leases   map[string]lease
+}
+
+type lease struct {
+	holder  string
+	fence   burdockid.Fence
+	expires burdockclock.Millis
+}
+
+// New returns an empty store.
+func New(clock burdockclock.Clock) *Server {
+	s := &Server{
+		clock:   clock,
+		mux:     http.NewServeMux(),
+		changed: make(chan struct{}),
+		entries: map[string]burdockstore.Entry{},
+		leases:  map[string]lease{},
+	}
+	s.mux.HandleFunc("GET /v1/key", s.get)
+	s.mux.HandleFunc("PUT /v1/key", s.put)
+	s.mux.HandleFunc("GET /v1/list", s.list)
+	s.mux.HandleFunc("GET /v1/watch", s.watch)
+	s.mux.HandleFunc("POST /v1/lease", s.acquire)
+	s.mux.HandleFunc("DELETE /v1/lease", s.release)
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+func (s *Server) get(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	e, ok := s.entries[r.URL.Query().Get("key")]
+	s.mu.Unlock()
+	if !ok {
+		http.Error(w, "no such key", http.StatusNotFound)
+		return
+	}
+	reply(w, e)
+}
+
+func (s *Server) put(w http.ResponseWriter, r *http.Request) {
+	prev, err := strconv.ParseUint(r.URL.Query().Get("prev"), 10, 64)
+	if err != nil {
+		http.Error(w, "prev: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxValueBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
+	revision, ok := s.swap(r.URL.Query().Get("key"), burdockstore.Revision(prev), value)
+	if !ok {
+		http.Error(w, "revision is "+strconv.FormatUint(uint64(revision), 10), http.StatusConflict)
+		return
+	}
+	reply(w, burdockstore.Written{Revision: revision})
+}
+
+// swap writes value if key stands at prev, and returns the key's revision.
+func (s *Server) swap(key string, prev burdockstore.Revision, value []byte) (burdockstore.Revision, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if current := s.entries[key].Revision; current != prev {
+		return current, false
+	}
+	s.revision++
+	s.entries[key] = burdockstore.Entry{Key: key, Value: value, Revision: s.revision}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return s.revision, true
+}
+
+func (s *Server) list(w http.ResponseWriter, r *http.Request) {
+	listing, _ := s.after(r.URL.Query().Get("prefix"), 0)
+	reply(w, listing)
+}
+
+// after returns the entries under prefix that changed after a revision, and
+// the channel that is closed on the next write.
+func (s *Server) after(prefix string, after burdockstore.Revision) (burdockstore.Listing, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	listing := burdockstore.Listing{Revision: s.revision, Entries: []burdockstore.Entry{}}
+	for key, e := range s.entries {
+		if strings.HasPrefix(key, prefix) && e.Revision > after {
+			listing.Entries = append(listing.Entries, e)
+		}
+	}
+	return listing, s.changed
+}
+
+func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	wait, _ := strconv.ParseInt(r.URL.Query().Get("waitMillis"), 10, 64)
+	timeout := time.After(burdockclock.Millis(wait).Duration())
+	for {
+		listing, changed := s.after(r.URL.Query().Get("prefix"), burdockstore.Revision(after))
+		if len(listing.Entries) > 0 {
+			reply(w, listing)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			reply(w, listing)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Server) acquire(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	ttl, err := strconv.ParseInt(q.Get("ttlMillis"), 10, 64)
+	if err != nil {
+		http.Error(w, "ttlMillis: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	fence, ok := s.grant(q.Get("name"), q.Get("holder"), burdockclock.Millis(ttl))
+	if !ok {
+		http.Error(w, "held by another", http.StatusConflict)
+		return
+	}
+	reply(w, burdockstore.Granted{Fence: fence})
+}
+
+func (s *Server) grant(name, holder string, ttl burdockclock.Millis) (burdockid.Fence, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Boot()
+	held := s.leases[name]
+	expired := held.expires <= now
+	if held.holder != holder && !expired {
+		return 0, false
+	}
+	if held.holder != holder || expired {
+		// Also a holder that comes back after its lease lapsed gets a new number:
+		// another may have acted in between and released.
+		held.fence++
+	}
+	held.holder, held.expires = holder, now+ttl
+	s.leases[name] = held
+	return held.fence, true
+}
+
+func (s *Server) release(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held, ok := s.leases[q.Get("name")]
+	if ok && held.holder == q.Get("holder") {
+		held.expires = 0
+		s.leases[q.Get("name")] = held
+	}
+	reply(w, struct{}{})
+}
+
+func reply(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
