Add state charts in files: reader, check, interpreter, and four charts

A chart file states what each event does in each state: move, ignore or reject. The check reports all findings together with file and line: states that cannot be reached, events that a state forgot, unknown names, states from which no final or rest state can be reached.

Ruled out: a list of allowed transitions alone. An event missing from it can be a mistake of the chart or of its driver, and nobody can tell which.

The charts for request, upstream, process stop and configuration come with typed constants, checked against the files when the program starts.

--- /dev/null
+++ b/internal/state/burdockchart/chart_test.go
@@ -0,0 +1,181 @@
+package burdockchart
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/joomcode/errorx"
+)
+
+var update = flag.Bool("update", false, "write golden files anew")
+
+type (
+	doorState string
+	doorEvent string
+)
+
+func door(t testing.TB) Typed[doorState, doorEvent] {
+	t.Helper()
+	chart, err := Load(os.DirFS("testdata"), "door.chart")
+	if err != nil {
+		t.Fatal(err)
+	}
+	typed, err := Bind(chart, []doorState{"closed", "opened", "removed"}, []doorEvent{"open", "close", "remove"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return typed
+}
+
+func ExampleMachine_Fire() {
+	chart, err := Load(os.DirFS("testdata"), "door.chart")
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	typed, err := Bind(chart, []doorState{"closed", "opened", "removed"}, []doorEvent{"open", "close", "remove"})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	machine := typed.Start()
+	moved, _ := machine.Fire("open")
+	fmt.Println(machine.State(), moved)
+	_, err = machine.Fire("remove")
+	fmt.Println(machine.State(), errorx.IsOfType(err, NotAllowed))
+	// Output:
+	// opened true
+	// opened true
+}
+
+func TestFindingsAreReportedTogether(t *testing.T) {
+	const golden = "testdata/bad.golden"
+	_, err := Load(os.DirFS("testdata"), "bad.chart")
+	if err == nil {
+		t.Fatal("bad.chart was accepted")
+	}
+	got := err.Error() + "\n"
+	if *update {
+		if err := os.WriteFile(golden, []byte(got), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(golden)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got != string(want) {
+		t.Errorf("findings:\n%swant:\n%s", got, want)
+	}
+}
+
+func TestLimits(t *testing.T) {
+	var many strings.Builder
+	many.WriteString("chart many\ninitial s0\n")
+	for i := range maxStates + 1 {
+		fmt.Fprintf(&many, "rest s%d\nevent e%d\n", i, i)
+	}
+	cases := []struct{ name, text, want string }{
+		{"long file", strings.Repeat("#", maxBytes+1), "too long"},
+		{"many states", many.String(), "one rest too many"},
+		{"many events", many.String(), "one event too many"},
+		{"unknown initial", "chart c\ninitial b\nrest a\n", "c:2: b: unknown state"},
+		{"empty", "", "chart: is missing"},
+	}
+	for _, c := range cases {
+		if _, err := Parse("c", []byte(c.text)); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: got error %v, want %q", c.name, err, c.want)
+		}
+	}
+}
+
+func TestMachineFollowsChart(t *testing.T) {
+	machine := door(t).Start()
+	steps := []struct {
+		event doorEvent
+		moved bool
+		state doorState
+		fails *errorx.Type
+	}{
+		{"close", false, "closed", nil},
+		{"open", true, "opened", nil},
+		{"remove", false, "opened", NotAllowed},
+		{"paint", false, "opened", UnknownEvent},
+		{"close", true, "closed", nil},
+		{"remove", true, "removed", nil},
+		{"open", false, "removed", nil},
+	}
+	for i, s := range steps {
+		moved, err := machine.Fire(s.event)
+		if moved != s.moved || machine.State() != s.state {
+			t.Errorf("step %d: got %v in %s, want %v in %s", i, moved, machine.State(), s.moved, s.state)
+		}
+		if failed := err != nil; failed != (s.fails != nil) || failed && !errorx.IsOfType(err, s.fails) {
+			t.Errorf("step %d: got error %v, want type %v", i, err, s.fails)
+		}
+	}
+	if !machine.Final() {
+		t.Error("Final() = false after remove")
+	}
+}
+
+func TestZeroMachineAllowsNothing(t *testing.T) {
+	var machine Machine[doorState, doorEvent]
+	if _, err := machine.Fire("open"); !errorx.IsOfType(err, UnknownEvent) {
+		t.Errorf("Fire on a zero machine: got %v", err)
+	}
+	if got := machine.State(); got != "" || machine.Final() {
+		t.Errorf("zero machine: state %q, final %v", got, machine.Final())
+	}
+}
+
+func TestBindFindsDifferences(t *testing.T) {
+	chart := door(t).Chart()
+	_, err := Bind(chart, []doorState{"closed", "opened", "ajar"}, []doorEvent{"open", "close", "remove"})
+	for _, want := range []string{`state "ajar"`, `state "removed"`} {
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("Bind error = %v, want it to name %s", err, want)
+		}
+	}
+}
+
+func TestJournalKeepsTheLast(t *testing.T) {
+	j := NewJournal(2)
+	for _, event := range []string{"a", "b", "c"} {
+		j.Add(Entry{Event: event})
+	}
+	got := j.Entries()
+	if want := []Entry{{Event: "b"}, {Event: "c"}}; !reflect.DeepEqual(got, want) {
+		t.Errorf("Entries() = %v, want %v", got, want)
+	}
+}
+
+// FuzzParse looks for a panic, and for a chart that passes the check and then
+// leaves its own table when it is run.
+func FuzzParse(f *testing.F) {
+	for _, name := range []string{"testdata/door.chart", "testdata/bad.chart"} {
+		text, err := os.ReadFile(name)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(text)
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		chart, err := Parse("fuzz", text)
+		if err != nil {
+			return
+		}
+		machine := Typed[doorState, doorEvent]{chart: chart}.Start()
+		for range 3 {
+			for _, event := range chart.Events() {
+				if _, err := machine.Fire(doorEvent(event)); errorx.IsOfType(err, UnknownEvent) {
+					t.Errorf("own event %q: %v", event, err)
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/state/burdockcharts/upstream.go
@@ -0,0 +1,59 @@
+package burdockcharts
+
+import "burdockbend.example/burdockbend/internal/state/burdockchart"
+
+// UpstreamState is a state of one upstream as an entry sees it.
+type UpstreamState string
+
+// States of upstream.chart.
+const (
+	UpstreamHealthy UpstreamState = "healthy"
+	UpstreamSuspect UpstreamState = "suspect"
+	UpstreamEjected UpstreamState = "ejected"
+	UpstreamProbing UpstreamState = "probing"
+	UpstreamLeaving UpstreamState = "leaving"
+	UpstreamGone    UpstreamState = "gone"
+)
+
+// UpstreamEvent is an event of one upstream as an entry sees it.
+type UpstreamEvent string
+
+// Events of upstream.chart.
+const (
+	UpstreamEventDoubt       UpstreamEvent = "doubt"
+	UpstreamEventClear       UpstreamEvent = "clear"
+	UpstreamEventEject       UpstreamEvent = "eject"
+	UpstreamEventProbe       UpstreamEvent = "probe"
+	UpstreamEventProbePassed UpstreamEvent = "probePassed"
+	UpstreamEventProbeFailed UpstreamEvent = "probeFailed"
+	UpstreamEventLeave       UpstreamEvent = "leave"
+	UpstreamEventVanish      UpstreamEvent = "vanish"
+)
+
+var upstreamStates = []UpstreamState{
+	UpstreamHealthy,
+	UpstreamSuspect,
+	UpstreamEjected,
+	UpstreamProbing,
+	UpstreamLeaving,
+	UpstreamGone,
+}
+
+var upstreamEvents = []UpstreamEvent{
+	UpstreamEventDoubt,
+	UpstreamEventClear,
+	UpstreamEventEject,
+	UpstreamEventProbe,
+	UpstreamEventProbePassed,
+	UpstreamEventProbeFailed,
+	UpstreamEventLeave,
+	UpstreamEventVanish,
+}
+
+// UpstreamMachine follows upstream.chart.
+type UpstreamMachine = burdockchart.Machine[UpstreamState, UpstreamEvent]
+
+var upstreamChart = load("upstream.chart", upstreamStates, upstreamEvents)
+
+// NewUpstream returns a machine for one upstream as an entry sees it, in its initial state.
+func NewUpstream() UpstreamMachine { return upstreamChart.Start() }
