--- a/internal/platform/burdockengine/engine.go
+++ b/internal/platform/burdockengine/engine.go
@@ -24,6 +24,8 @@
 	Status int
 	Header http.Header
 	Body   io.ReadCloser
+	// Framed says that an end of the body is known to be its whole.
+	Framed bool
 }
 
 // Engine runs calls on the upstream.
--- a/internal/platform/burdockengine/http.go
+++ b/internal/platform/burdockengine/http.go
@@ -3,12 +3,13 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
+
+	"burdockbend.example/burdockbend/internal/wire/burdocktransport"
 )
 
 const (
@@ -21,7 +22,7 @@
 
 // httpEngine speaks to an upstream at one address.
 type httpEngine struct {
-	transport *http.Transport
+	transport http.RoundTripper
 	base      string
 }
 
@@ -29,12 +30,12 @@
 func NewHTTP(address string) Engine {
 	return &httpEngine{
 		base: "http://" + address,
-		transport: &http.Transport{
+		transport: burdocktransport.NewOnce(&http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			MaxIdleConnsPerHost: maxIdle,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true, // bodies pass through unchanged
-		},
+		}),
 	}
 }
 
@@ -42,14 +43,13 @@
 func (e *httpEngine) Do(ctx context.Context, call Call) (Answer, error) {
 	var begun atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { begun.Store(true) }}
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), call.Method, e.url(call), nil)
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), call.Method, e.url(call), bytes.NewReader(call.Body))
 	if err != nil {
 		return Answer{}, ErrNotSent.Wrap(err, "build request")
 	}
 	if call.Header != nil {
 		req.Header = call.Header
 	}
-	setBodyOnce(req, call.Body)
 	res, err := e.transport.RoundTrip(req)
 	if err != nil && !begun.Load() {
 		return Answer{}, ErrNotSent.Wrap(err, "no connection to %s", e.base)
@@ -57,7 +57,7 @@
 	if err != nil {
 		return Answer{}, ErrBroken.Wrap(err, "no answer from %s", e.base)
 	}
-	return Answer{Status: res.StatusCode, Header: res.Header, Body: res.Body}, nil
+	return Answer{Status: res.StatusCode, Header: res.Header, Body: res.Body, Framed: framed(res)}, nil
 }
 
 func (e *httpEngine) url(call Call) string {
@@ -67,23 +67,8 @@
 	return e.base + call.Path + "?" + call.Query
 }
 
-// setBodyOnce gives req a body that net/http cannot rewind.
-//
-// When a kept-alive connection dies, net/http's Transport by itself sends a
-// GET again, and a POST that has an Idempotency-Key header: the upstream would
-// run it twice and nobody would know. It does so only for a request whose body
-// is absent or can be had again. A body that can be read once, though empty,
-// rules that out for every method.
-func setBodyOnce(req *http.Request, body []byte) {
-	req.Body = io.NopCloser(onceReader{bytes.NewReader(body)})
-	req.ContentLength = int64(len(body))
-	if len(body) == 0 {
-		// Length unknown: net/http then looks, finds nothing and sends no body.
-		// With a stated length of 0 it would take the body for absent.
-		req.ContentLength = -1
-	}
-	req.GetBody = nil
+// framed reports whether the answer says where it ends. Without a length or
+// chunks a broken connection looks like the end.
+func framed(res *http.Response) bool {
+	return res.ContentLength >= 0 || len(res.TransferEncoding) > 0
 }
-
-// onceReader hides that the reader below it can be rewound.
-type onceReader struct{ io.Reader }
--- a/internal/platform/burdockstore/http.go
+++ b/internal/platform/burdockstore/http.go
@@ -11,6 +11,7 @@
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/wire/burdocktransport"
 	"github.com/dghubble/sling"
 )
 
@@ -32,11 +33,11 @@
 
 // NewHTTP returns a Store at baseURL, such as "http://10.0.0.7:2380".
 func NewHTTP(baseURL string) Store {
-	client := &http.Client{Transport: &http.Transport{
+	client := &http.Client{Transport: burdocktransport.NewOnce(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		IdleConnTimeout:     idleTimeout,
 		MaxIdleConnsPerHost: 2,
-	}}
+	})}
 	return &httpStore{client: client, base: sling.New().Base(baseURL)}
 }
 
@@ -129,7 +130,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	res, err := s.client.Do(forbidResend(req.WithContext(ctx)))
+	res, err := s.client.Do(req.WithContext(ctx))
 	if err != nil {
 		return ErrUnavailable.Wrap(err, "%s %s", req.Method, req.URL.Path)
 	}
@@ -141,14 +142,6 @@
 	return decode(res.StatusCode, body, req, out)
 }
 
-// forbidResend stops net/http from sending a write a second time by itself
-// when a kept-alive connection dies: the first may have taken effect, and the
-// second would report a conflict with the writer's own value.
-func forbidResend(req *http.Request) *http.Request {
-	req.GetBody = nil
-	return req
-}
-
 func decode(status int, body []byte, req *http.Request, out any) error {
 	switch status {
 	case http.StatusOK:
--- a/internal/standin/burdockfakeengine/engine.go
+++ b/internal/standin/burdockfakeengine/engine.go
@@ -227,4 +227,3 @@
 	w.Header().Set("Content-Length", fmt.Sprint(len(body)))
 	_, _ = w.Write(body)
 }
-
--- /dev/null
+++ b/internal/state/burdockconfig/envelope.go
@@ -0,0 +1,30 @@
+package burdockconfig
+
+import (
+	"encoding/json"
+	"strings"
+
+	"burdockbend.example/burdockbend/internal/platform/burdockstore"
+	"github.com/joomcode/errorx"
+)
+
+// StorePrefix is where the configuration lies in the platform's store.
+const StorePrefix = "burdock/config/"
+
+// ErrMalformed says that a value in the store is not an entry.
+var ErrMalformed = errorx.NewNamespace("config").NewType("malformed")
+
+// Encode returns e as a value for the store.
+func Encode(e Entry) ([]byte, error) { return json.Marshal(e) }
+
+// Decode reads an entry from the store.
+func Decode(stored burdockstore.Entry) (Entry, error) {
+	var e Entry
+	if err := json.Unmarshal(stored.Value, &e); err != nil {
+		return Entry{}, ErrMalformed.Wrap(err, "%s", stored.Key)
+	}
+	if e.Key != strings.TrimPrefix(stored.Key, StorePrefix) {
+		return Entry{}, ErrMalformed.New("%s holds the entry of %q", stored.Key, e.Key)
+	}
+	return e, nil
+}
--- /dev/null
+++ b/internal/state/burdockfleet/index.go
@@ -0,0 +1,66 @@
+package burdockfleet
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/config/burdockmember"
+)
+
+// Route is one route and the plain service that it leads to.
+type Route struct {
+	burdockmember.Route
+	Service burdockid.Service
+}
+
+// index derives the maps that requests are looked up in.
+func (s *Snapshot) index() {
+	s.ByModel = map[string]burdockid.Service{}
+	s.ByKeyHash = map[string]burdockid.Customer{}
+	s.Members = map[burdockid.Service][]burdockmember.Upstream{}
+	for name, service := range s.Services {
+		for _, model := range service.Models {
+			s.ByModel[model] = name
+		}
+		for _, route := range service.Routes {
+			s.Routes = append(s.Routes, Route{Route: route, Service: name})
+		}
+	}
+	for name, customer := range s.Customers {
+		s.ByKeyHash[customer.KeyHash] = name
+	}
+	for _, u := range s.Upstreams {
+		s.Members[u.Service] = append(s.Members[u.Service], u)
+	}
+	for _, members := range s.Members {
+		slices.SortFunc(members, func(a, b burdockmember.Upstream) int { return cmp.Compare(a.Name, b.Name) })
+	}
+	slices.SortFunc(s.Routes, func(a, b Route) int {
+		return cmp.Or(
+			cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)),
+			cmp.Compare(a.PathPrefix, b.PathPrefix),
+			cmp.Compare(a.Service, b.Service),
+		)
+	})
+}
+
+// Route returns the route of a call to a plain service.
+func (s *Snapshot) Route(method, path string) (Route, bool) {
+	for _, route := range s.Routes {
+		if route.matches(method, path) {
+			return route, true
+		}
+	}
+	return Route{}, false
+}
+
+func (r Route) matches(method, path string) bool {
+	if len(r.Methods) > 0 && !slices.Contains(r.Methods, method) {
+		return false
+	}
+	prefix := strings.TrimSuffix(r.PathPrefix, "/")
+	rest, ok := strings.CutPrefix(path, prefix)
+	return ok && (rest == "" || rest[0] == '/')
+}
