Decide which request an engine starts, keeps waiting or refuses

A pure queue for one engine: priority classes with a bound on starvation, start-time fair queueing by customer within a class, weighted by share and by cost in tokens, slots kept for urgent classes, and refusal at once with a typed reason and a time to come back.

--- /dev/null
+++ b/internal/decide/burdockqueue/admit.go
@@ -0,0 +1,182 @@
+package burdockqueue
+
+import (
+	"math"
+
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+)
+
+// This file decides whether work that cannot start now may wait.
+
+const (
+	// saturatedShare is the part of MaxQueued beyond which customers are held
+	// to their share of the places. Below it a burst of one customer harms
+	// nobody; from half on there is still room for all others.
+	saturatedShare = 0.5
+	// leastRateShare is the part of the engine that a class is always assumed
+	// to get, so that a moment of urgent work does not refuse all other work.
+	leastRateShare = 0.05
+)
+
+// hopeless returns why work that would wait for so long is refused at once.
+//
+// Load: a backlog beyond what the engine serves in time. Harm prevented: the
+// caller waits for an answer that will not come, instead of asking elsewhere
+// or later, and the queue holds work that is dropped in the end.
+func (q *Queue) hopeless(w Work, expected burdockclock.Millis) Reason {
+	if w.Deadline > 0 && q.now+expected+q.serviceMillis(w) > w.Deadline {
+		return q.blame(w, ReasonDeadline)
+	}
+	bound := q.classes[w.Class].cfg.MaxWait
+	if bound > 0 && q.now+expected > w.Arrived+bound {
+		return q.blame(w, ReasonWaitExceeded)
+	}
+	if q.crowding(w) {
+		return ReasonOverShare
+	}
+	return ReasonNone
+}
+
+// blame returns ReasonOverShare in place of reason if the wait is due to the
+// customer's own backlog.
+func (q *Queue) blame(w Work, reason Reason) Reason {
+	c := q.classes[w.Class]
+	f, ok := c.flows[w.Customer]
+	if !ok || f.queued == 0 || len(c.byStart.items) < 2 {
+		return reason
+	}
+	if float64(f.queuedCost)/float64(c.queuedCost) > f.weight/c.activeWeight {
+		return ReasonOverShare
+	}
+	return reason
+}
+
+// crowding reports whether the customer would hold more than its share of the
+// places in a queue that fills up.
+func (q *Queue) crowding(w Work) bool {
+	if float64(q.queued) < saturatedShare*float64(q.cfg.MaxQueued) {
+		return false
+	}
+	c := q.classes[w.Class]
+	f, ok := c.flows[w.Customer]
+	if !ok || f.queued == 0 {
+		return false
+	}
+	places := float64(q.cfg.MaxQueued) * f.weight / c.activeWeight
+	return float64(f.queued+1) > max(places, 1)
+}
+
+// makeRoom returns ReasonNone if the queue has a place for w, and otherwise
+// takes one from the least urgent work that is furthest over its share.
+//
+// Load: full saturation, the queue at its bound. Harm prevented: urgent work
+// is refused because less urgent work came first, or a small customer because
+// a large one did. The displaced work was not run and is told so at once.
+func (q *Queue) makeRoom(w Work) Reason {
+	if q.queued < q.cfg.MaxQueued {
+		return ReasonNone
+	}
+	victim, ok := q.victimFor(w)
+	if !ok {
+		return ReasonQueueFull
+	}
+	q.pending = append(q.pending, q.drop(victim, ReasonDisplaced))
+	return ReasonNone
+}
+
+func (q *Queue) victimFor(w Work) (*item, bool) {
+	for i := Class(len(q.classes) - 1); i > w.Class; i-- {
+		if it, ok := q.classes[i].last(); ok {
+			return it, true
+		}
+	}
+	c := q.classes[w.Class]
+	it, ok := c.last()
+	if !ok || it.work.Customer == w.Customer {
+		return nil, false
+	}
+	weight := q.cfg.share(w.Customer)
+	tag := c.startTag(w.Customer, weight) + float64(charged(w.Cost))/weight
+	return it, tag < it.flow.tailTag()
+}
+
+// deadlineLost reports whether the deadline could not be met by a start now.
+func (q *Queue) deadlineLost(w Work) bool {
+	return w.Deadline > 0 && q.now+q.serviceMillis(w) > w.Deadline
+}
+
+// expectedWait returns how long w would wait if it were queued now: for the
+// queued work ahead of it, and for the next slot to come free.
+func (q *Queue) expectedWait(w Work) burdockclock.Millis {
+	rate := q.classRate(w.Class)
+	if rate <= 0 || q.running.len() == 0 {
+		return 0
+	}
+	ahead := float64(q.running.cost) / float64(q.running.len())
+	for _, c := range q.classes[:w.Class] {
+		ahead += float64(c.queuedCost)
+	}
+	ahead += q.aheadInClass(w)
+	return burdockclock.Millis(math.Ceil(ahead / rate))
+}
+
+// aheadInClass returns the tokens of the class that are served before w. While
+// virtual time moves to w's start tag, each backlogged customer is served its
+// weight times that span.
+func (q *Queue) aheadInClass(w Work) float64 {
+	c := q.classes[w.Class]
+	weight := q.cfg.share(w.Customer)
+	active := c.activeWeight
+	if f, ok := c.flows[w.Customer]; !ok || f.queued == 0 {
+		active += weight
+	}
+	span := max(c.startTag(w.Customer, weight)-c.virtual, 0)
+	return min(span*active, float64(c.queuedCost))
+}
+
+// classRate returns the tokens a millisecond that are left to a class after
+// what more urgent classes take.
+func (q *Queue) classRate(class Class) float64 {
+	total := q.slotRate() * float64(q.cfg.Slots)
+	left := total
+	for _, c := range q.classes[:class] {
+		left -= c.starts.rate(q.now)
+	}
+	return max(left, total*leastRateShare)
+}
+
+// slotRate returns the tokens a millisecond that one slot serves.
+//
+// Load: an engine that has become slow. Harm prevented: the rate learned from
+// finished work says nothing while nothing finishes, so work is admitted that
+// cannot be served in time. What runs cannot have been served faster than its
+// whole cost in the time it has run, which bounds the rate before it ends.
+func (q *Queue) slotRate() float64 {
+	learned := q.learnedRate()
+	elapsed := float64(q.running.elapsed(q.now))
+	if elapsed <= 0 {
+		return learned
+	}
+	return min(learned, float64(q.running.cost)/elapsed)
+}
+
+func (q *Queue) learnedRate() float64 {
+	if q.service.known() {
+		return q.service.rate()
+	}
+	return q.cfg.InitialRate / float64(burdockclock.Second)
+}
+
+// serviceMillis returns how long w would hold a slot: as its class did, made
+// longer by as much as the engine has become slower since.
+func (q *Queue) serviceMillis(w Work) burdockclock.Millis {
+	learned, present := q.learnedRate(), q.slotRate()
+	if learned <= 0 || present <= 0 {
+		return 0
+	}
+	millis, ok := q.classes[w.Class].service.predict(w.Cost)
+	if !ok {
+		millis = float64(charged(w.Cost)) / learned
+	}
+	return burdockclock.Millis(math.Ceil(millis * learned / present))
+}
--- /dev/null
+++ b/internal/decide/burdockqueue/work.go
@@ -0,0 +1,50 @@
+package burdockqueue
+
+import (
+	"math"
+
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+)
+
+// Class numbers a priority class. 0 is the most urgent.
+type Class int
+
+// Work is one request as the queue sees it.
+type Work struct {
+	ID       burdockid.Request
+	Customer burdockid.Customer
+	Class    Class // one beyond the last configured class counts as the last
+	// Cost is the estimate of prompt and output tokens. Finish corrects it.
+	Cost burdockid.Tokens
+	// Arrived is the instant the caller asked; 0 takes the time of the offer.
+	Arrived burdockclock.Millis
+	// Deadline is the instant after which the answer is of no use; 0 is none.
+	Deadline burdockclock.Millis
+}
+
+// place says which of the queue's containers holds an item.
+type place int
+
+const (
+	placeNone place = iota
+	placeQueued
+	placeRunning
+)
+
+// item is one admitted request.
+type item struct {
+	work    Work
+	place   place
+	flow    *flow
+	started burdockclock.Millis
+	// expires is the first instant at which queued work is dropped.
+	expires      burdockclock.Millis
+	expiryReason Reason
+	expiryIndex  int
+	runningIndex int
+	prev, next   *item // neighbours in the flow while queued
+}
+
+// never is an instant that no clock reaches.
+const never burdockclock.Millis = math.MaxInt64
