Add profiles and customers' keys

A profile states its classes, shares, stop behaviour, the exchange rate of expert placement, and the bounds of retries and queue.

--- /dev/null
+++ b/internal/config/burdockprofile/check.go
@@ -0,0 +1,116 @@
+package burdockprofile
+
+import (
+	"fmt"
+
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/base/burdockfinding"
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/config/burdockrule"
+	"burdockbend.example/burdockbend/internal/config/burdocktoml"
+)
+
+// Bounds of what a profile may ask for. A value beyond them is a slip of the
+// pen, such as seconds for milliseconds, more often than an intention.
+const (
+	maxClasses  = 16
+	maxSpan     = 24 * burdockclock.Hour
+	maxShare    = 1e6
+	maxWeight   = 1e6
+	maxAttempts = 16
+	maxQueued   = 1 << 20
+	// A budget above one retry per success would let retries alone double
+	// the load of upstreams that already refuse.
+	maxBudgetRatio = 1.0
+)
+
+// Check returns what is wrong with the profiles, by key.
+func Check(profiles []Profile) []burdockfinding.Finding {
+	var c burdockrule.Checker
+	if len(profiles) == 0 {
+		c.Add("profile", "no profile", "at least one [[profile]] table")
+	}
+	var names burdockrule.Unique[burdockid.Profile]
+	for i, p := range profiles {
+		key := burdocktoml.Item("profile", i)
+		if burdockrule.Name(&c, key+".name", p.Name) {
+			names.Add(&c, key+".name", p.Name)
+		}
+		p.check(&c, key)
+	}
+	return c.Findings()
+}
+
+func (p Profile) check(c *burdockrule.Checker, key string) {
+	p.checkClasses(c, key)
+	p.checkShares(c, key)
+	p.Stop.check(c, key+".stop")
+	p.Experts.check(c, key+".experts")
+	p.Retry.check(c, key+".retry")
+	burdockrule.Between(c, key+".queue.maxQueued", p.Queue.MaxQueued, 1, maxQueued)
+}
+
+func (p Profile) checkClasses(c *burdockrule.Checker, key string) {
+	if len(p.Classes) == 0 || len(p.Classes) > maxClasses {
+		c.Add(key+".class", fmt.Sprintf("%d classes", len(p.Classes)), fmt.Sprintf("1 to %d, the most urgent first", maxClasses))
+	}
+	var names burdockrule.Unique[string]
+	for i, class := range p.Classes {
+		at := burdocktoml.Item(key+".class", i)
+		if burdockrule.Name(c, at+".name", class.Name) {
+			names.Add(c, at+".name", class.Name)
+		}
+		class.check(c, at)
+	}
+	if _, ok := p.Class(p.DefaultClass); !ok {
+		burdockrule.OneOf(c, key+".defaultClass", p.DefaultClass, p.classNames()...)
+	}
+}
+
+func (p Profile) classNames() []string {
+	names := make([]string, len(p.Classes))
+	for i, class := range p.Classes {
+		names[i] = class.Name
+	}
+	return names
+}
+
+func (k Class) check(c *burdockrule.Checker, key string) {
+	burdockrule.Between(c, key+".maxStarvationMillis", k.MaxStarvationMillis, 1, maxSpan)
+	burdockrule.Between(c, key+".deadlineMillis", k.DeadlineMillis, 1, maxSpan)
+	burdockrule.Between(c, key+".maxWaitMillis", k.MaxWaitMillis, 1, maxSpan)
+	if k.MaxWaitMillis > k.DeadlineMillis {
+		c.Add(key+".maxWaitMillis", fmt.Sprintf("is %d, beyond the deadline of %d", k.MaxWaitMillis, k.DeadlineMillis), "at most deadlineMillis")
+	}
+}
+
+func (p Profile) checkShares(c *burdockrule.Checker, key string) {
+	var customers burdockrule.Unique[burdockid.Customer]
+	for i, share := range p.Shares {
+		at := burdocktoml.Item(key+".share", i)
+		if burdockrule.Name(c, at+".customer", share.Customer) {
+			customers.Add(c, at+".customer", share.Customer)
+		}
+		burdockrule.Above(c, at+".share", share.Share, 0, maxShare)
+	}
+	burdockrule.Above(c, key+".defaultShare", p.DefaultShare, 0, maxShare)
+}
+
+func (s Stop) check(c *burdockrule.Checker, key string) {
+	burdockrule.Between(c, key+".graceMillis", s.GraceMillis, 1, maxSpan)
+	burdockrule.OneOf(c, key+".queued", s.Queued, FinishQueued, RefuseQueued)
+}
+
+func (e Experts) check(c *burdockrule.Checker, key string) {
+	burdockrule.Between(c, key+".skewWeight", e.SkewWeight, 0, maxWeight)
+	burdockrule.Between(c, key+".costWeight", e.CostWeight, 0, maxWeight)
+	if e.SkewWeight == 0 && e.CostWeight == 0 {
+		c.Add(key, "both weights are 0", "skewWeight or costWeight above 0")
+	}
+	burdockrule.Between(c, key+".holdMillis", e.HoldMillis, 0, maxSpan)
+}
+
+func (r Retry) check(c *burdockrule.Checker, key string) {
+	burdockrule.Between(c, key+".budgetRatio", r.BudgetRatio, 0, maxBudgetRatio)
+	burdockrule.Between(c, key+".maxAttempts", r.MaxAttempts, 1, maxAttempts)
+}
