--- /dev/null
+++ b/internal/config/burdockmember/route.go
@@ -0,0 +1,32 @@
+package burdockmember
+
+import (
+	"slices"
+	"strings"
+)
+
+// Matches reports whether a call belongs to the route. The prefix ends at a
+// "/", so that /job does not take in /jobs.
+func (r Route) Matches(method, path string) bool {
+	if len(r.Methods) > 0 && !slices.Contains(r.Methods, method) {
+		return false
+	}
+	rest, ok := strings.CutPrefix(path, strings.TrimSuffix(r.PathPrefix, "/"))
+	return ok && (rest == "" || rest[0] == '/')
+}
+
+// FindRoute returns the service and route of a call: of those that match, the
+// one with the longest prefix.
+func (f Fleet) FindRoute(method, path string) (Service, Route, bool) {
+	var service Service
+	var route Route
+	found := false
+	for _, s := range f.Services {
+		for _, r := range s.Routes {
+			if r.Matches(method, path) && (!found || len(r.PathPrefix) > len(route.PathPrefix)) {
+				service, route, found = s, r, true
+			}
+		}
+	}
+	return service, route, found
+}
