--- a/internal/platform/burdockengine/engine.go
+++ b/internal/platform/burdockengine/engine.go
@@ -17,6 +17,9 @@
 	Query  string
 	Header http.Header
 	Body   []byte
+	// BeforeSend, when set, is called once, right before the first byte may be
+	// written. Until then the upstream knows nothing of the call.
+	BeforeSend func()
 }
 
 // Answer is what the upstream sends back. The body must be closed.
--- a/internal/platform/burdockengine/http.go
+++ b/internal/platform/burdockengine/http.go
@@ -42,7 +42,11 @@
 // Do implements Engine.
 func (e *httpEngine) Do(ctx context.Context, call Call) (Answer, error) {
 	var begun atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { begun.Store(true) }}
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) {
+		if !begun.Swap(true) && call.BeforeSend != nil {
+			call.BeforeSend()
+		}
+	}}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), call.Method, e.url(call), bytes.NewReader(call.Body))
 	if err != nil {
 		return Answer{}, ErrNotSent.Wrap(err, "build request")
--- a/internal/serve/burdockagent/agent.go
+++ b/internal/serve/burdockagent/agent.go
@@ -107,7 +107,7 @@
 	defer a.mu.Unlock()
 	now := a.deps.Clock.Boot()
 	a.followConfig(now)
-	a.cancelOrphans(now)
+	a.tendJobs(now)
 	a.memory.forget(now)
 	a.drive(now)
 }
@@ -122,15 +122,21 @@
 	a.queue.Reconfigure(now, a.policy.queue)
 }
 
-// cancelOrphans gives up requests that nobody waits for any longer.
+// tendJobs gives up requests that nobody waits for any longer, and forgets
+// those that ended a while ago.
 //
 // Load: entries die or lose their connections while their requests wait or
 // run. Harm: slots of the engine taken by work for nobody. The grace lets an
 // entry that lost only the connection come back for the answer.
-func (a *Agent) cancelOrphans(now burdockclock.Millis) {
-	for _, j := range a.jobs {
-		if j.orphanedFor(now) > orphanGrace {
+func (a *Agent) tendJobs(now burdockclock.Millis) {
+	for id, j := range a.jobs {
+		switch {
+		case j.orphanedFor(now) > orphanGrace:
 			a.cancelJob(now, j, cancelOrphaned)
+		case j.forgettable(now):
+			delete(a.jobs, id)
+		default:
+			j.poke()
 		}
 	}
 }
--- a/internal/serve/burdockagent/job.go
+++ b/internal/serve/burdockagent/job.go
@@ -17,6 +17,9 @@
 	// readAhead is how far the upstream is read ahead of the readers. It bounds
 	// what one slow reader costs; the upstream then waits for it.
 	readAhead = 1 << 20
+	// keepEnded is how long an ended job is kept. An entry finds a silent
+	// connection after two seconds and attaches again a few times.
+	keepEnded = 10 * burdockclock.Second
 )
 
 // job is one request at this agent, from its admission until its answer has
@@ -29,7 +32,7 @@
 	clock    burdockclock.Clock
 
 	mu      sync.Mutex
-	room    *sync.Cond // signalled when a reader has taken bytes, or at the end
+	room    *sync.Cond // signalled when a reader has taken bytes, and on each tick
 	machine burdockcharts.RequestMachine
 	readers map[*reader]struct{}
 	// unread is since when nobody reads the answer; 0 while somebody does.
@@ -40,6 +43,7 @@
 	sent      int64 // offset up to which some reader has sent
 	outcome   outcome
 	delivered bool // a reader has passed the outcome on
+	endedAt   burdockclock.Millis
 	cancel    context.CancelFunc
 	served    burdockid.Tokens
 	startedAt burdockclock.Millis
@@ -146,13 +150,13 @@
 
 // add appends bytes of the answer. It waits while the readers are too far
 // behind, and reports false when the job was given up meanwhile.
-func (j *job) add(data []byte) bool {
+func (j *job) add(ctx context.Context, data []byte) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	for j.outcome == nil && j.total()-j.sent > readAhead {
+	for j.outcome == nil && ctx.Err() == nil && j.total()-j.sent > readAhead {
 		j.room.Wait()
 	}
-	if j.outcome != nil {
+	if j.outcome != nil || ctx.Err() != nil {
 		return false
 	}
 	j.kept = append(j.kept, data...)
@@ -180,6 +184,7 @@
 		return false
 	}
 	j.outcome = o
+	j.endedAt = j.clock.Boot()
 	j.wakeReaders()
 	j.room.Broadcast()
 	return true
@@ -195,13 +200,28 @@
 	return now - j.unread
 }
 
-// settled reports whether the job has ended and its outcome was passed on.
+// settled reports whether the job has ended and nobody reads it.
 func (j *job) settled() bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	return j.outcome != nil && (j.delivered || len(j.readers) == 0)
 }
 
+// forgettable reports whether an ended job has been kept long enough.
+//
+// Failure: the connection goes silent under the last bytes of an answer. The
+// agent has sent them; the entry never gets them and attaches again a few
+// seconds later. Without the ended job it would have to report an answer lost
+// that was whole.
+func (j *job) forgettable(now burdockclock.Millis) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.outcome != nil && len(j.readers) == 0 && now-j.endedAt > keepEnded
+}
+
+// poke lets a runner that waits for room look at its deadline.
+func (j *job) poke() { j.room.Broadcast() }
+
 // progress is what is new for a reader that has read up to an offset.
 type progress struct {
 	head    *burdockwire.Head
@@ -247,3 +267,21 @@
 	defer j.mu.Unlock()
 	j.delivered = true
 }
+
+// cancelFunc returns what stops the job's work on the engine, or nil when it
+// has no slot yet.
+func (j *job) cancelFunc() context.CancelFunc {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.cancel
+}
+
+// waited returns how long the job waited for a slot.
+func (j *job) waited(now burdockclock.Millis) burdockclock.Millis {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.startedAt > 0 {
+		now = j.startedAt
+	}
+	return now - j.arrived
+}
--- /dev/null
+++ b/internal/serve/burdockagent/rpc.go
@@ -0,0 +1,187 @@
+package burdockagent
+
+import (
+	"context"
+	"time"
+
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/decide/burdockqueue"
+	"burdockbend.example/burdockbend/internal/state/burdockcharts"
+	"burdockbend.example/burdockbend/internal/wire/burdockwire"
+	"connectrpc.com/connect"
+)
+
+// clockMargin covers the rounding of spans that two processes measured.
+const clockMargin = burdockclock.Second
+
+// Run implements burdockwire.AgentServiceHandler.
+func (a *Agent) Run(ctx context.Context, req *connect.Request[burdockwire.RunRequest], stream *connect.ServerStream[burdockwire.RunEvent]) error {
+	j, no := a.admit(req.Msg)
+	if no != nil {
+		return stream.Send(no)
+	}
+	return a.follow(ctx, j, 0, stream)
+}
+
+// Attach implements burdockwire.AgentServiceHandler.
+func (a *Agent) Attach(ctx context.Context, req *connect.Request[burdockwire.AttachRequest], stream *connect.ServerStream[burdockwire.RunEvent]) error {
+	j, no := a.find(req.Msg)
+	if no != nil {
+		return stream.Send(no)
+	}
+	return a.follow(ctx, j, req.Msg.GetOffset(), stream)
+}
+
+// Cancel implements burdockwire.AgentServiceHandler.
+func (a *Agent) Cancel(_ context.Context, req *connect.Request[burdockwire.CancelRequest]) (*connect.Response[burdockwire.CancelResponse], error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.deps.Clock.Boot()
+	id := burdockid.Request(req.Msg.GetRequestId())
+	if j, ok := a.jobs[id]; ok {
+		a.cancelJob(now, j, cancelCaller)
+	} else if a.memory.fate(id) == fateNone {
+		// The cancellation overtook the request. If it comes, it is refused.
+		a.memory.remember(now, id, fateWithdrawn)
+	}
+	return connect.NewResponse(&burdockwire.CancelResponse{}), nil
+}
+
+// admit decides about a request that an entry offers. It returns the job to
+// follow, or the event that says no.
+func (a *Agent) admit(req *burdockwire.RunRequest) (*job, *burdockwire.RunEvent) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.deps.Clock.Boot()
+	id := burdockid.Request(req.GetRequestId())
+	a.counts.Offered++
+	if no := a.precheck(req, id); no != nil {
+		a.counts.Refused++
+		return nil, a.refusal(req.GetRequestId(), *no)
+	}
+	j := newJob(req, now, a.deps.Clock)
+	work := burdockqueue.Work{
+		ID:       id,
+		Customer: burdockid.Customer(req.GetCustomer()),
+		Class:    a.policy.class(req.GetPriorityClass()),
+		Cost:     burdockid.Tokens(req.GetCostTokens()),
+		Arrived:  now,
+		Deadline: j.deadline,
+	}
+	switch d := a.queue.Offer(now, work).(type) {
+	case burdockqueue.Start:
+		a.jobs[id] = j
+		a.startJob(j)
+	case burdockqueue.Wait:
+		a.jobs[id] = j
+		j.step(burdockcharts.RequestEventEnqueue)
+	case burdockqueue.Refuse:
+		a.counts.Refused++
+		a.memory.remember(now, id, fateNotRun)
+		no := refused{reason: reasonOf(d.Reason), retryAfter: d.RetryAfter, explanation: d.Reason.String()}
+		return nil, a.refusal(req.GetRequestId(), no)
+	}
+	a.drive(now)
+	return j, nil
+}
+
+// precheck refuses what must not reach the queue.
+func (a *Agent) precheck(req *burdockwire.RunRequest, id burdockid.Request) *refused {
+	switch {
+	case req.GetUpstream() != string(a.cfg.Upstream):
+		// The entry's address for that upstream now belongs to this one.
+		return &refused{reason: burdockwire.RefusedReason_REFUSED_REASON_WRONG_UPSTREAM, explanation: "this is upstream " + string(a.cfg.Upstream)}
+	case a.jobs[id] != nil || a.memory.fate(id) == fateWithdrawn || a.memory.fate(id) == fateMayHaveRun:
+		// A message that came late or doubled. The entry was told that the
+		// request is withdrawn, or follows the first one; a second run would
+		// break both.
+		return &refused{reason: burdockwire.RefusedReason_REFUSED_REASON_WITHDRAWN, explanation: "the request was withdrawn or came before"}
+	case req.GetMaxLoad() > 0 && a.busy(req.GetMaxLoad()):
+		return &refused{reason: burdockwire.RefusedReason_REFUSED_REASON_BUSY, explanation: "loaded beyond the bound of the offer"}
+	}
+	return nil
+}
+
+func (a *Agent) busy(bound float64) bool {
+	l := a.queue.Load()
+	return float64(l.Running+l.Queued) >= bound*float64(max(l.Slots, 1))
+}
+
+func (a *Agent) refusal(id string, no refused) *burdockwire.RunEvent {
+	return refusedEvent(id, no, a.load())
+}
+
+func refusedEvent(id string, no refused, load *burdockwire.Load) *burdockwire.RunEvent {
+	return &burdockwire.RunEvent{RequestId: id, Event: &burdockwire.RunEvent_Refused{Refused: &burdockwire.Refused{
+		Reason:           no.reason,
+		RetryAfterMillis: int64(no.retryAfter),
+		Explanation:      no.explanation,
+		Load:             load,
+	}}}
+}
+
+func cutEventOf(id string, c cut, load *burdockwire.Load) *burdockwire.RunEvent {
+	return &burdockwire.RunEvent{RequestId: id, Event: &burdockwire.RunEvent_Cut{Cut: &burdockwire.Cut{
+		Reason:      c.reason,
+		Explanation: c.explanation,
+		Load:        load,
+	}}}
+}
+
+// find returns the job that an entry wants to go on with, or the event that
+// says what became of it.
+//
+// Failure: the connection on which a request was offered broke or went silent
+// before any event. Symptom: the entry can't tell whether the request runs. If
+// this agent has been up and remembering since before the offer and doesn't
+// know the request, it never had it; the withdrawal makes sure that it will
+// not run if it still comes. Only then "not run" is the truth.
+func (a *Agent) find(req *burdockwire.AttachRequest) (*job, *burdockwire.RunEvent) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	id := burdockid.Request(req.GetRequestId())
+	if j, ok := a.jobs[id]; ok {
+		return j, nil
+	}
+	now := a.deps.Clock.Boot()
+	offered := now - burdockclock.Millis(req.GetAgeMillis()) - clockMargin
+	known := a.memory.fate(id)
+	if known == fateNone && offered > a.started && a.memory.reaches(offered) {
+		a.memory.remember(now, id, fateWithdrawn)
+		known = fateWithdrawn
+	}
+	if known == fateWithdrawn || known == fateNotRun {
+		no := refused{reason: burdockwire.RefusedReason_REFUSED_REASON_WITHDRAWN, explanation: "never handed to the upstream"}
+		return nil, a.refusal(req.GetRequestId(), no)
+	}
+	c := cut{reason: burdockwire.CutReason_CUT_REASON_UNKNOWN_REQUEST, explanation: "this agent does not hold the request"}
+	return nil, cutEventOf(req.GetRequestId(), c, a.load())
+}
+
+// follow sends a job's events from an offset on until its end.
+func (a *Agent) follow(ctx context.Context, j *job, offset int64, stream *connect.ServerStream[burdockwire.RunEvent]) error {
+	r := j.join()
+	defer j.leave(r)
+	s := sender{agent: a, job: j, stream: stream, offset: offset}
+	if err := s.admitted(); err != nil {
+		return err
+	}
+	heartbeat := time.NewTicker(heartbeatEvery)
+	defer heartbeat.Stop()
+	for {
+		done, err := s.sendNew()
+		if done || err != nil {
+			return err
+		}
+		select {
+		case <-r.wake:
+		case <-heartbeat.C:
+			if err := s.heartbeat(); err != nil {
+				return err
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
--- a/internal/serve/burdockagent/run.go
+++ b/internal/serve/burdockagent/run.go
@@ -30,6 +30,9 @@
 	bytesPerToken = 4
 )
 
+// errGivenUp says that a job ended while its answer still came in.
+var errGivenUp = errors.New("given up")
+
 // runner carries one job out on the engine.
 type runner struct {
 	agent *Agent
@@ -54,16 +57,16 @@
 }
 
 func (r *runner) run(ctx context.Context) {
-	j := r.job
-	j.step(burdockcharts.RequestEventHandOver)
 	o := r.execute(ctx)
-	j.cancel()
-	r.agent.finish(j, o)
+	r.job.cancel()
+	r.agent.finish(r.job, o)
 }
 
 // execute hands the request over and reads the answer.
 func (r *runner) execute(ctx context.Context) outcome {
-	answer, err := r.agent.deps.Engine.Do(ctx, callOf(r.job.request))
+	call := callOf(r.job.request)
+	call.BeforeSend = func() { r.job.step(burdockcharts.RequestEventHandOver) }
+	answer, err := r.agent.deps.Engine.Do(ctx, call)
 	if err != nil {
 		return r.failure(ctx, err)
 	}
@@ -74,8 +77,8 @@
 		n, err := answer.Body.Read(buffer)
 		if n > 0 {
 			r.note(buffer[:n])
-			if !r.job.add(buffer[:n]) {
-				return cut{reason: burdockwire.CutReason_CUT_REASON_CANCELLED, explanation: "given up"}
+			if !r.job.add(ctx, buffer[:n]) {
+				return r.failure(ctx, errGivenUp)
 			}
 		}
 		if errors.Is(err, io.EOF) {
@@ -115,21 +118,24 @@
 	return ended{total: r.job.total()}
 }
 
-// tokens estimates what the answer cost, for the queue's measured rate.
+// tokens estimates what the request cost, for the queue's measured rate.
 func (r *runner) tokens() burdockid.Tokens {
+	prompt := burdockid.Tokens(r.job.request.GetPromptTokens())
 	if r.job.request.GetEventStream() {
-		return burdockid.Tokens(r.marks)
+		return prompt + burdockid.Tokens(r.marks)
 	}
-	return burdockid.Tokens(r.job.total()/bytesPerToken + 1)
+	return prompt + burdockid.Tokens(r.job.total()/bytesPerToken+1)
 }
 
 // failure says what an error of the engine means for the caller. Only when no
 // byte was sent is "not run" the truth.
 func (r *runner) failure(ctx context.Context, err error) outcome {
 	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded) && errorx.IsOfType(err, burdockengine.ErrNotSent):
+		return refused{reason: burdockwire.RefusedReason_REFUSED_REASON_DEADLINE, explanation: "deadline passed"}
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return cut{reason: burdockwire.CutReason_CUT_REASON_DEADLINE, explanation: "deadline passed"}
-	case ctx.Err() != nil:
+	case ctx.Err() != nil || errors.Is(err, errGivenUp):
 		return cut{reason: burdockwire.CutReason_CUT_REASON_CANCELLED, explanation: "given up"}
 	case errorx.IsOfType(err, burdockengine.ErrNotSent):
 		return refused{
--- a/internal/state/burdockconfig/view.go
+++ b/internal/state/burdockconfig/view.go
@@ -63,11 +63,11 @@
 
 // View is the configuration as one process knows it.
 type View struct {
-	mu      sync.Mutex
-	entries map[string]Entry
-	digest  Digest
-	buckets [bucketCount]Digest
-	history []change // the newest last
+	mu       sync.Mutex
+	entries  map[string]Entry
+	digest   Digest
+	buckets  [bucketCount]Digest
+	history  []change // the newest last
 	watchers []func([]Entry, Digest)
 }
 
