--- /dev/null
+++ b/internal/state/burdocksync/handler.go
@@ -0,0 +1,68 @@
+// Package burdocksync keeps a process's configuration up to date: from the
+// platform's store, and from other processes while the store is out. Few
+// processes watch the store; all others ask those few.
+package burdocksync
+
+import (
+	"context"
+
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/state/burdockconfig"
+	"burdockbend.example/burdockbend/internal/wire/burdockwire"
+	"connectrpc.com/connect"
+)
+
+// Handler answers other processes that ask for configuration.
+type Handler struct{ view *burdockconfig.View }
+
+// NewHandler returns a burdockwire.PeerServiceHandler that passes view on.
+func NewHandler(view *burdockconfig.View) *Handler { return &Handler{view: view} }
+
+// Sync implements burdockwire.PeerServiceHandler.
+func (h *Handler) Sync(_ context.Context, req *connect.Request[burdockwire.SyncRequest]) (*connect.Response[burdockwire.SyncResponse], error) {
+	res := &burdockwire.SyncResponse{Digest: uint64(h.view.Digest())}
+	if buckets := req.Msg.GetBucketDigests(); len(buckets) > 0 {
+		res.Entries = toWire(h.view.Differing(digestsOf(buckets)))
+		return connect.NewResponse(res), nil
+	}
+	entries, known := h.view.Since(burdockconfig.Digest(req.Msg.GetDigest()))
+	res.NeedBuckets = !known
+	res.Entries = toWire(entries)
+	return connect.NewResponse(res), nil
+}
+
+func digestsOf(buckets []uint64) []burdockconfig.Digest {
+	digests := make([]burdockconfig.Digest, len(buckets))
+	for i, b := range buckets {
+		digests[i] = burdockconfig.Digest(b)
+	}
+	return digests
+}
+
+func toWire(entries []burdockconfig.Entry) []*burdockwire.ConfigEntry {
+	messages := make([]*burdockwire.ConfigEntry, len(entries))
+	for i, e := range entries {
+		messages[i] = &burdockwire.ConfigEntry{
+			Key:     e.Key,
+			Version: uint64(e.Version),
+			Mark:    e.Mark,
+			Deleted: e.Deleted,
+			Value:   e.Value,
+		}
+	}
+	return messages
+}
+
+func fromWire(messages []*burdockwire.ConfigEntry) []burdockconfig.Entry {
+	entries := make([]burdockconfig.Entry, len(messages))
+	for i, m := range messages {
+		entries[i] = burdockconfig.Entry{
+			Key:     m.GetKey(),
+			Version: burdockid.Version(m.GetVersion()),
+			Mark:    m.GetMark(),
+			Deleted: m.GetDeleted(),
+			Value:   m.GetValue(),
+		}
+	}
+	return entries
+}
--- a/internal/wire/burdocktransport/once.go
+++ b/internal/wire/burdocktransport/once.go
@@ -19,6 +19,13 @@
 // though empty, rules that out for every method.
 func NewOnce(next http.RoundTripper) http.RoundTripper { return once{next: next} }
 
+// CloseIdleConnections lets http.Client.CloseIdleConnections reach through.
+func (o once) CloseIdleConnections() {
+	if c, ok := o.next.(interface{ CloseIdleConnections() }); ok {
+		c.CloseIdleConnections()
+	}
+}
+
 // RoundTrip implements http.RoundTripper.
 func (o once) RoundTrip(req *http.Request) (*http.Response, error) {
 	sent := req.WithContext(req.Context()) // a shallow copy
