Bound retries by a budget and give up at once

Only what did not run, or is idempotent, is offered again; never past the caller's deadline, never beyond a tenth of recent successes and a floor, and not while most upstreams refuse. Who is given up is told when to come back, spread by jitter.

--- /dev/null
+++ b/internal/decide/burdockretry/decide.go
@@ -0,0 +1,128 @@
+package burdockretry
+
+import "burdockbend.example/burdockbend/internal/base/burdockclock"
+
+// maxDoublings bounds the growth of the backoff.
+const maxDoublings = 6
+
+// Succeeded tells that an offer was taken and answered, or that its answer has
+// begun. It pays for a fraction of a retry.
+func (b *Budget) Succeeded(now burdockclock.Millis) {
+	b.offers.add(now, b.cfg.Window)
+	b.successes.add(now, b.cfg.Window)
+}
+
+// Decide tells what to do with a request after one of its offers ended
+// without an answer. Each such end is told exactly once.
+//
+// Made for: an upstream, a rack or a data centre that fails under full load.
+// Every request there comes back at once; each that is offered again and
+// again takes the place of one that could have been answered.
+func (b *Budget) Decide(now burdockclock.Millis, a Attempt) Decision {
+	switch outcome := a.Outcome.(type) {
+	case OverBound:
+		return b.decideOverBound(now, a)
+	case NotRun:
+		b.offers.add(now, b.cfg.Window)
+		b.refusals.add(now, b.cfg.Window)
+		return b.decideRetry(now, a, 0, outcome.RetryAfter)
+	case Unreached:
+		b.offers.add(now, b.cfg.Window)
+		return b.decideRetry(now, a, 0, 0)
+	case Failed:
+		b.offers.add(now, b.cfg.Window)
+		// A broken connection never says "not run": the request may have run.
+		if !a.Idempotent {
+			return b.giveUp(now, ReasonUnknownOutcome, 0)
+		}
+		return b.decideRetry(now, a, b.backoff(a.Offers), 0)
+	default:
+		panic("burdockretry: an attempt without an outcome")
+	}
+}
+
+// decideOverBound never charges the budget: the offer was an enquiry whether
+// the upstream has more room than most, and the fleet is not short of it. The
+// placer bounds how many such offers a request makes.
+func (b *Budget) decideOverBound(now burdockclock.Millis, a Attempt) Decision {
+	switch {
+	case !b.inTime(now, a, 0):
+		return b.giveUp(now, ReasonDeadline, 0)
+	case a.OverBound >= b.cfg.Enquiries:
+		return b.giveUp(now, ReasonOffers, 0)
+	}
+	return Retry{}
+}
+
+func (b *Budget) decideRetry(now burdockclock.Millis, a Attempt, after, told burdockclock.Millis) Decision {
+	switch {
+	case !b.inTime(now, a, after):
+		return b.giveUp(now, ReasonDeadline, told)
+	case a.Offers-a.OverBound >= b.cfg.Offers:
+		return b.giveUp(now, ReasonOffers, told)
+	case b.mostRefuse(now):
+		return b.giveUp(now, ReasonMostRefuse, told)
+	case !b.affords(now):
+		return b.giveUp(now, ReasonBudget, told)
+	}
+	b.retries.add(now, b.cfg.Window)
+	b.verify(now)
+	return Retry{After: after}
+}
+
+// NoUpstream returns the decision for a request that no upstream could be
+// found for.
+func (b *Budget) NoUpstream(now burdockclock.Millis) GiveUp {
+	return b.giveUp(now, ReasonNoUpstream, 0)
+}
+
+func (b *Budget) inTime(now burdockclock.Millis, a Attempt, after burdockclock.Millis) bool {
+	return a.Deadline == 0 || now+after+a.Needed < a.Deadline
+}
+
+// mostRefuse reports whether offering again is pointless. First offers go on
+// all the while, since their outcomes tell when it no longer is.
+func (b *Budget) mostRefuse(now burdockclock.Millis) bool {
+	offers := b.offers.get(now, b.cfg.Window)
+	refusals := b.refusals.get(now, b.cfg.Window)
+	return offers >= b.cfg.Evidence && refusals > b.cfg.MostRefuse*offers
+}
+
+func (b *Budget) allowance(now burdockclock.Millis) float64 {
+	return b.cfg.Floor + b.cfg.Fraction*b.successes.get(now, b.cfg.Window)
+}
+
+func (b *Budget) affords(now burdockclock.Millis) bool {
+	return b.retries.get(now, b.cfg.Window)+1 <= b.allowance(now)
+}
+
+// verify panics when more was retried than the budget allows.
+func (b *Budget) verify(now burdockclock.Millis) {
+	const rounding = 1e-6
+	if b.retries.get(now, b.cfg.Window) > b.allowance(now)+rounding {
+		panic("burdockretry: more retries than the budget allows")
+	}
+}
+
+func (b *Budget) backoff(offers int) burdockclock.Millis {
+	doublings := min(max(offers-1, 0), maxDoublings)
+	return burdockclock.Millis(b.rnd.Int64N(int64(b.cfg.Backoff)<<doublings + 1))
+}
+
+func (b *Budget) giveUp(now burdockclock.Millis, reason Reason, told burdockclock.Millis) GiveUp {
+	b.given[reason]++
+	if reason == ReasonUnknownOutcome {
+		// Told to come back, a caller would run it twice.
+		return GiveUp{Reason: reason}
+	}
+	return GiveUp{Reason: reason, RetryAfter: b.comeBack(now, told)}
+}
+
+// comeBack returns the time to come back. It grows with the share of offers
+// that were refused: the fuller the fleet, the further apart the returns.
+func (b *Budget) comeBack(now, told burdockclock.Millis) burdockclock.Millis {
+	base := max(told, b.cfg.ComeBack)
+	share := b.refusals.get(now, b.cfg.Window) / max(b.offers.get(now, b.cfg.Window), 1)
+	spread := b.cfg.Spread * (1 + share) * float64(base)
+	return base + burdockclock.Millis(b.rnd.Float64()*spread)
+}
--- /dev/null
+++ b/internal/decide/burdockretry/retry_test.go
@@ -0,0 +1,131 @@
+package burdockretry
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+)
+
+func testBudget(seed uint64) *Budget {
+	return New(Config{}, rand.New(rand.NewPCG(seed, 1)))
+}
+
+func ExampleBudget_Decide() {
+	b := New(Config{}, rand.New(rand.NewPCG(1, 1)))
+	letter := Attempt{Outcome: Failed{}, Offers: 1}
+	switch d := b.Decide(0, letter).(type) {
+	case Retry:
+		fmt.Println("offer it again")
+	case GiveUp:
+		fmt.Println("answer now:", d.Reason)
+	}
+	// Output: answer now: unknownOutcome
+}
+
+func TestDecide(t *testing.T) {
+	tests := []struct {
+		name    string
+		attempt Attempt
+		want    Reason // empty: retry
+	}{
+		{"not run", Attempt{Outcome: NotRun{}, Offers: 1}, ""},
+		{"not run, no time left", Attempt{Outcome: NotRun{}, Offers: 1, Deadline: 1100, Needed: 200}, ReasonDeadline},
+		{"not run, offered often", Attempt{Outcome: NotRun{}, Offers: 4}, ReasonOffers},
+		{"over the bound is free", Attempt{Outcome: OverBound{}, Offers: 5, OverBound: 5}, ""},
+		{"over the bound without end", Attempt{Outcome: OverBound{}, Offers: 9, OverBound: 9}, ReasonOffers},
+		{"over the bound, too late", Attempt{Outcome: OverBound{}, Offers: 1, Deadline: 1000}, ReasonDeadline},
+		{"never sent", Attempt{Outcome: Unreached{}, Offers: 1}, ""},
+		{"unknown, idempotent", Attempt{Outcome: Failed{}, Offers: 1, Idempotent: true}, ""},
+		{"unknown, not idempotent", Attempt{Outcome: Failed{}, Offers: 1}, ReasonUnknownOutcome},
+	}
+	for _, test := range tests {
+		got := Reason("")
+		if giveUp, ok := testBudget(1).Decide(1000, test.attempt).(GiveUp); ok {
+			got = giveUp.Reason
+		}
+		if got != test.want {
+			t.Errorf("%s: given up for %q, want %q", test.name, got, test.want)
+		}
+	}
+}
+
+// Every upstream refuses, and a hundred callers a second go on asking. Each
+// gets its refusal after one offer, at once: further offers would only add to
+// the load, since all refuse. First offers go on, so that the entry notices by
+// itself when the upstreams take work again.
+func TestAllRefuse(t *testing.T) {
+	b := testBudget(2)
+	retries := 0
+	for i := range 1000 {
+		now := burdockclock.Millis(i * 10)
+		switch d := b.Decide(now, Attempt{Outcome: NotRun{RetryAfter: 2000}, Offers: 1}).(type) {
+		case Retry:
+			retries++
+		case GiveUp:
+			if d.RetryAfter < 2000 || d.RetryAfter > 6000 {
+				t.Fatalf("RetryAfter = %d, want within 2000 and 6000", d.RetryAfter)
+			}
+		}
+	}
+	if got, want := retries, defaultFloor; got > want {
+		t.Errorf("retries = %d, want at most %d", got, want)
+	}
+	for i := range 2000 {
+		b.Succeeded(burdockclock.Millis(10_000 + i*10))
+	}
+	if _, ok := b.Decide(30_000, Attempt{Outcome: NotRun{}, Offers: 1}).(Retry); !ok {
+		t.Error("no retry once the upstreams take work again, want one")
+	}
+}
+
+// A data centre comes back while the callers that were refused are told when
+// to return. Told one time, all would return in one instant and be refused
+// again. No tenth of the span of times may get more than twice its part.
+func TestTimesToComeBackAreSpread(t *testing.T) {
+	const callers, parts = 1000, 10
+	b := testBudget(3)
+	counts := make([]int, parts)
+	for range callers {
+		after := b.NoUpstream(0).RetryAfter
+		counts[min(int(after-defaultComeBack)*parts/int(defaultComeBack), parts-1)]++
+	}
+	for i, got := range counts {
+		if want := 2 * callers / parts; got > want {
+			t.Errorf("part %d of the span gets %d callers, want at most %d", i, got, want)
+		}
+	}
+}
+
+// One upstream of ten is lost. Retries must bring back what was sent there
+// without exceeding the budget: a tenth of recent successes and the floor.
+func TestRetriesStayWithinTheBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := testBudget(rapid.Uint64().Draw(t, "seed"))
+		now := burdockclock.Second
+		t.Repeat(map[string]func(*rapid.T){
+			"pass":    func(t *rapid.T) { now += burdockclock.Millis(rapid.IntRange(0, 3000).Draw(t, "ms")) },
+			"succeed": func(*rapid.T) { b.Succeeded(now) },
+			"end": func(t *rapid.T) {
+				outcomes := []Outcome{NotRun{}, OverBound{}, Unreached{}, Failed{}}
+				a := Attempt{
+					Outcome:    rapid.SampledFrom(outcomes).Draw(t, "outcome"),
+					Offers:     rapid.IntRange(1, 6).Draw(t, "offers"),
+					Idempotent: rapid.Bool().Draw(t, "idempotent"),
+					Deadline:   now + burdockclock.Millis(rapid.IntRange(1, 100).Draw(t, "left")),
+				}
+				retry, retried := b.Decide(now, a).(Retry)
+				if retried && now+retry.After >= a.Deadline {
+					t.Fatalf("retry after %d ms, want before the deadline", retry.After)
+				}
+				if _, failed := a.Outcome.(Failed); retried && failed && !a.Idempotent {
+					t.Fatal("retried a request that may have run, want none")
+				}
+			},
+			"": func(*rapid.T) { b.verify(now) },
+		})
+	})
+}
