Eject slow and failing upstreams by degrees

The share of work that may be taken away is bounded by cause; ejected upstreams are probed by single requests with backoff; leaving ones get nothing and are not probed.

--- /dev/null
+++ b/internal/decide/burdockeject/members.go
@@ -0,0 +1,87 @@
+package burdockeject
+
+import (
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+)
+
+// SetMembers replaces the members. What is known of one that is no longer
+// among them is forgotten: under the same name, another VM may return.
+func (t *Tracker) SetMembers(_ burdockclock.Millis, members []burdockid.Upstream) {
+	t.members = len(members)
+	known := make(map[burdockid.Upstream]bool, len(members))
+	for _, u := range members {
+		known[u] = true
+	}
+	for u, r := range t.records {
+		if !known[u] {
+			t.forget(r)
+		}
+	}
+}
+
+// Leave tells that u is leaving. It gets nothing new from now on, whatever
+// the caps, and is not probed: it runs well, but it would cut off the work.
+func (t *Tracker) Leave(now burdockclock.Millis, u burdockid.Upstream) (Change, bool) {
+	r := t.records[u]
+	if r == nil {
+		r = &record{upstream: u, scoredAt: now, place: noPlace}
+		t.records[u] = r
+	}
+	if r.leaving {
+		return Change{}, false
+	}
+	t.account(r, -1)
+	t.unschedule(r)
+	r.leaving = true
+	r.level = LevelOut
+	r.probing = false
+	t.verify(r)
+	return Change{Upstream: u, Level: LevelOut, Cause: CauseLeaving}, true
+}
+
+// Return tells that a new process has started in place of u. Nothing that was
+// known of the old one holds for it.
+func (t *Tracker) Return(_ burdockclock.Millis, u burdockid.Upstream) (Change, bool) {
+	r := t.records[u]
+	if r == nil {
+		return Change{}, false
+	}
+	t.forget(r)
+	return Change{Upstream: u, Level: LevelFull, Weight: 1, Cause: CauseRecovers}, true
+}
+
+func (t *Tracker) forget(r *record) {
+	t.account(r, -1)
+	t.unschedule(r)
+	delete(t.records, r.upstream)
+}
+
+// Weight returns the share of its usual work that u should get.
+func (t *Tracker) Weight(u burdockid.Upstream) float64 {
+	r := t.records[u]
+	if r == nil {
+		return 1
+	}
+	return r.level.Weight()
+}
+
+// Probe returns an ejected upstream that is due to be probed by one request,
+// which the caller offers to it in place of the upstream that its placer
+// would choose. The request must be one that may be offered again after a
+// failure. No other is probed by the same call, and the same one not before
+// its answer.
+func (t *Tracker) Probe(now burdockclock.Millis) (burdockid.Upstream, bool) {
+	if len(t.probes) == 0 || t.probes[0].probeAt > now {
+		return "", false
+	}
+	r := t.probes[0]
+	if r.probing {
+		// The last probe was never told of.
+		r.failedProbes++
+	}
+	r.probing = true
+	t.schedule(r, now+max(t.cfg.ProbeLost, t.backoff(r.failedProbes)))
+	t.verify(r)
+	return r.upstream, true
+}
