--- a/internal/platform/burdockengine/engine.go
+++ b/internal/platform/burdockengine/engine.go
@@ -36,6 +36,8 @@
 	// Do hands the call over, once. An ErrNotSent says that no byte of it was
 	// written; any other error leaves open whether the upstream ran it.
 	Do(ctx context.Context, call Call) (Answer, error)
+	// Check returns nil when a connection to the upstream can be made.
+	Check(ctx context.Context) error
 }
 
 // Errors is the namespace of the errors that an Engine returns.
--- a/internal/platform/burdockengine/http.go
+++ b/internal/platform/burdockengine/http.go
@@ -23,13 +23,15 @@
 // httpEngine speaks to an upstream at one address.
 type httpEngine struct {
 	transport http.RoundTripper
+	address   string
 	base      string
 }
 
 // NewHTTP returns the Engine at address, an IP and port.
 func NewHTTP(address string) Engine {
 	return &httpEngine{
-		base: "http://" + address,
+		address: address,
+		base:    "http://" + address,
 		transport: burdocktransport.NewOnce(&http.Transport{
 			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			MaxIdleConnsPerHost: maxIdle,
@@ -64,6 +66,15 @@
 	return Answer{Status: res.StatusCode, Header: res.Header, Body: res.Body, Framed: framed(res)}, nil
 }
 
+// Check implements Engine.
+func (e *httpEngine) Check(ctx context.Context) error {
+	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", e.address)
+	if err != nil {
+		return ErrNotSent.Wrap(err, "no connection to %s", e.address)
+	}
+	return conn.Close()
+}
+
 func (e *httpEngine) url(call Call) string {
 	if call.Query == "" {
 		return e.base + call.Path
--- a/internal/platform/burdockstore/http.go
+++ b/internal/platform/burdockstore/http.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
@@ -27,18 +28,24 @@
 
 // httpStore speaks to the store's HTTP interface.
 type httpStore struct {
-	client *http.Client
-	base   *sling.Sling
+	client    *http.Client
+	addresses []string
+	// current is the address in use. A failure moves on to the next one.
+	current atomic.Uint32
 }
 
-// NewHTTP returns a Store at baseURL, such as "http://10.0.0.7:2380".
-func NewHTTP(baseURL string) Store {
+// NewHTTP returns a Store that can be reached at any of the addresses, each
+// an IP and port.
+//
+// A call is never sent a second time when its connection dies: a write that
+// took effect would be reported as a lost race against itself.
+func NewHTTP(addresses []string) Store {
 	client := &http.Client{Transport: burdocktransport.NewOnce(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		IdleConnTimeout:     idleTimeout,
 		MaxIdleConnsPerHost: 2,
 	})}
-	return &httpStore{client: client, base: sling.New().Base(baseURL)}
+	return &httpStore{client: client, addresses: addresses}
 }
 
 type keyQuery struct {
@@ -77,20 +84,20 @@
 // Get implements Store.
 func (s *httpStore) Get(ctx context.Context, key string) (Entry, error) {
 	var e Entry
-	err := s.call(ctx, callTimeout, s.base.New().Get("/v1/key").QueryStruct(keyQuery{Key: key}), &e)
+	err := s.call(ctx, callTimeout, s.request().Get("/v1/key").QueryStruct(keyQuery{Key: key}), &e)
 	return e, err
 }
 
 // List implements Store.
 func (s *httpStore) List(ctx context.Context, prefix string) ([]Entry, Revision, error) {
 	var l Listing
-	err := s.call(ctx, callTimeout, s.base.New().Get("/v1/list").QueryStruct(prefixQuery{Prefix: prefix}), &l)
+	err := s.call(ctx, callTimeout, s.request().Get("/v1/list").QueryStruct(prefixQuery{Prefix: prefix}), &l)
 	return l.Entries, l.Revision, err
 }
 
 // CompareAndSwap implements Store.
 func (s *httpStore) CompareAndSwap(ctx context.Context, key string, old Revision, value []byte) (Revision, error) {
-	req := s.base.New().Put("/v1/key").QueryStruct(keyQuery{Key: key, Prev: old}).Body(bytes.NewReader(value))
+	req := s.request().Put("/v1/key").QueryStruct(keyQuery{Key: key, Prev: old}).Body(bytes.NewReader(value))
 	var written Written
 	err := s.call(ctx, callTimeout, req, &written)
 	return written.Revision, err
@@ -98,7 +105,7 @@
 
 // Watch implements Store.
 func (s *httpStore) Watch(ctx context.Context, prefix string, after Revision, wait burdockclock.Millis) ([]Entry, Revision, error) {
-	req := s.base.New().Get("/v1/watch").QueryStruct(prefixQuery{Prefix: prefix, After: after, Wait: int64(wait)})
+	req := s.request().Get("/v1/watch").QueryStruct(prefixQuery{Prefix: prefix, After: after, Wait: int64(wait)})
 	var l Listing
 	err := s.call(ctx, wait.Duration()+watchAllowance, req, &l)
 	return l.Entries, l.Revision, err
@@ -108,14 +115,20 @@
 func (s *httpStore) Acquire(ctx context.Context, name, holder string, ttl burdockclock.Millis) (Lease, error) {
 	var granted Granted
 	q := leaseQuery{Name: name, Holder: holder, TTL: int64(ttl)}
-	err := s.call(ctx, callTimeout, s.base.New().Post("/v1/lease").QueryStruct(q), &granted)
+	err := s.call(ctx, callTimeout, s.request().Post("/v1/lease").QueryStruct(q), &granted)
 	return Lease{Name: name, Holder: holder, Fence: granted.Fence, TTL: ttl}, err
 }
 
 // Release implements Store.
 func (s *httpStore) Release(ctx context.Context, name, holder string) error {
 	q := leaseQuery{Name: name, Holder: holder}
-	return s.call(ctx, callTimeout, s.base.New().Delete("/v1/lease").QueryStruct(q), nil)
+	return s.call(ctx, callTimeout, s.request().Delete("/v1/lease").QueryStruct(q), nil)
+}
+
+// request begins a request to the address in use.
+func (s *httpStore) request() *sling.Sling {
+	n := int(s.current.Load()) % len(s.addresses)
+	return sling.New().Base("http://" + s.addresses[n])
 }
 
 // call sends one request and reads its JSON answer into out.
@@ -132,6 +145,7 @@
 	defer cancel()
 	res, err := s.client.Do(req.WithContext(ctx))
 	if err != nil {
+		s.current.Add(1)
 		return ErrUnavailable.Wrap(err, "%s %s", req.Method, req.URL.Path)
 	}
 	defer func() { _ = res.Body.Close() }()
--- a/internal/serve/burdockagent/agent.go
+++ b/internal/serve/burdockagent/agent.go
@@ -9,6 +9,7 @@
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/config/burdockprofile"
 	"burdockbend.example/burdockbend/internal/decide/burdockqueue"
 	"burdockbend.example/burdockbend/internal/platform/burdockengine"
 	"burdockbend.example/burdockbend/internal/state/burdockfleet"
@@ -154,7 +155,8 @@
 	}
 }
 
-// Drain refuses new work from now on.
+// Drain refuses new work from now on. Work that waits is run or refused, as
+// the profile says; an entry offers what is refused to another upstream.
 func (a *Agent) Drain() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -164,9 +166,28 @@
 	a.draining = true
 	now := a.deps.Clock.Boot()
 	a.queue.Drain(now)
+	if a.policy.stop.Queued == burdockprofile.RefuseQueued {
+		a.refuseQueued(now)
+	}
 	a.drive(now)
 }
 
+func (a *Agent) refuseQueued(now burdockclock.Millis) {
+	for _, j := range a.jobs {
+		if j.queued() {
+			a.queue.Cancel(now, j.id)
+			a.dropJob(now, j, burdockqueue.Dropped{ID: j.id, Reason: burdockqueue.ReasonLeaving})
+		}
+	}
+}
+
+// StopGrace is how long the profile lets a planned stop take.
+func (a *Agent) StopGrace() burdockclock.Millis {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.policy.stop.GraceMillis
+}
+
 // Idle reports whether no request is queued, running or being read.
 func (a *Agent) Idle() bool {
 	a.mu.Lock()
--- a/internal/serve/burdockagent/finish.go
+++ b/internal/serve/burdockagent/finish.go
@@ -147,6 +147,7 @@
 		ExpectedWaitMillis: int64(l.ExpectedWait),
 		Leaving:            a.draining,
 		ConfigDigest:       uint64(a.deps.Fleet.Now().Digest),
+		Incarnation:        string(a.incarnation),
 	}
 }
 
--- a/internal/serve/burdockagent/job.go
+++ b/internal/serve/burdockagent/job.go
@@ -285,3 +285,17 @@
 	}
 	return now - j.arrived
 }
+
+// ran returns how long the upstream took for an ended job.
+func (j *job) ran() burdockclock.Millis {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.endedAt - j.startedAt
+}
+
+// queued reports whether the job waits for a slot.
+func (j *job) queued() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.machine.State() == burdockcharts.RequestQueued
+}
--- a/internal/serve/burdockagent/rpc.go
+++ b/internal/serve/burdockagent/rpc.go
@@ -48,6 +48,16 @@
 	return connect.NewResponse(&burdockwire.CancelResponse{}), nil
 }
 
+// Describe implements burdockwire.AgentServiceHandler.
+func (a *Agent) Describe(ctx context.Context, _ *connect.Request[burdockwire.DescribeRequest]) (*connect.Response[burdockwire.DescribeResponse], error) {
+	reachable := a.deps.Engine.Check(ctx) == nil
+	return connect.NewResponse(&burdockwire.DescribeResponse{
+		Upstream:          string(a.cfg.Upstream),
+		Load:              a.lockedLoad(),
+		UpstreamReachable: reachable,
+	}), nil
+}
+
 // admit decides about a request that an entry offers. It returns the job to
 // follow, or the event that says no.
 func (a *Agent) admit(req *burdockwire.RunRequest) (*job, *burdockwire.RunEvent) {
--- a/internal/serve/burdockagent/sender.go
+++ b/internal/serve/burdockagent/sender.go
@@ -18,8 +18,7 @@
 	return s.stream.Send(&burdockwire.RunEvent{
 		RequestId: string(s.job.id),
 		Event: &burdockwire.RunEvent_Admitted{Admitted: &burdockwire.Admitted{
-			Load:        s.agent.lockedLoad(),
-			Incarnation: string(s.agent.incarnation),
+			Load: s.agent.lockedLoad(),
 		}},
 	})
 }
@@ -91,7 +90,8 @@
 	id, load := string(s.job.id), s.agent.lockedLoad()
 	switch o := o.(type) {
 	case ended:
-		return &burdockwire.RunEvent{RequestId: id, Event: &burdockwire.RunEvent_End{End: &burdockwire.End{TotalBytes: o.total, Load: load}}}
+		end := &burdockwire.End{TotalBytes: o.total, Load: load, RanMillis: int64(s.job.ran()), ServedTokens: int64(s.job.served)}
+		return &burdockwire.RunEvent{RequestId: id, Event: &burdockwire.RunEvent_End{End: end}}
 	case refused:
 		return refusedEvent(id, o, load)
 	case cut:
--- /dev/null
+++ b/internal/serve/burdockentry/dump.go
@@ -0,0 +1,62 @@
+package burdockentry
+
+import (
+	"slices"
+	"strings"
+
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/decide/burdockeject"
+	"burdockbend.example/burdockbend/internal/decide/burdockplace"
+	"burdockbend.example/burdockbend/internal/decide/burdockretry"
+)
+
+// State is what a dump shows of an entry.
+type State struct {
+	VM         burdockid.VM         `json:"vm"`
+	DataCentre burdockid.DataCentre `json:"dataCentre"`
+	Draining   bool                 `json:"draining"`
+	Open       int64                `json:"open"`
+	Accounts   Accounts             `json:"accounts"`
+	Services   []PoolState          `json:"services"`
+}
+
+// PoolState is what a dump shows of the upstreams of one service.
+type PoolState struct {
+	Service   burdockid.Service  `json:"service"`
+	Placing   burdockplace.State `json:"placing"`
+	Ejection  burdockeject.State `json:"ejection"`
+	Retries   burdockretry.State `json:"retries"`
+	Decisions []decision         `json:"decisions"`
+}
+
+// State returns a copy of what the entry knows.
+func (e *Entry) State() State {
+	s := State{
+		VM:         e.cfg.VM,
+		DataCentre: e.cfg.DataCentre,
+		Draining:   e.Draining(),
+		Open:       e.open.Load(),
+		Accounts:   e.accounts.copy(),
+		Services:   []PoolState{},
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, p := range e.pools {
+		s.Services = append(s.Services, p.state(e.deps.Clock.Boot()))
+	}
+	slices.SortFunc(s.Services, func(a, b PoolState) int { return strings.Compare(string(a.Service), string(b.Service)) })
+	return s
+}
+
+func (p *pool) state(now burdockclock.Millis) PoolState {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return PoolState{
+		Service:   p.service,
+		Placing:   p.placer.State(),
+		Ejection:  p.tracker.State(),
+		Retries:   p.budget.State(now),
+		Decisions: slices.Clone(p.last),
+	}
+}
--- /dev/null
+++ b/internal/serve/burdockentry/offers.go
@@ -0,0 +1,263 @@
+package burdockentry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/config/burdockmember"
+	"burdockbend.example/burdockbend/internal/decide/burdockeject"
+	"burdockbend.example/burdockbend/internal/decide/burdockplace"
+	"burdockbend.example/burdockbend/internal/decide/burdockretry"
+	"burdockbend.example/burdockbend/internal/serve/burdockapi"
+	"burdockbend.example/burdockbend/internal/state/burdockfleet"
+	"burdockbend.example/burdockbend/internal/wire/burdockwire"
+)
+
+// offers serves one request: it offers it to one upstream after another until
+// it is answered or given up.
+type offers struct {
+	entry     *Entry
+	pool      *pool
+	req       *request
+	caller    *caller
+	made      int
+	overBound int
+	refusedBy map[burdockid.Upstream]bool
+	// overBoundAt holds upstreams that refused only because of the bound. They
+	// are asked again once no other is left.
+	overBoundAt map[burdockid.Upstream]bool
+	ending      ending
+}
+
+// result is how one offer ended.
+type result interface{ isResult() }
+
+// answered: the caller has the whole answer.
+type answered struct {
+	ran    burdockclock.Millis
+	served burdockid.Tokens
+}
+
+// notRun: the agent refused, and the request was not handed on.
+type notRun struct{ refusal *burdockwire.Refused }
+
+// unreached: no connection could be made, so nothing was sent.
+type unreached struct{}
+
+// unknown: the request may have run, and nothing of an answer was passed on.
+type unknown struct {
+	reason   string
+	deadline bool
+}
+
+// broken: the answer broke off after part of it was passed on.
+type broken struct{ reason string }
+
+// callerGone: the caller went away.
+type callerGone struct{}
+
+func (answered) isResult()   {}
+func (notRun) isResult()     {}
+func (unreached) isResult()  {}
+func (unknown) isResult()    {}
+func (broken) isResult()     {}
+func (callerGone) isResult() {}
+
+func newOffers(e *Entry, fleet *burdockfleet.Snapshot, req *request, c *caller) *offers {
+	return &offers{
+		entry:       e,
+		pool:        e.pool(fleet, req.service),
+		req:         req,
+		caller:      c,
+		refusedBy:   map[burdockid.Upstream]bool{},
+		overBoundAt: map[burdockid.Upstream]bool{},
+	}
+}
+
+func (o *offers) now() burdockclock.Millis { return o.entry.deps.Clock.Boot() }
+
+func (o *offers) excluded(u burdockid.Upstream) bool { return o.refusedBy[u] || o.overBoundAt[u] }
+
+// serve makes offers until one is answered or the request is given up.
+func (o *offers) serve(ctx context.Context) {
+	for {
+		target, choice, ok := o.choose()
+		if !ok {
+			o.giveUp(o.pool.noUpstream(o.now()), nil)
+			return
+		}
+		o.made++
+		o.ending.upstream, o.ending.offers = target.Name, o.made
+		res := (&attempt{offers: o, target: target, maxLoad: choice.MaxLoad, began: o.now()}).follow(ctx)
+		o.pool.done(o.now(), target.Name, o.req.cost)
+		o.observe(target, res)
+		if o.settle(ctx, target, res) {
+			return
+		}
+	}
+}
+
+// choose places the next offer. When all that is left refused only because of
+// the bound on its load, they are asked once more without one.
+func (o *offers) choose() (burdockmember.Upstream, burdockplace.Choice, bool) {
+	target, choice, ok := o.pool.choose(o.now(), o)
+	if ok || len(o.overBoundAt) == 0 {
+		return target, choice, ok
+	}
+	o.overBoundAt = map[burdockid.Upstream]bool{}
+	target, choice, ok = o.pool.choose(o.now(), o)
+	choice.MaxLoad = 0
+	return target, choice, ok
+}
+
+// observe tells what the offer showed of the upstream's health.
+func (o *offers) observe(target burdockmember.Upstream, res result) {
+	switch res := res.(type) {
+	case answered:
+		o.pool.succeeded(o.now())
+		o.pool.observe(o.now(), target.Name, burdockeject.Answered{Took: res.ran, Work: res.served})
+	case notRun:
+		if res.refusal.GetReason() == burdockwire.RefusedReason_REFUSED_REASON_UPSTREAM_DOWN {
+			o.pool.observe(o.now(), target.Name, burdockeject.Unreached{})
+		}
+	case unreached:
+		o.pool.observe(o.now(), target.Name, burdockeject.Unreached{})
+	case unknown:
+		if !res.deadline {
+			o.pool.observe(o.now(), target.Name, burdockeject.Failed{})
+		}
+	case broken:
+		o.pool.observe(o.now(), target.Name, burdockeject.Failed{})
+	case callerGone:
+	}
+}
+
+// settle ends the request, or reports false when it is to be offered again.
+func (o *offers) settle(ctx context.Context, target burdockmember.Upstream, res result) bool {
+	switch res := res.(type) {
+	case answered:
+		o.ending.outcome = outcomeAnswered
+		return true
+	case callerGone:
+		o.ending.outcome = outcomeGone
+		return true
+	case broken:
+		o.ending.outcome, o.ending.reason = outcomeCut, res.reason
+		o.caller.fail(&burdockapi.Problem{
+			Status: http.StatusBadGateway, Code: burdockapi.CodeAnswerCut,
+			Message: "the answer broke off: " + res.reason,
+		})
+		return true
+	case notRun:
+		if res.refusal.GetReason() == burdockwire.RefusedReason_REFUSED_REASON_BUSY {
+			o.overBound++
+			o.overBoundAt[target.Name] = true
+			return o.again(ctx, burdockretry.OverBound{}, res)
+		}
+		o.refusedBy[target.Name] = true
+		return o.again(ctx, burdockretry.NotRun{RetryAfter: burdockclock.Millis(res.refusal.GetRetryAfterMillis())}, res)
+	case unreached:
+		o.refusedBy[target.Name] = true
+		return o.again(ctx, burdockretry.Unreached{}, res)
+	case unknown:
+		o.refusedBy[target.Name] = true
+		return o.again(ctx, burdockretry.Failed{}, res)
+	}
+	panic("burdockentry: unknown result")
+}
+
+// again asks the budget whether the request may be offered again.
+func (o *offers) again(ctx context.Context, outcome burdockretry.Outcome, res result) bool {
+	d := o.pool.decide(o.now(), burdockretry.Attempt{
+		Outcome:    outcome,
+		Offers:     o.made,
+		OverBound:  o.overBound,
+		Idempotent: o.req.idempotent,
+		Deadline:   o.req.deadline,
+	})
+	switch d := d.(type) {
+	case burdockretry.Retry:
+		return !o.pause(ctx, d.After)
+	case burdockretry.GiveUp:
+		o.giveUp(d, res)
+		return true
+	}
+	panic("burdockentry: unknown decision")
+}
+
+// pause waits before a retry. It reports false when the caller went away.
+func (o *offers) pause(ctx context.Context, d burdockclock.Millis) bool {
+	if d > 0 {
+		timer := time.NewTimer(d.Duration())
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+	}
+	if ctx.Err() != nil {
+		o.ending.outcome = outcomeGone
+		return false
+	}
+	return true
+}
+
+// giveUp gives the final answer, at once.
+func (o *offers) giveUp(g burdockretry.GiveUp, res result) {
+	problem := problemOf(g, res)
+	o.ending.outcome, o.ending.reason = outcomeRefused, problem.Message
+	if !problem.NotRun {
+		o.ending.outcome = outcomeUnknown
+	}
+	o.caller.fail(problem)
+}
+
+// problemOf says in the API's terms why a request was given up.
+func problemOf(g burdockretry.GiveUp, res result) *burdockapi.Problem {
+	problem := &burdockapi.Problem{
+		Status: http.StatusServiceUnavailable, Code: burdockapi.CodeBusy, NotRun: true, RetryAfter: g.RetryAfter,
+		Message: "not run: " + string(g.Reason),
+	}
+	switch res := res.(type) {
+	case unknown:
+		return unknownProblem(res)
+	case notRun:
+		describe(problem, res.refusal)
+	case unreached:
+		problem.Code = burdockapi.CodeNoUpstream
+		problem.Message = "not run: no upstream could be reached"
+	case nil:
+		problem.Code = burdockapi.CodeNoUpstream
+		problem.Message = "not run: no upstream can take the request now"
+	}
+	return problem
+}
+
+func unknownProblem(u unknown) *burdockapi.Problem {
+	problem := &burdockapi.Problem{
+		Status: http.StatusBadGateway, Code: burdockapi.CodeOutcomeUnknown,
+		Message: "the outcome is unknown, the request may have run: " + u.reason,
+	}
+	if u.deadline {
+		problem.Status = http.StatusGatewayTimeout
+	}
+	return problem
+}
+
+// describe turns an agent's refusal into what the caller is told.
+func describe(problem *burdockapi.Problem, refusal *burdockwire.Refused) {
+	problem.Message = "not run: " + refusal.GetExplanation()
+	switch refusal.GetReason() {
+	case burdockwire.RefusedReason_REFUSED_REASON_OVER_SHARE, burdockwire.RefusedReason_REFUSED_REASON_DISPLACED:
+		problem.Status, problem.Code = http.StatusTooManyRequests, burdockapi.CodeOverShare
+	case burdockwire.RefusedReason_REFUSED_REASON_DEADLINE, burdockwire.RefusedReason_REFUSED_REASON_WAITED_TOO_LONG:
+		problem.Code = burdockapi.CodeDeadline
+	case burdockwire.RefusedReason_REFUSED_REASON_LEAVING:
+		problem.Code = burdockapi.CodeLeaving
+	case burdockwire.RefusedReason_REFUSED_REASON_UPSTREAM_DOWN:
+		problem.Code = burdockapi.CodeNoUpstream
+	}
+}
--- /dev/null
+++ b/internal/serve/burdockentry/pool.go
@@ -0,0 +1,223 @@
+package burdockentry
+
+import (
+	"math/rand/v2"
+	"sync"
+
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/config/burdockmember"
+	"burdockbend.example/burdockbend/internal/decide/burdockeject"
+	"burdockbend.example/burdockbend/internal/decide/burdockplace"
+	"burdockbend.example/burdockbend/internal/decide/burdockretry"
+	"burdockbend.example/burdockbend/internal/state/burdockconfig"
+	"burdockbend.example/burdockbend/internal/state/burdockfleet"
+	"burdockbend.example/burdockbend/internal/wire/burdockwire"
+)
+
+// lastDecisions is how many choices a dump shows for each service.
+const lastDecisions = 16
+
+// askLeavingEvery is how often an entry asks a leaving upstream whether a new
+// process has taken its place. At 350 entries that is 70 calls a second for
+// an agent that serves nothing else.
+const askLeavingEvery = 5 * burdockclock.Second
+
+// pool is what an entry knows of the upstreams of one service. It puts a lock
+// around the pure decisions.
+type pool struct {
+	service    burdockid.Service
+	dataCentre burdockid.DataCentre
+
+	mu      sync.Mutex
+	digest  burdockconfig.Digest
+	placer  *burdockplace.Placer
+	tracker *burdockeject.Tracker
+	budget  *burdockretry.Budget
+	ratio   float64
+	random  *rand.Rand
+	members map[burdockid.Upstream]burdockmember.Upstream
+	// leaving holds the upstreams that said themselves that they stop, by the
+	// incarnation that said it.
+	leaving      map[burdockid.Upstream]burdockid.Incarnation
+	askedLeaving burdockclock.Millis
+	last         []decision
+}
+
+// decision is one choice, for the dump.
+type decision struct {
+	At         burdockclock.Millis `json:"at"`
+	Request    burdockid.Request   `json:"request"`
+	Upstream   burdockid.Upstream  `json:"upstream"`
+	Reason     string              `json:"reason"`
+	Candidates int                 `json:"candidates"`
+	Offer      int                 `json:"offer"`
+}
+
+func newPool(service burdockid.Service, dc burdockid.DataCentre, source rand.Source) *pool {
+	random := rand.New(source)
+	return &pool{
+		service:    service,
+		dataCentre: dc,
+		random:     random,
+		placer:     burdockplace.New(burdockplace.Config{}, derive(random)),
+		tracker:    burdockeject.New(burdockeject.Config{}, derive(random)),
+		budget:     burdockretry.New(burdockretry.Config{}, derive(random)),
+		leaving:    map[burdockid.Upstream]burdockid.Incarnation{},
+	}
+}
+
+func derive(random *rand.Rand) *rand.Rand {
+	return rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))
+}
+
+// follow takes up new members and a new profile.
+func (p *pool) follow(now burdockclock.Millis, fleet *burdockfleet.Snapshot) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.members != nil && p.digest == fleet.Digest {
+		return
+	}
+	p.digest = fleet.Digest
+	if ratio := fleet.Profile(p.service).Retry.BudgetRatio; ratio != p.ratio {
+		p.ratio = ratio
+		p.budget = burdockretry.New(burdockretry.Config{Fraction: ratio}, derive(p.random))
+	}
+	p.members = map[burdockid.Upstream]burdockmember.Upstream{}
+	names := []burdockid.Upstream{}
+	for _, u := range fleet.Members[p.service] {
+		p.members[u.Name] = u
+		names = append(names, u.Name)
+	}
+	p.tracker.SetMembers(now, names)
+	members := make([]burdockplace.Member, len(names))
+	for i, name := range names {
+		members[i] = burdockplace.Member{Upstream: name, DataCentre: p.members[name].DataCentre, Weight: p.tracker.Weight(name)}
+	}
+	p.placer.SetMembers(now, members)
+}
+
+// choose places one offer of a request.
+func (p *pool) choose(now burdockclock.Millis, o *offers) (burdockmember.Upstream, burdockplace.Choice, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	choice, ok := p.placer.Choose(now, burdockplace.Request{
+		Prefix:     o.req.prefix,
+		DataCentre: p.dataCentre,
+		Cost:       o.req.cost,
+		Attempt:    o.overBound,
+		Exclude:    o.excluded,
+	})
+	if !ok {
+		return burdockmember.Upstream{}, choice, false
+	}
+	p.placer.Sent(now, choice.Upstream, o.req.cost)
+	p.note(decision{
+		At: now, Request: o.req.id, Upstream: choice.Upstream,
+		Reason: string(choice.Reason), Candidates: choice.Candidates, Offer: o.made + 1,
+	})
+	return p.members[choice.Upstream], choice, true
+}
+
+func (p *pool) note(d decision) {
+	p.last = append(p.last, d)
+	if len(p.last) > lastDecisions {
+		p.last = p.last[1:]
+	}
+}
+
+// done ends an offer.
+func (p *pool) done(now burdockclock.Millis, u burdockid.Upstream, cost burdockid.Tokens) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.placer.Done(now, u, cost)
+}
+
+// report takes in the load that an agent tells on an answer.
+func (p *pool) report(now burdockclock.Millis, u burdockid.Upstream, load *burdockwire.Load) {
+	if load == nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.placer.Report(now, u, burdockplace.Report{
+		Running:      int(load.GetRunning()),
+		Queued:       int(load.GetQueued()),
+		Slots:        int(load.GetSlots()),
+		QueuedCost:   burdockid.Tokens(load.GetQueuedCostTokens()),
+		ExpectedWait: burdockclock.Millis(load.GetExpectedWaitMillis()),
+	})
+	p.presence(now, u, burdockid.Incarnation(load.GetIncarnation()), load.GetLeaving())
+}
+
+// observe takes in what an offer tells of an upstream's health.
+func (p *pool) observe(now burdockclock.Millis, u burdockid.Upstream, o burdockeject.Observation) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.change(p.tracker.Observe(now, u, o))
+}
+
+// presence takes in that a run of an agent's process is there, and whether it
+// said that it stops. A new run is not judged by what the one before it did.
+//
+// The agent is the authority: the platform's membership list shows a stop up
+// to half a minute late.
+func (p *pool) presence(now burdockclock.Millis, u burdockid.Upstream, inc burdockid.Incarnation, leaving bool) {
+	last, left := p.leaving[u]
+	switch {
+	case leaving && !left:
+		p.leaving[u] = inc
+		p.change(p.tracker.Leave(now, u))
+	case !leaving && left && last != inc:
+		delete(p.leaving, u)
+		p.change(p.tracker.Return(now, u))
+	}
+}
+
+func (p *pool) change(c burdockeject.Change, changed bool) {
+	if changed {
+		p.placer.SetWeight(c.Upstream, c.Weight)
+	}
+}
+
+// due returns the upstreams that get no work and are to be asked how they are.
+func (p *pool) due(now burdockclock.Millis) []burdockmember.Upstream {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var due []burdockmember.Upstream
+	for {
+		u, ok := p.tracker.Probe(now)
+		if !ok {
+			break
+		}
+		due = append(due, p.members[u])
+	}
+	if now-p.askedLeaving < askLeavingEvery {
+		return due
+	}
+	p.askedLeaving = now
+	for u := range p.leaving {
+		if member, ok := p.members[u]; ok {
+			due = append(due, member)
+		}
+	}
+	return due
+}
+
+func (p *pool) succeeded(now burdockclock.Millis) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.budget.Succeeded(now)
+}
+
+func (p *pool) decide(now burdockclock.Millis, a burdockretry.Attempt) burdockretry.Decision {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.budget.Decide(now, a)
+}
+
+func (p *pool) noUpstream(now burdockclock.Millis) burdockretry.GiveUp {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.budget.NoUpstream(now)
+}
--- /dev/null
+++ b/internal/serve/burdockprocess/agent.go
@@ -0,0 +1,94 @@
+package burdockprocess
+
+import (
+	"math/rand/v2"
+	"net/http"
+
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/config/burdocksettings"
+	"burdockbend.example/burdockbend/internal/platform/burdockengine"
+	"burdockbend.example/burdockbend/internal/serve/burdockagent"
+	"burdockbend.example/burdockbend/internal/state/burdockcharts"
+	"burdockbend.example/burdockbend/internal/state/burdocksync"
+	"burdockbend.example/burdockbend/internal/wire/burdockwire"
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+)
+
+// Agent is an agent as a process.
+type Agent struct {
+	*node
+	agent  *burdockagent.Agent
+	puller *burdocksync.Puller
+	first  *burdocksync.Bootstrap
+	grace  burdockclock.Millis
+}
+
+// StartAgent starts an agent.
+func StartAgent(settings burdocksettings.Agent, log *zap.Logger) (*Agent, error) {
+	n, err := newNode(settings.Common, log)
+	if err != nil {
+		return nil, err
+	}
+	a := &Agent{node: n, grace: settings.DrainGraceMillis}
+	a.agent = burdockagent.New(
+		burdockagent.Config{Upstream: settings.Upstream, Slots: settings.Slots},
+		burdockagent.Deps{
+			Clock:   n.clock,
+			Engine:  burdockengine.NewHTTP(settings.EngineAddress),
+			Fleet:   n.fleet,
+			Log:     log,
+			Metrics: n.metrics,
+			Random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		},
+	)
+	mux := http.NewServeMux()
+	mux.Handle(burdockwire.NewPeerServiceHandler(burdocksync.NewHandler(n.view)))
+	mux.Handle(burdockwire.NewAgentServiceHandler(a.agent))
+	if err := n.listen(mux, a); err != nil {
+		return nil, err
+	}
+	a.puller = burdocksync.NewPuller(n.view, n.source, n.peers, n.entryPeers, log)
+	a.first = burdocksync.NewBootstrap(n.store, n.view, n.source, log)
+	a.agent.Start()
+	a.puller.Start()
+	a.first.Start()
+	return a, nil
+}
+
+// PeerAddress returns the address for the system's own processes.
+func (a *Agent) PeerAddress() string { return a.peer.Address() }
+
+// AdminAddress returns the address for operators.
+func (a *Agent) AdminAddress() string { return a.admin.Address() }
+
+// Stop is the planned stop: new work is refused and what runs is finished
+// within the grace time.
+func (a *Agent) Stop() {
+	if !a.fire(burdockcharts.StopEventStop) {
+		return
+	}
+	a.log.Info("stopping")
+	a.agent.Drain()
+	a.drain(a.agent.Idle, min(a.grace, a.agent.StopGrace()))
+	a.puller.Close()
+	a.first.Close()
+	a.peer.Close(lateGrace.Duration())
+	a.admin.Close(lateGrace.Duration())
+	a.agent.Close()
+	a.fire(burdockcharts.StopEventClosed)
+	a.log.Info("stopped")
+}
+
+// Dump implements burdockadmin.Process.
+func (a *Agent) Dump() any {
+	d := a.dump("agent")
+	d.Agent = a.agent.State()
+	return d
+}
+
+// Ready implements burdockadmin.Process.
+func (a *Agent) Ready() string { return a.ready() }
+
+// Metrics implements burdockadmin.Process.
+func (a *Agent) Metrics() *metrics.Set { return a.metrics }
--- a/internal/wire/burdockwire/burdockwire.connect.go
+++ b/internal/wire/burdockwire/burdockwire.connect.go
@@ -43,6 +43,8 @@
 	AgentServiceAttachProcedure = "/burdock.wire.v1.AgentService/Attach"
 	// AgentServiceCancelProcedure is the fully-qualified name of the AgentService's Cancel RPC.
 	AgentServiceCancelProcedure = "/burdock.wire.v1.AgentService/Cancel"
+	// AgentServiceDescribeProcedure is the fully-qualified name of the AgentService's Describe RPC.
+	AgentServiceDescribeProcedure = "/burdock.wire.v1.AgentService/Describe"
 	// PeerServiceSyncProcedure is the fully-qualified name of the PeerService's Sync RPC.
 	PeerServiceSyncProcedure = "/burdock.wire.v1.PeerService/Sync"
 )
@@ -56,6 +58,9 @@
 	Attach(context.Context, *connect.Request[AttachRequest]) (*connect.ServerStreamForClient[RunEvent], error)
 	// Cancel gives up a request that nobody waits for any longer.
 	Cancel(context.Context, *connect.Request[CancelRequest]) (*connect.Response[CancelResponse], error)
+	// Describe says how the agent and its upstream are, without running
+	// anything. Entries ask when they have stopped sending work.
+	Describe(context.Context, *connect.Request[DescribeRequest]) (*connect.Response[DescribeResponse], error)
 }
 
 // NewAgentServiceClient constructs a client for the burdock.wire.v1.AgentService service. By
@@ -87,14 +92,21 @@
 			connect.WithSchema(agentServiceMethods.ByName("Cancel")),
 			connect.WithClientOptions(opts...),
 		),
+		describe: connect.NewClient[DescribeRequest, DescribeResponse](
+			httpClient,
+			baseURL+AgentServiceDescribeProcedure,
+			connect.WithSchema(agentServiceMethods.ByName("Describe")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // agentServiceClient implements AgentServiceClient.
 type agentServiceClient struct {
-	run    *connect.Client[RunRequest, RunEvent]
-	attach *connect.Client[AttachRequest, RunEvent]
-	cancel *connect.Client[CancelRequest, CancelResponse]
+	run      *connect.Client[RunRequest, RunEvent]
+	attach   *connect.Client[AttachRequest, RunEvent]
+	cancel   *connect.Client[CancelRequest, CancelResponse]
+	describe *connect.Client[DescribeRequest, DescribeResponse]
 }
 
 // Run calls burdock.wire.v1.AgentService.Run.
@@ -112,6 +124,11 @@
 	return c.cancel.CallUnary(ctx, req)
 }
 
+// Describe calls burdock.wire.v1.AgentService.Describe.
+func (c *agentServiceClient) Describe(ctx context.Context, req *connect.Request[DescribeRequest]) (*connect.Response[DescribeResponse], error) {
+	return c.describe.CallUnary(ctx, req)
+}
+
 // AgentServiceHandler is an implementation of the burdock.wire.v1.AgentService service.
 type AgentServiceHandler interface {
 	// Run offers a request. The first event says whether it was admitted.
@@ -121,6 +138,9 @@
 	Attach(context.Context, *connect.Request[AttachRequest], *connect.ServerStream[RunEvent]) error
 	// Cancel gives up a request that nobody waits for any longer.
 	Cancel(context.Context, *connect.Request[CancelRequest]) (*connect.Response[CancelResponse], error)
+	// Describe says how the agent and its upstream are, without running
+	// anything. Entries ask when they have stopped sending work.
+	Describe(context.Context, *connect.Request[DescribeRequest]) (*connect.Response[DescribeResponse], error)
 }
 
 // NewAgentServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -148,6 +168,12 @@
 		connect.WithSchema(agentServiceMethods.ByName("Cancel")),
 		connect.WithHandlerOptions(opts...),
 	)
+	agentServiceDescribeHandler := connect.NewUnaryHandler(
+		AgentServiceDescribeProcedure,
+		svc.Describe,
+		connect.WithSchema(agentServiceMethods.ByName("Describe")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/burdock.wire.v1.AgentService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case AgentServiceRunProcedure:
@@ -156,6 +182,8 @@
 			agentServiceAttachHandler.ServeHTTP(w, r)
 		case AgentServiceCancelProcedure:
 			agentServiceCancelHandler.ServeHTTP(w, r)
+		case AgentServiceDescribeProcedure:
+			agentServiceDescribeHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -177,6 +205,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("burdock.wire.v1.AgentService.Cancel is not implemented"))
 }
 
+func (UnimplementedAgentServiceHandler) Describe(context.Context, *connect.Request[DescribeRequest]) (*connect.Response[DescribeResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("burdock.wire.v1.AgentService.Describe is not implemented"))
+}
+
 // PeerServiceClient is a client for the burdock.wire.v1.PeerService service.
 type PeerServiceClient interface {
 	// Sync passes on configuration that the asking process lacks.
