--- /dev/null
+++ b/cmd/burdock-entry/main.go
@@ -0,0 +1,12 @@
+// Command burdock-entry runs the entry process. See docs/OPERATING.md.
+package main
+
+import (
+	"os"
+
+	"burdockbend.example/burdockbend/internal/tool/burdockmain"
+)
+
+func main() {
+	os.Exit(burdockmain.Entry(os.Args[1:], os.Stderr))
+}
--- a/internal/config/burdocksettings/check.go
+++ b/internal/config/burdocksettings/check.go
@@ -58,6 +58,7 @@
 	c.listen("peerListen", m.PeerListen)
 	c.listen("adminListen", m.AdminListen)
 	c.stores(m.StoreAddresses)
+	c.peers(m.Peers)
 	c.Address("membershipAddress", m.MembershipAddress)
 	burdockrule.OneOf(&c.Checker, "logLevel", m.LogLevel, "debug", "info", "warn", "error")
 	c.transport(m)
@@ -82,6 +83,14 @@
 	}
 }
 
+func (c *checker) peers(addresses []string) {
+	var seen burdockrule.Unique[netip.AddrPort]
+	for i, address := range addresses {
+		key := burdocktoml.Item("peers", i)
+		seen.Add(&c.Checker, key, c.Address(key, address))
+	}
+}
+
 // transport asks that the settings say how the system's own processes talk:
 // with TLS, or in words that they go without.
 func (c *checker) transport(m Common) {
--- a/internal/config/burdocksettings/settings.go
+++ b/internal/config/burdocksettings/settings.go
@@ -20,6 +20,9 @@
 	AdminListen string `toml:"adminListen" json:"adminListen"`
 	// StoreAddresses are the IP:port addresses of the configuration store.
 	StoreAddresses []string `toml:"storeAddresses" json:"storeAddresses"`
+	// Peers are the IP:port addresses of some entries. A process that starts
+	// while the store is out gets its configuration from one of them.
+	Peers []string `toml:"peers" json:"peers,omitempty"`
 	// MembershipAddress is the IP:port of the platform's membership list.
 	MembershipAddress string `toml:"membershipAddress" json:"membershipAddress"`
 	LogLevel          string `toml:"logLevel" json:"logLevel"`
--- a/internal/serve/burdockagent/agent.go
+++ b/internal/serve/burdockagent/agent.go
@@ -13,6 +13,7 @@
 	"burdockbend.example/burdockbend/internal/decide/burdockqueue"
 	"burdockbend.example/burdockbend/internal/platform/burdockengine"
 	"burdockbend.example/burdockbend/internal/state/burdockfleet"
+	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 )
 
@@ -41,7 +42,9 @@
 	Engine burdockengine.Engine
 	Fleet  *burdockfleet.Fleet
 	Log    *zap.Logger
-	Random *rand.Rand
+	// Metrics takes the agent's metrics.
+	Metrics *metrics.Set
+	Random  *rand.Rand
 }
 
 // Agent runs requests on one upstream.
--- a/internal/serve/burdockentry/entry.go
+++ b/internal/serve/burdockentry/entry.go
@@ -15,6 +15,7 @@
 	"burdockbend.example/burdockbend/internal/config/burdocksettings"
 	"burdockbend.example/burdockbend/internal/state/burdockfleet"
 	"burdockbend.example/burdockbend/internal/wire/burdocktransport"
+	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 )
 
@@ -34,6 +35,8 @@
 	Fleet *burdockfleet.Fleet
 	Peers *burdocktransport.Peers
 	Log   *zap.Logger
+	// Metrics takes the entry's metrics.
+	Metrics *metrics.Set
 	// Seed is what all random choices of the entry follow from.
 	Seed uint64
 }
--- a/internal/serve/burdockprocess/agent.go
+++ b/internal/serve/burdockprocess/agent.go
@@ -20,7 +20,7 @@
 	*node
 	agent  *burdockagent.Agent
 	puller *burdocksync.Puller
-	first  *burdocksync.Bootstrap
+	reader *burdocksync.Fallback
 	grace  burdockclock.Millis
 }
 
@@ -49,10 +49,10 @@
 		return nil, err
 	}
 	a.puller = burdocksync.NewPuller(n.view, n.source, n.peers, n.entryPeers, log)
-	a.first = burdocksync.NewBootstrap(n.store, n.view, n.source, log)
+	a.reader = burdocksync.NewFallback(n.store, n.view, n.source, n.entryPeers, log)
 	a.agent.Start()
 	a.puller.Start()
-	a.first.Start()
+	a.reader.Start()
 	return a, nil
 }
 
@@ -72,7 +72,7 @@
 	a.agent.Drain()
 	a.drain(a.agent.Idle, min(a.grace, a.agent.StopGrace()))
 	a.puller.Close()
-	a.first.Close()
+	a.reader.Close()
 	a.peer.Close(lateGrace.Duration())
 	a.admin.Close(lateGrace.Duration())
 	a.agent.Close()
--- a/internal/serve/burdockprocess/node.go
+++ b/internal/serve/burdockprocess/node.go
@@ -166,15 +166,15 @@
 
 // Dump is what a dump shows of every process.
 type Dump struct {
-	Role     string                     `json:"role"`
-	Stop     burdockcharts.StopState    `json:"stop"`
-	Settings burdocksettings.Common     `json:"settings"`
-	Config   ConfigDump                 `json:"config"`
-	Entry    any                        `json:"entry,omitempty"`
-	Agent    any                        `json:"agent,omitempty"`
+	Role     string                  `json:"role"`
+	Stop     burdockcharts.StopState `json:"stop"`
+	Settings burdocksettings.Common  `json:"settings"`
+	Config   ConfigDump              `json:"config"`
+	Entry    any                     `json:"entry,omitempty"`
+	Agent    any                     `json:"agent,omitempty"`
 	Versions map[string]versionDump  `json:"versions"`
-	Source   burdocksync.SourceState    `json:"source"`
-	Findings []string                   `json:"findings"`
+	Source   burdocksync.SourceState `json:"source"`
+	Findings []string                `json:"findings"`
 }
 
 // ConfigDump is what a dump shows of the configuration.
@@ -207,3 +207,6 @@
 	}
 	return d
 }
+
+// Digest returns the digest of the configuration that is in force here.
+func (n *node) Digest() burdockconfig.Digest { return n.view.Digest() }
--- a/internal/state/burdockfleet/fleet.go
+++ b/internal/state/burdockfleet/fleet.go
@@ -11,6 +11,7 @@
 
 	"burdockbend.example/burdockbend/internal/base/burdockfinding"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/config/burdockentity"
 	"burdockbend.example/burdockbend/internal/config/burdockmember"
 	"burdockbend.example/burdockbend/internal/config/burdockprofile"
 	"burdockbend.example/burdockbend/internal/state/burdockconfig"
@@ -121,16 +122,16 @@
 // a newer release may write what this one doesn't know.
 func (s *Snapshot) put(e burdockconfig.Entry) error {
 	kind, name, _ := strings.Cut(e.Key, "/")
-	switch kind {
-	case "profile":
+	switch kind + "/" {
+	case burdockentity.ProfilePrefix:
 		return set(s.Profiles, burdockid.Profile(name), e)
-	case "service":
+	case burdockentity.ServicePrefix:
 		return set(s.Services, burdockid.Service(name), e)
-	case "upstream":
+	case burdockentity.UpstreamPrefix:
 		return set(s.Upstreams, burdockid.Upstream(name), e)
-	case "customer":
+	case burdockentity.CustomerPrefix:
 		return set(s.Customers, burdockid.Customer(name), e)
-	case "entry":
+	case burdockentity.EntryPrefix:
 		return set(s.Entries, burdockid.VM(name), e)
 	default:
 		return nil // a kind for other readers
--- a/internal/state/burdocksync/watcher.go
+++ b/internal/state/burdocksync/watcher.go
@@ -95,7 +95,6 @@
 
 func (w *Watcher) take(ctx context.Context, stored []burdockstore.Entry, revision burdockstore.Revision) {
 	w.revision = revision
-	w.source.fire(burdockcharts.ConfigurationEventReadStore)
 	var entries []burdockconfig.Entry
 	for _, s := range stored {
 		e, err := burdockconfig.Decode(s)
@@ -109,6 +108,9 @@
 	for _, e := range w.view.Merge(entries) {
 		w.log.Info("configuration in force", zap.String("key", e.Key), zap.Uint64("version", uint64(e.Version)))
 	}
+	if w.view.Len() > 0 { // an empty store says only that nothing was ever applied
+		w.source.fire(burdockcharts.ConfigurationEventReadStore)
+	}
 }
 
 // restore writes back an entry that the store has lost.
--- /dev/null
+++ b/internal/tool/burdockcli/root.go
@@ -0,0 +1,90 @@
+// Package burdockcli is the operators' command line.
+package burdockcli
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+
+	"burdockbend.example/burdockbend/internal/tool/burdockmain"
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+// CLI is the command line with its ways in and out.
+type CLI struct {
+	stdout io.Writer
+	stderr io.Writer
+}
+
+// New returns the command line.
+func New(stdout, stderr io.Writer) *CLI { return &CLI{stdout: stdout, stderr: stderr} }
+
+// Run carries one command out and returns the exit status.
+func (c *CLI) Run(ctx context.Context, args []string) int {
+	err := c.root().ParseAndRun(ctx, args)
+	var usage usageError
+	switch {
+	case err == nil, errors.Is(err, flag.ErrHelp):
+		return burdockmain.ExitOK
+	case errors.As(err, &usage):
+		_, _ = fmt.Fprintln(c.stderr, usage.err)
+		return burdockmain.ExitUsage
+	default:
+		_, _ = fmt.Fprintln(c.stderr, err)
+		return burdockmain.ExitFailure
+	}
+}
+
+// usageError says that arguments or a file are wrong, and nothing was done.
+type usageError struct{ err error }
+
+// Error implements the error interface.
+func (u usageError) Error() string { return u.err.Error() }
+
+func usage(format string, args ...any) error { return usageError{fmt.Errorf(format, args...)} }
+
+func (c *CLI) root() *ffcli.Command {
+	return &ffcli.Command{
+		Name:        "burdock",
+		ShortUsage:  "burdock COMMAND",
+		ShortHelp:   "operate a fleet of burdockbend",
+		FlagSet:     c.flags("burdock"),
+		Subcommands: []*ffcli.Command{c.profile(), c.fleet(), c.state(), c.try()},
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) > 0 {
+				return usage("burdock: no command %q; see burdock -h", args[0])
+			}
+			return flag.ErrHelp
+		},
+	}
+}
+
+// flags returns an empty flag set that reports to the command line's errors.
+func (c *CLI) flags(name string) *flag.FlagSet {
+	flags := flag.NewFlagSet(name, flag.ContinueOnError)
+	flags.SetOutput(c.stderr)
+	return flags
+}
+
+// options lets flags be given by environment variables such as BURDOCK_STORE.
+func options() []ff.Option { return []ff.Option{ff.WithEnvVarPrefix("BURDOCK")} }
+
+// group returns a command that only holds others.
+func (c *CLI) group(name, help string, subcommands ...*ffcli.Command) *ffcli.Command {
+	return &ffcli.Command{
+		Name:        name,
+		ShortUsage:  "burdock " + name + " COMMAND",
+		ShortHelp:   help,
+		FlagSet:     c.flags(name),
+		Subcommands: subcommands,
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) > 0 {
+				return usage("burdock %s: no command %q; see burdock %s -h", name, args[0], name)
+			}
+			return flag.ErrHelp
+		},
+	}
+}
--- /dev/null
+++ b/internal/tool/burdockcli/store.go
@@ -0,0 +1,131 @@
+package burdockcli
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"strings"
+
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/config/burdockentity"
+	"burdockbend.example/burdockbend/internal/platform/burdockstore"
+	"burdockbend.example/burdockbend/internal/state/burdockconfig"
+	"burdockbend.example/burdockbend/internal/state/burdocksync"
+	"github.com/joomcode/errorx"
+)
+
+// storeFlag adds the flag that names the store.
+func storeFlag(flags *flag.FlagSet) *string {
+	return flags.String("store", "", "IP:port of the configuration store; several with commas")
+}
+
+func openStore(addresses string) (burdockstore.Store, error) {
+	if addresses == "" {
+		return nil, usage("-store must name the configuration store, such as -store 10.0.0.7:2379")
+	}
+	return burdockstore.NewHTTP(strings.Split(addresses, ",")), nil
+}
+
+// listEntries returns all readable entries of the store by key.
+func listEntries(ctx context.Context, store burdockstore.Store) (map[string]burdockconfig.Entry, error) {
+	stored, _, err := store.List(ctx, burdockconfig.StorePrefix)
+	if err != nil {
+		return nil, errorx.Decorate(err, "read the configuration")
+	}
+	entries := map[string]burdockconfig.Entry{}
+	for _, s := range stored {
+		e, err := burdockconfig.Decode(s)
+		if err != nil {
+			return nil, err
+		}
+		entries[e.Key] = e
+	}
+	return entries, nil
+}
+
+// entitiesUnder returns the entities below one of the prefixes that are not
+// deleted.
+func entitiesUnder(entries map[string]burdockconfig.Entry, prefixes ...string) []burdockentity.Entity {
+	var entities []burdockentity.Entity
+	for key, e := range entries {
+		if !e.Deleted && hasPrefix(key, prefixes) {
+			entities = append(entities, burdockentity.Entity{Key: key, Value: e.Value})
+		}
+	}
+	return entities
+}
+
+func hasPrefix(key string, prefixes []string) bool {
+	for _, prefix := range prefixes {
+		if strings.HasPrefix(key, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
+// edits compares what is wanted with what is there. With prune, entities
+// under the prefixes that are not wanted are deleted.
+//
+// Each edit carries the version that it was compared with, so that an edit of
+// another operator in between is not overwritten unseen.
+func edits(entries map[string]burdockconfig.Entry, wanted []burdockentity.Entity, prune ...string) []burdocksync.Edit {
+	var list []burdocksync.Edit
+	keep := map[string]bool{}
+	for _, entity := range wanted {
+		keep[entity.Key] = true
+		e, known := entries[entity.Key]
+		if !known || e.Deleted || !bytes.Equal(e.Value, entity.Value) {
+			list = append(list, burdocksync.Edit{Key: entity.Key, Value: entity.Value, Base: e.Version})
+		}
+	}
+	for _, entity := range entitiesUnder(entries, prune...) {
+		if !keep[entity.Key] {
+			list = append(list, burdocksync.Edit{Key: entity.Key, Deleted: true, Base: entries[entity.Key].Version})
+		}
+	}
+	return list
+}
+
+// apply writes edits one by one and prints each. It goes on after one that
+// lost a race, so that the operator sees the whole outcome.
+func (c *CLI) apply(ctx context.Context, store burdockstore.Store, list []burdocksync.Edit) error {
+	writer := burdocksync.NewWriter(store)
+	var failed int
+	for _, edit := range list {
+		e, err := writer.Write(ctx, edit)
+		if err != nil {
+			failed++
+			_, _ = fmt.Fprintf(c.stdout, "%s: not applied: %v\n", edit.Key, err)
+			continue
+		}
+		_, _ = fmt.Fprintf(c.stdout, "%s: %s version %d\n", e.Key, verb(edit), e.Version)
+	}
+	if len(list) == 0 {
+		_, _ = fmt.Fprintln(c.stdout, "nothing to change")
+	}
+	if failed > 0 {
+		return errorx.ExternalError.New("%d of %d edits were not applied", failed, len(list))
+	}
+	return nil
+}
+
+func verb(edit burdocksync.Edit) string {
+	switch {
+	case edit.Deleted:
+		return "deleted as"
+	case edit.Base == 0:
+		return "added as"
+	default:
+		return "changed to"
+	}
+}
+
+// checkBase refuses an apply that was made on another version.
+func checkBase(entries map[string]burdockconfig.Entry, key string, base burdockid.Version) error {
+	if current := entries[key].Version; current != base {
+		return burdocksync.ErrRace.New("%s is at version %d by now, the edit was made on version %d; nothing was changed", key, current, base)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/tool/burdockmain/main.go
@@ -0,0 +1,106 @@
+// Package burdockmain runs the daemons: it reads their settings, starts them,
+// and stops them as planned on SIGTERM or SIGINT.
+package burdockmain
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"burdockbend.example/burdockbend/internal/config/burdocksettings"
+	"burdockbend.example/burdockbend/internal/serve/burdockprocess"
+	"github.com/peterbourgon/ff/v3"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// Exit statuses of every program.
+const (
+	ExitOK      = 0
+	ExitFailure = 1
+	// ExitUsage says that arguments, settings or input were wrong and nothing
+	// was done.
+	ExitUsage = 2
+)
+
+const envPrefix = "BURDOCK"
+
+// stopper is a running process.
+type stopper interface{ Stop() }
+
+// Entry runs an entry until it is told to stop.
+func Entry(args []string, stderr io.Writer) int {
+	return run("burdock-entry", args, stderr, func(file string, data []byte) (stopper, error) {
+		settings, err := burdocksettings.LoadEntry(file, data)
+		if err != nil {
+			return nil, usageError{err}
+		}
+		return burdockprocess.StartEntry(settings, NewLog(os.Stderr, settings.LogLevel))
+	})
+}
+
+// Agent runs an agent until it is told to stop.
+func Agent(args []string, stderr io.Writer) int {
+	return run("burdock-agent", args, stderr, func(file string, data []byte) (stopper, error) {
+		settings, err := burdocksettings.LoadAgent(file, data)
+		if err != nil {
+			return nil, usageError{err}
+		}
+		return burdockprocess.StartAgent(settings, NewLog(os.Stderr, settings.LogLevel))
+	})
+}
+
+// usageError is an error in what the operator wrote.
+type usageError struct{ error }
+
+func run(name string, args []string, stderr io.Writer, start func(file string, data []byte) (stopper, error)) int {
+	flags := flag.NewFlagSet(name, flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	file := flags.String("settings", "", "TOML file with the settings of this process")
+	if err := ff.Parse(flags, args, ff.WithEnvVarPrefix(envPrefix)); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return ExitOK
+		}
+		_, _ = fmt.Fprintln(stderr, err)
+		return ExitUsage
+	}
+	if *file == "" || flags.NArg() > 0 {
+		_, _ = fmt.Fprintf(stderr, "usage: %s -settings FILE\n", name)
+		return ExitUsage
+	}
+	data, err := os.ReadFile(*file)
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, err)
+		return ExitUsage
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	process, err := start(*file, data)
+	if err != nil {
+		_, _ = fmt.Fprintln(stderr, err)
+		if errors.As(err, &usageError{}) {
+			return ExitUsage
+		}
+		return ExitFailure
+	}
+	<-signals
+	process.Stop()
+	return ExitOK
+}
+
+// NewLog returns a log of JSON lines at the level that the settings name.
+func NewLog(w zapcore.WriteSyncer, level string) *zap.Logger {
+	parsed, err := zapcore.ParseLevel(level)
+	if err != nil {
+		parsed = zapcore.InfoLevel // settings are checked before; a tool may pass none
+	}
+	cfg := zap.NewProductionEncoderConfig()
+	cfg.TimeKey = "time"
+	cfg.MessageKey = "message"
+	cfg.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(cfg), w, parsed))
+}
