--- /dev/null
+++ b/internal/proof/burdockprograms/process.go
@@ -0,0 +1,127 @@
+package burdockprograms
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"os/exec"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// startTimeout is generous: a machine that is busy with other tests is slow
+// to start a process, and no verdict may depend on that.
+const startTimeout = 30 * time.Second
+
+// Process is one started program.
+type Process struct {
+	Name string
+	cmd  *exec.Cmd
+	log  *tail
+	exit chan struct{}
+	err  error
+}
+
+// start starts a program. Its first line of output, if it is asked for, comes
+// back as the address.
+func start(t testing.TB, name, program string, wantAddress bool, args ...string) (*Process, string) {
+	t.Helper()
+	p := &Process{Name: name, cmd: exec.Command(program, args...), log: &tail{}, exit: make(chan struct{})}
+	p.cmd.Stderr = p.log
+	var stdout io.Reader
+	if wantAddress {
+		pipe, err := p.cmd.StdoutPipe()
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		stdout = pipe
+	}
+	if err := p.cmd.Start(); err != nil {
+		t.Fatalf("%s: %v", name, err)
+	}
+	t.Cleanup(func() { p.finish(t) })
+	address := ""
+	if wantAddress {
+		line, err := bufio.NewReader(stdout).ReadString('\n')
+		if err != nil {
+			t.Fatalf("%s printed no address: %v\n%s", name, err, p.log)
+		}
+		address = strings.TrimSpace(line)
+	}
+	go p.run()
+	return p, address
+}
+
+func (p *Process) run() {
+	p.err = p.cmd.Wait()
+	close(p.exit)
+}
+
+// finish ends a process at the end of its test, and shows its log if the test
+// failed.
+func (p *Process) finish(t testing.TB) {
+	p.Kill()
+	if t.Failed() {
+		t.Logf("log of %s:\n%s", p.Name, p.log)
+	}
+}
+
+// Kill ends the process at once, as a VM that is lost would.
+func (p *Process) Kill() {
+	_ = p.cmd.Process.Signal(syscall.SIGKILL)
+	<-p.exit
+}
+
+// Freeze stops the process in its tracks; Thaw lets it go on.
+func (p *Process) Freeze() { _ = p.cmd.Process.Signal(syscall.SIGSTOP) }
+
+// Thaw lets a frozen process go on.
+func (p *Process) Thaw() { _ = p.cmd.Process.Signal(syscall.SIGCONT) }
+
+// Terminate asks for a planned stop.
+func (p *Process) Terminate() { _ = p.cmd.Process.Signal(syscall.SIGTERM) }
+
+// Wait waits until the process has ended, and returns its exit status.
+func (p *Process) Wait(t testing.TB, timeout time.Duration) int {
+	t.Helper()
+	select {
+	case <-p.exit:
+		return p.cmd.ProcessState.ExitCode()
+	case <-time.After(timeout):
+		t.Fatalf("%s did not end within %v", p.Name, timeout)
+		return -1
+	}
+}
+
+// Log returns the last part of what the process wrote to its log.
+func (p *Process) Log() string { return p.log.String() }
+
+// tailBytes is how much of a log is kept.
+const tailBytes = 64 << 10
+
+// tail keeps the end of what is written to it.
+type tail struct {
+	mu  sync.Mutex
+	buf []byte
+}
+
+// Write implements io.Writer.
+func (t *tail) Write(b []byte) (int, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.buf = append(t.buf, b...)
+	if len(t.buf) > 2*tailBytes {
+		t.buf = bytes.Clone(t.buf[len(t.buf)-tailBytes:])
+	}
+	return len(b), nil
+}
+
+// String returns what was kept.
+func (t *tail) String() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return string(t.buf)
+}
--- /dev/null
+++ b/internal/proof/burdockprograms/race.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package burdockprograms
+
+const raceEnabled = true
