Measure the queue against a model of one engine

burdock measure queue puts the same seeded arrivals through the queue, first come, first served and plain priority, in seven scenarios.

--- /dev/null
+++ b/internal/measure/burdockqueuelab/lab_test.go
@@ -0,0 +1,137 @@
+package burdockqueuelab
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+// testConfig holds the command's defaults, for a shorter time.
+func testConfig(scenario string, seed uint64) config {
+	return config{
+		scenario: scenario, seed: seed, slots: 16, rate: 3556, knee: 1,
+		duration: 3 * burdockclock.Minute, maxQueued: 256, estimateError: 0.3,
+		kept: 1, starvation: 5 * burdockclock.Second, maxAttempts: 4,
+	}
+}
+
+func runScenario(t *testing.T, cfg config, p policy) *result {
+	t.Helper()
+	l, err := newLab(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l.run(p)
+}
+
+func urgentInTime(r *result) float64 {
+	s := r.summarise(ofClass(0))
+	return s.part(s.inTime)
+}
+
+func goodput(r *result) float64 {
+	return r.ofCapacity(r.summarise(everyone).goodTokens)
+}
+
+func atLeast(t *testing.T, what string, got, want float64) {
+	t.Helper()
+	if got < want {
+		t.Errorf("%s = %.2f, want at least %.2f", what, got, want)
+	}
+}
+
+func atMost(t *testing.T, what string, got, want float64) {
+	t.Helper()
+	if got > want {
+		t.Errorf("%s = %.2f, want at most %.2f", what, got, want)
+	}
+}
+
+var seeds = []uint64{1, 2, 3}
+
+// Callers ask for twice what the engine can serve, without end. Urgent callers
+// must get their answers in time and the engine must not spend its slots on
+// answers that come too late; nobody may be left without an answer until they
+// hang up.
+func TestSaturation(t *testing.T) {
+	for _, seed := range seeds {
+		r := runScenario(t, testConfig("saturation", seed), fair{})
+		all := r.summarise(everyone)
+		atLeast(t, "urgent in time, %", urgentInTime(r), 99)
+		atLeast(t, "goodput, % of capacity", goodput(r), 95)
+		atMost(t, "hung up untold, %", all.part(all.untold), 0)
+	}
+}
+
+// One customer sends 20 times its share, together 1.5 times what the engine
+// can serve. What the others ask for is within their shares, so they must not
+// notice; the one customer gets what is left.
+func TestSkew(t *testing.T) {
+	for _, seed := range seeds {
+		r := runScenario(t, testConfig("skew", seed), fair{})
+		others := r.summarise(func(req *request) bool { return req.work.Customer != r.lab.scenario.hog })
+		hog := r.summarise(ofCustomer(r.lab.scenario.hog))
+		atLeast(t, "others in time, %", others.part(others.inTime), 97)
+		atLeast(t, "urgent in time, %", urgentInTime(r), 99)
+		atLeast(t, "goodput, % of capacity", goodput(r), 95)
+		atMost(t, "hog's tokens, % of capacity", r.ofCapacity(hog.goodTokens), 50)
+	}
+}
+
+// Callers come back all at once after an outage, with a minute of work within
+// half a second. Nobody may be left untold, and the engine must stay busy with
+// work that is of use until the backlog is served.
+func TestReturn(t *testing.T) {
+	for _, seed := range seeds {
+		r := runScenario(t, testConfig("return", seed), fair{})
+		all := r.summarise(everyone)
+		atMost(t, "hung up untold, %", all.part(all.untold), 0)
+		atMost(t, "work for nobody, % of capacity", r.ofCapacity(all.wastedTokens), 1)
+	}
+}
+
+// The same seed must give the same arrivals to every policy and the same
+// figures each time, or the policies could not be compared.
+func TestSameSeedSameRun(t *testing.T) {
+	cfg := testConfig("burst", 7)
+	first := goodput(runScenario(t, cfg, fair{}))
+	runScenario(t, cfg, firstCome{})
+	if got, want := goodput(runScenario(t, cfg, fair{})), first; got != want {
+		t.Errorf("goodput of the second run = %v, want %v", got, want)
+	}
+}
+
+func TestCommandPrints(t *testing.T) {
+	var got bytes.Buffer
+	args := []string{"--scenario", "skew", "--seed", "3", "--duration", "30s"}
+	if err := Command(&got).ParseAndRun(context.Background(), args); err != nil {
+		t.Fatal(err)
+	}
+	golden := filepath.Join("testdata", "skew.golden")
+	if *update {
+		if err := os.WriteFile(golden, got.Bytes(), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(golden)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(got.Bytes(), want) {
+		t.Errorf("output differs from %s (write it anew with -update); got\n%s", golden, got.String())
+	}
+}
+
+func TestCommandRefusesUnknownScenario(t *testing.T) {
+	err := Command(&bytes.Buffer{}).ParseAndRun(context.Background(), []string{"--scenario", "nosuch"})
+	if err == nil {
+		t.Error("error = nil, want one that names the scenarios")
+	}
+}
