Count running work in the rate instead of bounding the rate by it

The bound (whole cost of what runs over the time it has run) was applied on top of a class rate that had learned the slowness already. Kept because it counts nothing twice and falls smoothly for an engine that is stuck.

--- a/internal/decide/burdockqueue/admit.go
+++ b/internal/decide/burdockqueue/admit.go
@@ -145,38 +145,15 @@
 	return max(left, total*leastRateShare)
 }
 
-// slotRate returns the tokens a millisecond that one slot serves.
-//
-// Load: an engine that has become slow. Harm prevented: the rate learned from
-// finished work says nothing while nothing finishes, so work is admitted that
-// cannot be served in time. What runs cannot have been served faster than its
-// whole cost in the time it has run, which bounds the rate before it ends.
-func (q *Queue) slotRate() float64 {
-	learned := q.learnedRate()
-	elapsed := float64(q.running.elapsed(q.now))
-	if elapsed <= 0 {
-		return learned
-	}
-	return min(learned, float64(q.running.cost)/elapsed)
-}
-
-func (q *Queue) learnedRate() float64 {
-	if q.service.known() {
-		return q.service.rate()
-	}
-	return q.cfg.InitialRate / float64(burdockclock.Second)
-}
+// slotRate returns the tokens a millisecond that one slot serves; 0 is unknown.
+func (q *Queue) slotRate() float64 { return q.service.rate(q.now) }
 
-// serviceMillis returns how long w would hold a slot: as its class did, made
-// longer by as much as the engine has become slower since.
+// serviceMillis returns how long w would hold a slot, as its class does: short
+// answers are slower by the token than long ones.
 func (q *Queue) serviceMillis(w Work) burdockclock.Millis {
-	learned, present := q.learnedRate(), q.slotRate()
-	if learned <= 0 || present <= 0 {
-		return 0
-	}
-	millis, ok := q.classes[w.Class].service.predict(w.Cost)
-	if !ok {
-		millis = float64(charged(w.Cost)) / learned
+	millis := q.classes[w.Class].service.millis(q.now, w.Cost)
+	if millis <= 0 {
+		millis = q.service.millis(q.now, w.Cost)
 	}
-	return burdockclock.Millis(math.Ceil(millis * learned / present))
+	return burdockclock.Millis(math.Ceil(millis))
 }
--- a/internal/decide/burdockqueue/queue.go
+++ b/internal/decide/burdockqueue/queue.go
@@ -48,6 +48,7 @@
 // Offer decides on new work.
 func (q *Queue) Offer(now burdockclock.Millis, w Work) Decision {
 	q.advance(now)
+	q.believeInitialRate()
 	w = q.normalise(w)
 	q.counts.Offered++
 	if reason := q.unwelcome(w); reason != ReasonNone {
@@ -183,6 +184,14 @@
 	return w
 }
 
+// believeInitialRate starts from the configured rate, which ages from the
+// first offer on and not from the Unix epoch.
+func (q *Queue) believeInitialRate() {
+	if q.service.busy == 0 && q.cfg.InitialRate > 0 {
+		q.service.believe(q.now, q.cfg.InitialRate/float64(burdockclock.Second))
+	}
+}
+
 // unwelcome returns why work cannot be taken whatever the load.
 func (q *Queue) unwelcome(w Work) Reason {
 	if q.leaving {
@@ -240,6 +249,8 @@
 func (q *Queue) start(it *item) {
 	it.place, it.started = placeRunning, q.now
 	q.running.add(it)
+	q.service.begin(it.work.Cost, it.started)
+	q.classes[it.work.Class].service.begin(it.work.Cost, it.started)
 	q.classes[it.work.Class].charge(q.now, it.flow, it.work.Cost)
 	q.counts.Started++
 	q.note(it.work, OutcomeStart, ReasonNone, q.now-it.work.Arrived)
@@ -248,6 +259,8 @@
 // stop takes the slot from a running item.
 func (q *Queue) stop(it *item, served burdockid.Tokens) {
 	q.running.remove(it)
+	q.service.end(it.work.Cost, it.started)
+	q.classes[it.work.Class].service.end(it.work.Cost, it.started)
 	q.classes[it.work.Class].release(it.flow, it.work.Cost, served)
 	it.place = placeNone
 	delete(q.items, it.work.ID)
@@ -304,6 +317,8 @@
 			continue
 		}
 		it.work.Class = Class(last - 1)
+		from.service.end(it.work.Cost, it.started)
+		to.service.begin(it.work.Cost, it.started)
 		it.flow = to.adopt(it, q.cfg.share(it.work.Customer))
 	}
 	q.classes = q.classes[:last]
--- a/internal/decide/burdockqueue/rate.go
+++ b/internal/decide/burdockqueue/rate.go
@@ -43,44 +43,63 @@
 // serviceTime learns how long one request of a given cost holds its slot. It
 // counts the offered cost, not what was served, so that customers who all
 // overstate their cost are still predicted rightly.
+//
+// Load: an engine that becomes slow. Harm prevented: the rate learned from
+// finished work says nothing while nothing finishes, so work is admitted that
+// cannot be served in time. Running work counts with the time that it has run
+// and at most its whole cost, so that what overruns lowers the rate before it
+// ends.
 type serviceTime struct {
-	cost float64 // decayed sum of offered costs
-	busy float64 // decayed sum of the milliseconds they took
-	dev  float64 // mean deviation of the time from the prediction, as a ratio
+	cost float64 // decayed sum of the costs of finished work
+	busy float64 // decayed sum of the milliseconds it took
 	at   burdockclock.Millis
+
+	running     int
+	runningCost burdockid.Tokens
+	startSum    burdockclock.Millis
+}
+
+// believe sets a rate in tokens a millisecond to start from. It counts as much
+// as one second of one slot.
+func (s *serviceTime) believe(now burdockclock.Millis, rate float64) {
+	s.cost, s.busy, s.at = rate*float64(burdockclock.Second), float64(burdockclock.Second), now
+}
+
+func (s *serviceTime) begin(cost burdockid.Tokens, started burdockclock.Millis) {
+	s.running++
+	s.runningCost += charged(cost)
+	s.startSum += started
 }
 
-// deviationGain is the weight of a new deviation, as in the usual estimate of
-// round-trip times.
-const deviationGain = 1.0 / 16
+func (s *serviceTime) end(cost burdockid.Tokens, started burdockclock.Millis) {
+	s.running--
+	s.runningCost -= charged(cost)
+	s.startSum -= started
+}
 
 func (s *serviceTime) learn(now burdockclock.Millis, cost burdockid.Tokens, took burdockclock.Millis) {
-	if predicted, ok := s.predict(cost); ok && predicted > 0 {
-		miss := math.Abs(float64(took)/predicted - 1)
-		s.dev += deviationGain * (miss - s.dev)
-	}
 	keep := decay(now - s.at)
 	s.cost = s.cost*keep + float64(charged(cost))
 	s.busy = s.busy*keep + float64(max(took, 1))
 	s.at = now
 }
 
-// known reports whether anything has been learned.
-func (s *serviceTime) known() bool { return s.busy > 0 }
-
-// rate returns tokens a millisecond for one slot.
-func (s *serviceTime) rate() float64 {
+// rate returns tokens a millisecond for one slot; 0 is unknown.
+func (s *serviceTime) rate(now burdockclock.Millis) float64 {
 	if s.busy <= 0 {
 		return 0
 	}
-	return s.cost / s.busy
+	keep := decay(now - s.at)
+	elapsed := float64(now*burdockclock.Millis(s.running) - s.startSum)
+	progress := min(float64(s.runningCost), elapsed*s.cost/s.busy)
+	return (s.cost*keep + progress) / (s.busy*keep + elapsed)
 }
 
-// predict returns the expected milliseconds for a cost.
-func (s *serviceTime) predict(cost burdockid.Tokens) (float64, bool) {
-	r := s.rate()
-	if r <= 0 {
-		return 0, false
+// millis returns the expected milliseconds for a cost; 0 is unknown.
+func (s *serviceTime) millis(now burdockclock.Millis, cost burdockid.Tokens) float64 {
+	rate := s.rate(now)
+	if rate <= 0 {
+		return 0
 	}
-	return float64(charged(cost)) / r, true
+	return float64(charged(cost)) / rate
 }
--- a/internal/decide/burdockqueue/running.go
+++ b/internal/decide/burdockqueue/running.go
@@ -1,16 +1,11 @@
 package burdockqueue
 
-import (
-	"burdockbend.example/burdockbend/internal/base/burdockclock"
-	"burdockbend.example/burdockbend/internal/base/burdockid"
-)
+import "burdockbend.example/burdockbend/internal/base/burdockid"
 
-// runningSet holds the work that has a slot, with sums that tell its age
-// without a look at each item.
+// runningSet holds the work that has a slot, and the sum of its costs.
 type runningSet struct {
-	items    []*item
-	cost     burdockid.Tokens
-	startSum burdockclock.Millis
+	items []*item
+	cost  burdockid.Tokens
 }
 
 func (s *runningSet) len() int { return len(s.items) }
@@ -19,7 +14,6 @@
 	it.runningIndex = len(s.items)
 	s.items = append(s.items, it)
 	s.cost += charged(it.work.Cost)
-	s.startSum += it.started
 }
 
 func (s *runningSet) remove(it *item) {
@@ -29,12 +23,6 @@
 	s.items[last] = nil
 	s.items = s.items[:last]
 	s.cost -= charged(it.work.Cost)
-	s.startSum -= it.started
-}
-
-// elapsed is the sum of the time that each item has held its slot.
-func (s *runningSet) elapsed(now burdockclock.Millis) burdockclock.Millis {
-	return now*burdockclock.Millis(len(s.items)) - s.startSum
 }
 
 // inOrder returns the items, in an order that the same calls always give.
