--- a/internal/decide/burdockqueue/admit.go
+++ b/internal/decide/burdockqueue/admit.go
@@ -106,18 +106,17 @@
 }
 
 // expectedWait returns how long w would wait if it were queued now: for the
-// queued work ahead of it, and for the next slot to come free.
+// next slot to come free, and for the queued work ahead of it.
 func (q *Queue) expectedWait(w Work) burdockclock.Millis {
 	rate := q.classRate(w.Class)
-	if rate <= 0 || q.running.len() == 0 {
+	if rate <= 0 {
 		return 0
 	}
-	ahead := float64(q.running.cost) / float64(q.running.len())
+	ahead := q.aheadInClass(w)
 	for _, c := range q.classes[:w.Class] {
 		ahead += float64(c.queuedCost)
 	}
-	ahead += q.aheadInClass(w)
-	return burdockclock.Millis(math.Ceil(ahead / rate))
+	return q.running.nextEnd(q.now) + burdockclock.Millis(math.Ceil(ahead/rate))
 }
 
 // aheadInClass returns the tokens of the class that are served before w. While
--- a/internal/decide/burdockqueue/invariant.go
+++ b/internal/decide/burdockqueue/invariant.go
@@ -121,7 +121,7 @@
 	for i, c := range q.classes {
 		seen += q.checkClass(Class(i), c)
 	}
-	for i, it := range q.running.items {
+	for i, it := range q.running.byEnd.items {
 		if it.place != placeRunning || it.runningIndex != i || q.items[it.work.ID] != it {
 			broken(InvariantPlace, "%s is running, but filed elsewhere", it.work.ID)
 		}
--- a/internal/decide/burdockqueue/load.go
+++ b/internal/decide/burdockqueue/load.go
@@ -34,8 +34,7 @@
 	if rate <= 0 || q.running.len() < q.cfg.Slots {
 		return 0
 	}
-	ahead := float64(q.queuedCost) + float64(q.running.cost)/float64(max(q.running.len(), 1))
-	return burdockclock.Millis(math.Ceil(ahead / rate))
+	return q.running.nextEnd(q.now) + burdockclock.Millis(math.Ceil(float64(q.queuedCost)/rate))
 }
 
 // servedSoFar estimates what running work has been served when it is cancelled.
--- a/internal/decide/burdockqueue/queue.go
+++ b/internal/decide/burdockqueue/queue.go
@@ -37,7 +37,8 @@
 			less:  func(a, b *item) bool { return a.expires < b.expires },
 			index: func(it *item) *int { return &it.expiryIndex },
 		},
-		retry: retrySpreader{rnd: rnd},
+		running: newRunningSet(),
+		retry:   retrySpreader{rnd: rnd},
 	}
 	for _, class := range q.cfg.Classes {
 		q.classes = append(q.classes, newFairQueue(class))
@@ -56,7 +57,7 @@
 	}
 	class := q.classes[w.Class]
 	if q.mayStart(w.Class) && !q.anyStartable() {
-		it := &item{work: w, flow: class.flow(w.Customer, q.cfg.share(w.Customer)), expiryIndex: notInHeap}
+		it := &item{work: w, flow: class.flow(w.Customer, q.cfg.share(w.Customer)), expiryIndex: notInHeap, runningIndex: notInHeap}
 		q.items[w.ID] = it
 		q.start(it)
 		return Start{}
@@ -214,7 +215,7 @@
 }
 
 func (q *Queue) enqueue(w Work) {
-	it := &item{work: w, place: placeQueued, expiryIndex: notInHeap}
+	it := &item{work: w, place: placeQueued, expiryIndex: notInHeap, runningIndex: notInHeap}
 	q.items[w.ID] = it
 	q.classes[w.Class].push(q.now, it, q.cfg.share(w.Customer))
 	q.queued++
@@ -248,6 +249,7 @@
 // start gives a slot to an item that is not queued.
 func (q *Queue) start(it *item) {
 	it.place, it.started = placeRunning, q.now
+	it.ends = q.now + q.serviceMillis(it.work)
 	q.running.add(it)
 	q.service.begin(it.work.Cost, it.started)
 	q.classes[it.work.Class].service.begin(it.work.Cost, it.started)
--- a/internal/decide/burdockqueue/work.go
+++ b/internal/decide/burdockqueue/work.go
@@ -38,6 +38,7 @@
 	place   place
 	flow    *flow
 	started burdockclock.Millis
+	ends    burdockclock.Millis // expected while running
 	// expires is the first instant at which queued work is dropped.
 	expires      burdockclock.Millis
 	expiryReason Reason
