Keep two of sixteen slots for urgent work; show who is told at once

Cause: in burst, urgent work waits for a slot while all are held by long requests. Change: 2 kept slots by default instead of 1.

--- a/internal/measure/burdockqueuelab/command.go
+++ b/internal/measure/burdockqueuelab/command.go
@@ -27,7 +27,7 @@
 	fs.DurationVar(&duration, "duration", 10*time.Minute, "time in which requests arrive, and that is measured")
 	fs.IntVar(&cfg.maxQueued, "max-queued", 256, "bound on queued requests")
 	fs.Float64Var(&cfg.estimateError, "estimate-error", 0.3, "sigma of the logarithm of estimated over true tokens")
-	fs.IntVar(&cfg.kept, "kept", 1, "slots kept for the most urgent class")
+	fs.IntVar(&cfg.kept, "kept", 2, "slots kept for the most urgent class; fewer in proportion where the scenario has fewer slots")
 	fs.DurationVar(&starvation, "starvation", 5*time.Second, "bound on starvation of the other classes")
 	fs.IntVar(&cfg.maxAttempts, "attempts", 4, "offers of one request at the most")
 	return &ffcli.Command{
--- a/internal/measure/burdockqueuelab/lab.go
+++ b/internal/measure/burdockqueuelab/lab.go
@@ -44,6 +44,8 @@
 	if s.slots > 0 {
 		// The same tokens a second for each slot.
 		cfg.rate *= float64(s.slots) / float64(cfg.slots)
+		// Kept slots in proportion, at least one if there are any.
+		cfg.kept = (cfg.kept*s.slots + cfg.slots - 1) / cfg.slots
 		cfg.slots = s.slots
 	}
 	if cfg.load > 0 {
--- a/internal/measure/burdockqueuelab/lab_test.go
+++ b/internal/measure/burdockqueuelab/lab_test.go
@@ -18,7 +18,7 @@
 	return config{
 		scenario: scenario, seed: seed, slots: 16, rate: 3556, knee: 1,
 		duration: 3 * burdockclock.Minute, maxQueued: 256, estimateError: 0.3,
-		kept: 1, starvation: 5 * burdockclock.Second, maxAttempts: 4,
+		kept: 2, starvation: 5 * burdockclock.Second, maxAttempts: 4,
 	}
 }
 
--- a/internal/measure/burdockqueuelab/result.go
+++ b/internal/measure/burdockqueuelab/result.go
@@ -85,6 +85,16 @@
 	return 100 * float64(n) / float64(s.requests)
 }
 
+// atOnce returns the percentage of the refused that were told with the answer
+// to their offer.
+func (s *summary) atOnce() float64 {
+	n := sort.Search(len(s.toldAfter), func(i int) bool { return s.toldAfter[i] > 0 })
+	if n == 0 {
+		return 0
+	}
+	return 100 * float64(n) / float64(len(s.toldAfter))
+}
+
 // ofCapacity returns tokens as a percentage of what the engine could serve.
 func (r *result) ofCapacity(tokens float64) float64 {
 	return 100 * tokens / r.lab.capacityTokens()
