Leave out of a class's expected rate what the others are sure to take

Cause: in saturation and return, most of the refused of the middle class are told only after 10 s or more in the queue: the expected wait left out the starts that the bound on starvation gives to letters and the slots kept for urgent work. Change: both are taken off the rate.

--- a/internal/decide/burdockqueue/admit.go
+++ b/internal/decide/burdockqueue/admit.go
@@ -133,13 +133,20 @@
 	return min(span*active, float64(c.queuedCost))
 }
 
-// classRate returns the tokens a millisecond that are left to a class after
-// what more urgent classes take.
+// classRate returns the tokens a millisecond that are left to a class: after
+// what more urgent classes take or have kept for them, and after the starts
+// that the bound on starvation gives to the others.
 func (q *Queue) classRate(class Class) float64 {
-	total := q.slotRate() * float64(q.cfg.Slots)
+	slot := q.slotRate()
+	total := slot * float64(q.cfg.Slots)
 	left := total
-	for _, c := range q.classes[:class] {
-		left -= c.starts.rate(q.now)
+	for i, c := range q.classes {
+		switch {
+		case Class(i) < class:
+			left -= max(c.starts.rate(q.now), slot*float64(c.cfg.KeptSlots))
+		case Class(i) > class:
+			left -= c.starvationRate()
+		}
 	}
 	return max(left, total*leastRateShare)
 }
--- a/internal/decide/burdockqueue/fair.go
+++ b/internal/decide/burdockqueue/fair.go
@@ -227,6 +227,16 @@
 	return c.waitingSince + c.cfg.MaxStarvation
 }
 
+// starvationRate returns the tokens a millisecond that the bound on starvation
+// gives to the class at the least.
+func (c *fairQueue) starvationRate() float64 {
+	if c.queued == 0 || c.cfg.MaxStarvation <= 0 {
+		return 0
+	}
+	mean := float64(c.queuedCost) / float64(c.queued)
+	return mean / float64(c.cfg.MaxStarvation)
+}
+
 // shareBound is how far in tokens a backlogged customer may be from its share:
 // as many requests as ran beside each other, each of the greatest charge.
 func (c *fairQueue) shareBound() float64 {
