Refuse earlier where later work will overtake

Cause: in saturation most refused work of the middle class was dropped at its last instant, after 10 s or more. The queue settles where the expected wait equals the time left, and more urgent work and customers below their share overtake after admission. Change: the expected wait counts 1.5 times for all but the most urgent class; a class's own kept slots are left to it in its expected rate.

--- a/internal/decide/burdockqueue/admit.go
+++ b/internal/decide/burdockqueue/admit.go
@@ -13,6 +13,11 @@
 	// to their share of the places. Below it a burst of one customer harms
 	// nobody; from half on there is still room for all others.
 	saturatedShare = 0.5
+	// overtakingMargin lengthens the expected wait of all but the most urgent
+	// class when it is judged whether that is too long: work that comes later
+	// may go first. Without it the queue settles where half of what is admitted
+	// is dropped at its last instant, after the whole wait.
+	overtakingMargin = 1.5
 	// leastRateShare is the part of the engine that a class is always assumed
 	// to get, so that a moment of urgent work does not refuse all other work.
 	leastRateShare = 0.05
@@ -24,6 +29,9 @@
 // caller waits for an answer that will not come, instead of asking elsewhere
 // or later, and the queue holds work that is dropped in the end.
 func (q *Queue) hopeless(w Work, expected burdockclock.Millis) Reason {
+	if w.Class > 0 {
+		expected = burdockclock.Millis(overtakingMargin * float64(expected))
+	}
 	if w.Deadline > 0 && q.now+expected+q.serviceMillis(w) > w.Deadline {
 		return q.blame(w, ReasonDeadline)
 	}
@@ -148,7 +156,8 @@
 			left -= c.starvationRate()
 		}
 	}
-	return max(left, total*leastRateShare)
+	kept := slot * float64(min(q.classes[class].cfg.KeptSlots, q.cfg.Slots))
+	return max(left, kept, total*leastRateShare)
 }
 
 // slotRate returns the tokens a millisecond that one slot serves; 0 is unknown.
