--- a/internal/decide/burdockqueue/admit.go
+++ b/internal/decide/burdockqueue/admit.go
@@ -13,6 +13,11 @@
 	// to their share of the places. Below it a burst of one customer harms
 	// nobody; from half on there is still room for all others.
 	saturatedShare = 0.5
+	// overtakingMargin lengthens the expected wait of all but the most urgent
+	// class when it is judged whether that is too long: work that comes later
+	// may go first. Without it the queue settles where half of what is admitted
+	// is dropped at its last instant, after the whole wait.
+	overtakingMargin = 1.5
 	// leastRateShare is the part of the engine that a class is always assumed
 	// to get, so that a moment of urgent work does not refuse all other work.
 	leastRateShare = 0.05
@@ -24,6 +29,9 @@
 // caller waits for an answer that will not come, instead of asking elsewhere
 // or later, and the queue holds work that is dropped in the end.
 func (q *Queue) hopeless(w Work, expected burdockclock.Millis) Reason {
+	if w.Class > 0 {
+		expected = burdockclock.Millis(overtakingMargin * float64(expected))
+	}
 	if w.Deadline > 0 && q.now+expected+q.serviceMillis(w) > w.Deadline {
 		return q.blame(w, ReasonDeadline)
 	}
@@ -106,18 +114,17 @@
 }
 
 // expectedWait returns how long w would wait if it were queued now: for the
-// queued work ahead of it, and for the next slot to come free.
+// next slot to come free, and for the queued work ahead of it.
 func (q *Queue) expectedWait(w Work) burdockclock.Millis {
 	rate := q.classRate(w.Class)
-	if rate <= 0 || q.running.len() == 0 {
+	if rate <= 0 {
 		return 0
 	}
-	ahead := float64(q.running.cost) / float64(q.running.len())
+	ahead := q.aheadInClass(w)
 	for _, c := range q.classes[:w.Class] {
 		ahead += float64(c.queuedCost)
 	}
-	ahead += q.aheadInClass(w)
-	return burdockclock.Millis(math.Ceil(ahead / rate))
+	return q.running.nextEnd(q.now) + burdockclock.Millis(math.Ceil(ahead/rate))
 }
 
 // aheadInClass returns the tokens of the class that are served before w. While
@@ -134,49 +141,34 @@
 	return min(span*active, float64(c.queuedCost))
 }
 
-// classRate returns the tokens a millisecond that are left to a class after
-// what more urgent classes take.
+// classRate returns the tokens a millisecond that are left to a class: after
+// what more urgent classes take or have kept for them, and after the starts
+// that the bound on starvation gives to the others.
 func (q *Queue) classRate(class Class) float64 {
-	total := q.slotRate() * float64(q.cfg.Slots)
+	slot := q.slotRate()
+	total := slot * float64(q.cfg.Slots)
 	left := total
-	for _, c := range q.classes[:class] {
-		left -= c.starts.rate(q.now)
+	for i, c := range q.classes {
+		switch {
+		case Class(i) < class:
+			left -= max(c.starts.rate(q.now), slot*float64(c.cfg.KeptSlots))
+		case Class(i) > class:
+			left -= c.starvationRate()
+		}
 	}
-	return max(left, total*leastRateShare)
-}
-
-// slotRate returns the tokens a millisecond that one slot serves.
-//
-// Load: an engine that has become slow. Harm prevented: the rate learned from
-// finished work says nothing while nothing finishes, so work is admitted that
-// cannot be served in time. What runs cannot have been served faster than its
-// whole cost in the time it has run, which bounds the rate before it ends.
-func (q *Queue) slotRate() float64 {
-	learned := q.learnedRate()
-	elapsed := float64(q.running.elapsed(q.now))
-	if elapsed <= 0 {
-		return learned
-	}
-	return min(learned, float64(q.running.cost)/elapsed)
+	kept := slot * float64(min(q.classes[class].cfg.KeptSlots, q.cfg.Slots))
+	return max(left, kept, total*leastRateShare)
 }
 
-func (q *Queue) learnedRate() float64 {
-	if q.service.known() {
-		return q.service.rate()
-	}
-	return q.cfg.InitialRate / float64(burdockclock.Second)
-}
+// slotRate returns the tokens a millisecond that one slot serves; 0 is unknown.
+func (q *Queue) slotRate() float64 { return q.service.rate(q.now) }
 
-// serviceMillis returns how long w would hold a slot: as its class did, made
-// longer by as much as the engine has become slower since.
+// serviceMillis returns how long w would hold a slot, as its class does: short
+// answers are slower by the token than long ones.
 func (q *Queue) serviceMillis(w Work) burdockclock.Millis {
-	learned, present := q.learnedRate(), q.slotRate()
-	if learned <= 0 || present <= 0 {
-		return 0
-	}
-	millis, ok := q.classes[w.Class].service.predict(w.Cost)
-	if !ok {
-		millis = float64(charged(w.Cost)) / learned
+	millis := q.classes[w.Class].service.millis(q.now, w.Cost)
+	if millis <= 0 {
+		millis = q.service.millis(q.now, w.Cost)
 	}
-	return burdockclock.Millis(math.Ceil(millis * learned / present))
+	return burdockclock.Millis(math.Ceil(millis))
 }
--- a/internal/decide/burdockqueue/queue.go
+++ b/internal/decide/burdockqueue/queue.go
@@ -37,7 +37,8 @@
 			less:  func(a, b *item) bool { return a.expires < b.expires },
 			index: func(it *item) *int { return &it.expiryIndex },
 		},
-		retry: retrySpreader{rnd: rnd},
+		running: newRunningSet(),
+		retry:   retrySpreader{rnd: rnd},
 	}
 	for _, class := range q.cfg.Classes {
 		q.classes = append(q.classes, newFairQueue(class))
@@ -48,6 +49,7 @@
 // Offer decides on new work.
 func (q *Queue) Offer(now burdockclock.Millis, w Work) Decision {
 	q.advance(now)
+	q.believeInitialRate()
 	w = q.normalise(w)
 	q.counts.Offered++
 	if reason := q.unwelcome(w); reason != ReasonNone {
@@ -55,7 +57,7 @@
 	}
 	class := q.classes[w.Class]
 	if q.mayStart(w.Class) && !q.anyStartable() {
-		it := &item{work: w, flow: class.flow(w.Customer, q.cfg.share(w.Customer)), expiryIndex: notInHeap}
+		it := &item{work: w, flow: class.flow(w.Customer, q.cfg.share(w.Customer)), expiryIndex: notInHeap, runningIndex: notInHeap}
 		q.items[w.ID] = it
 		q.start(it)
 		return Start{}
@@ -183,6 +185,14 @@
 	return w
 }
 
+// believeInitialRate starts from the configured rate, which ages from the
+// first offer on and not from the Unix epoch.
+func (q *Queue) believeInitialRate() {
+	if q.service.busy == 0 && q.cfg.InitialRate > 0 {
+		q.service.believe(q.now, q.cfg.InitialRate/float64(burdockclock.Second))
+	}
+}
+
 // unwelcome returns why work cannot be taken whatever the load.
 func (q *Queue) unwelcome(w Work) Reason {
 	if q.leaving {
@@ -205,7 +215,7 @@
 }
 
 func (q *Queue) enqueue(w Work) {
-	it := &item{work: w, place: placeQueued, expiryIndex: notInHeap}
+	it := &item{work: w, place: placeQueued, expiryIndex: notInHeap, runningIndex: notInHeap}
 	q.items[w.ID] = it
 	q.classes[w.Class].push(q.now, it, q.cfg.share(w.Customer))
 	q.queued++
@@ -239,7 +249,10 @@
 // start gives a slot to an item that is not queued.
 func (q *Queue) start(it *item) {
 	it.place, it.started = placeRunning, q.now
+	it.ends = q.now + q.serviceMillis(it.work)
 	q.running.add(it)
+	q.service.begin(it.work.Cost, it.started)
+	q.classes[it.work.Class].service.begin(it.work.Cost, it.started)
 	q.classes[it.work.Class].charge(q.now, it.flow, it.work.Cost)
 	q.counts.Started++
 	q.note(it.work, OutcomeStart, ReasonNone, q.now-it.work.Arrived)
@@ -248,6 +261,8 @@
 // stop takes the slot from a running item.
 func (q *Queue) stop(it *item, served burdockid.Tokens) {
 	q.running.remove(it)
+	q.service.end(it.work.Cost, it.started)
+	q.classes[it.work.Class].service.end(it.work.Cost, it.started)
 	q.classes[it.work.Class].release(it.flow, it.work.Cost, served)
 	it.place = placeNone
 	delete(q.items, it.work.ID)
@@ -304,6 +319,8 @@
 			continue
 		}
 		it.work.Class = Class(last - 1)
+		from.service.end(it.work.Cost, it.started)
+		to.service.begin(it.work.Cost, it.started)
 		it.flow = to.adopt(it, q.cfg.share(it.work.Customer))
 	}
 	q.classes = q.classes[:last]
