Decide which rank holds which experts

A planner weighs the step time lost to uneven ranks against the time that the weight store needs to move experts, layer by layer, at the profile's exchange rate. It searches from the present map with few changes, places afresh only when there is no map, and repairs a map that lost ranks make unusable whatever that costs.

Two measures keep it from moving for nothing: the saving has to exceed three times what noise in the counts feigns, and a layer's change is expected to last no longer than half of the time since its last one. Constant popularity with bursts of 1, 10 and 100 times independent tokens' variance moves nothing in 24 runs of 200 windows.

The encoded map has 13432 bytes for 32 ranks, 128 experts, 60 layers and 6 slots.

--- /dev/null
+++ b/internal/base/burdockid/expert.go
@@ -0,0 +1,10 @@
+package burdockid
+
+// Layer numbers a layer of a model that has experts, from 0.
+type Layer int
+
+// Bytes counts bytes of weights.
+type Bytes int64
+
+// BytesPerSecond is a rate limit on reading weights.
+type BytesPerSecond int64
--- /dev/null
+++ b/internal/decide/burdockexpert/bench_test.go
@@ -0,0 +1,128 @@
+package burdockexpert
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+)
+
+// drift makes popularities for tests and feeds them to an estimate.
+type drift struct {
+	rng     *rand.Rand
+	weights [][]float64 // by layer and expert, any scale
+}
+
+const (
+	testSpread  = 0.8 // of the logarithm of an expert's weight
+	testTokens  = 2_000_000
+	testHalf    = burdockclock.Minute
+	testBytes   = burdockid.Bytes(44_000_000)
+	testRate    = burdockid.BytesPerSecond(1_000_000_000)
+	testHolding = 30 * burdockclock.Minute
+)
+
+func newDrift(seed uint64, layers, experts int) *drift {
+	d := &drift{rng: rand.New(rand.NewPCG(seed, 1)), weights: make([][]float64, layers)}
+	for l := range d.weights {
+		d.weights[l] = make([]float64, experts)
+		for e := range d.weights[l] {
+			d.weights[l][e] = math.Exp(testSpread * d.rng.NormFloat64())
+		}
+	}
+	return d
+}
+
+// observe feeds one window; burst is the variance of counts over Poisson's.
+func (d *drift) observe(p *Popularity, now burdockclock.Millis, burst float64) {
+	for l, weights := range d.weights {
+		total := 0.0
+		for _, w := range weights {
+			total += w
+		}
+		counts := make([]burdockid.Tokens, len(weights))
+		for e, w := range weights {
+			expected := testTokens * w / total
+			counts[e] = burdockid.Tokens(max(0, expected+d.rng.NormFloat64()*math.Sqrt(expected*burst)))
+		}
+		p.Observe(now, burdockid.Layer(l), counts)
+	}
+}
+
+func evenRanks(n, slots int) []Rank {
+	ranks := make([]Rank, n)
+	for r := range ranks {
+		ranks[r] = Rank{Slots: slots, Speed: 1}
+	}
+	return ranks
+}
+
+func testInput(s Snapshot, present *Map, ranks []Rank) Input {
+	return Input{
+		Popularity:  s,
+		Present:     present,
+		Ranks:       ranks,
+		Weights:     Weights{Skew: 4, Cost: 1},
+		ExpertBytes: testBytes,
+		StoreRate:   testRate,
+		Hold:        testHolding,
+	}
+}
+
+// BenchmarkPlan is a decision at the project's largest group: the popularity
+// has changed wholly, so that every layer has to be searched.
+func BenchmarkPlan(b *testing.B) {
+	for _, c := range []struct {
+		name   string
+		before uint64 // seed of the popularity that the present map is for
+	}{{"swapped", 2}, {"settled", 1}} {
+		b.Run(c.name, func(b *testing.B) {
+			in := benchInput(c.before)
+			b.ReportAllocs()
+			for b.Loop() {
+				// A planner that has changed a layer a moment ago would not
+				// search it again.
+				New(Config{}).Plan(0, in)
+			}
+		})
+	}
+}
+
+func benchInput(before uint64) Input {
+	const layers, experts = 60, 128
+	ranks := evenRanks(32, 6)
+	snap := func(seed uint64) Snapshot {
+		p := NewPopularity(layers, experts, testHalf)
+		newDrift(seed, layers, experts).observe(p, 0, 1)
+		return p.Snapshot()
+	}
+	return testInput(snap(1), Solve(snap(before), ranks), ranks)
+}
+
+func BenchmarkSolve(b *testing.B) {
+	in := benchInput(1)
+	b.ReportAllocs()
+	for b.Loop() {
+		Solve(in.Popularity, in.Ranks)
+	}
+}
+
+func BenchmarkObserveSnapshot(b *testing.B) {
+	p := NewPopularity(60, 128, testHalf)
+	d := newDrift(1, 60, 128)
+	counts := make([]burdockid.Tokens, 128)
+	for e := range counts {
+		counts[e] = burdockid.Tokens(1000 * d.weights[0][e])
+	}
+	now := burdockclock.Millis(0)
+	b.ReportAllocs()
+	for b.Loop() {
+		now += burdockclock.Second
+		for l := range burdockid.Layer(60) {
+			p.Observe(now, l, counts)
+		}
+		p.Snapshot()
+	}
+}
--- /dev/null
+++ b/internal/decide/burdockexpert/codec.go
@@ -0,0 +1,152 @@
+package burdockexpert
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/joomcode/errorx"
+)
+
+// MaxEncoded is the largest encoding of a map: a value of the configuration
+// store holds no more.
+const MaxEncoded = 1 << 20
+
+// formatVersion is the first byte of an encoded map.
+const formatVersion = 1
+
+var namespace = errorx.NewNamespace("burdockexpert")
+
+// MalformedMap is the type of error for bytes that are no map's encoding.
+var MalformedMap = namespace.NewType("malformedMap")
+
+// Encode returns the one encoding of m: the format's version, the shape, and
+// for each layer and rank the number of experts held and the gaps between
+// their numbers, all as minimal varints. Equal maps have equal encodings, so
+// ranks may compare digests in place of maps.
+func (m *Map) Encode() ([]byte, error) {
+	size := m.encodedSize()
+	if size > MaxEncoded {
+		return nil, MalformedMap.New("encoding has %d bytes, limit %d", size, MaxEncoded)
+	}
+	return m.append(make([]byte, 0, size)), nil
+}
+
+func (m *Map) append(b []byte) []byte {
+	b = append(b, formatVersion)
+	b = binary.AppendUvarint(b, uint64(m.shape.Layers))
+	b = binary.AppendUvarint(b, uint64(m.shape.Ranks))
+	b = binary.AppendUvarint(b, uint64(m.shape.Experts))
+	for _, held := range m.holds {
+		b = binary.AppendUvarint(b, uint64(len(held)))
+		next := uint64(0)
+		for _, e := range held {
+			b = binary.AppendUvarint(b, uint64(e)-next)
+			next = uint64(e) + 1
+		}
+	}
+	return b
+}
+
+func (m *Map) encodedSize() int { return len(m.append(nil)) }
+
+// Digest returns a hash of m's encoding.
+func (m *Map) Digest() uint64 { return xxhash.Sum64(m.append(nil)) }
+
+// Decode reads what Encode returned. Any other bytes give an error of type
+// MalformedMap, also those that would stand for a map in another spelling.
+func Decode(b []byte) (*Map, error) {
+	if len(b) > MaxEncoded {
+		return nil, MalformedMap.New("%d bytes, limit %d", len(b), MaxEncoded)
+	}
+	d := decoder{rest: b}
+	m := d.decode()
+	if d.err != nil {
+		return nil, d.err
+	}
+	if len(d.rest) > 0 {
+		return nil, MalformedMap.New("%d bytes after the end", len(d.rest))
+	}
+	return m, nil
+}
+
+// decoder reads an encoded map; after the first error it reads nothing more.
+type decoder struct {
+	rest []byte
+	err  error
+}
+
+func (d *decoder) decode() *Map {
+	if v := d.uvarint(); v != formatVersion {
+		d.fail("format version %d, want %d", v, formatVersion)
+		return nil
+	}
+	layers, ranks, experts := d.upTo(maxLayers), d.upTo(maxRanks), d.upTo(maxExperts)
+	s := Shape{Layers: layers, Ranks: ranks, Experts: experts}
+	if d.err != nil || !s.valid() {
+		d.fail("shape %+v is out of limits", s)
+		return nil
+	}
+	// Each rank's list takes at least one byte. Without this check a few
+	// bytes could ask for the memory of the largest shape.
+	if s.Layers*s.Ranks > len(d.rest) {
+		d.fail("%d bytes are too few for %+v", len(d.rest), s)
+		return nil
+	}
+	m := NewMap(s)
+	for i := range m.holds {
+		m.holds[i] = d.list(experts)
+	}
+	return m
+}
+
+func (d *decoder) list(experts int) []uint16 {
+	n := d.upTo(min(experts, len(d.rest)))
+	if n == 0 || d.err != nil {
+		return nil
+	}
+	held := make([]uint16, 0, n)
+	next := 0
+	for range n {
+		e := next + d.upTo(experts)
+		if e >= experts {
+			d.fail("expert %d of %d", e, experts)
+			return nil
+		}
+		held = append(held, uint16(e))
+		next = e + 1
+	}
+	return held
+}
+
+func (d *decoder) upTo(limit int) int {
+	v := d.uvarint()
+	if v > uint64(limit) {
+		d.fail("number %d, limit %d", v, limit)
+		return 0
+	}
+	return int(v)
+}
+
+func (d *decoder) uvarint() uint64 {
+	if d.err != nil {
+		return 0
+	}
+	v, n := binary.Uvarint(d.rest)
+	if n <= 0 {
+		d.fail("varint cut or too long")
+		return 0
+	}
+	// A longer spelling of the same number would give one map two digests.
+	if n > 1 && d.rest[n-1] == 0 {
+		d.fail("varint is not minimal")
+		return 0
+	}
+	d.rest = d.rest[n:]
+	return v
+}
+
+func (d *decoder) fail(format string, args ...any) {
+	if d.err == nil {
+		d.err = MalformedMap.New(format, args...)
+	}
+}
--- /dev/null
+++ b/internal/decide/burdockexpert/state.go
@@ -0,0 +1,53 @@
+package burdockexpert
+
+import (
+	"slices"
+
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+)
+
+// Verdict is the kind of a decision in the state dump.
+type Verdict string
+
+const (
+	verdictStay Verdict = "stay"
+	verdictMove Verdict = "move"
+)
+
+// Record is one decision as the state dump shows it. Imbalances are means over
+// the layers, on the popularity that the decision was taken on.
+type Record struct {
+	At              burdockclock.Millis `json:"at"`
+	Verdict         Verdict             `json:"verdict"`
+	Reason          Reason              `json:"reason"`
+	ImbalanceBefore float64             `json:"imbalanceBefore"`
+	ImbalanceAfter  float64             `json:"imbalanceAfter"`
+	Moves           int                 `json:"moves"`
+	Cost            burdockclock.Millis `json:"costMillis"`
+	Saving          burdockclock.Millis `json:"savingMillis"`
+}
+
+// State is what a planner shows in its process's state dump.
+type State struct {
+	NoiseMargin  float64  `json:"noiseMargin"`
+	LayerChanges int      `json:"layerChanges"`
+	TotalChanges int      `json:"totalChanges"`
+	Decisions    []Record `json:"decisions"` // the oldest first
+}
+
+// State returns the planner's settings and its last decisions.
+func (p *Planner) State() State {
+	return State{
+		NoiseMargin:  p.cfg.NoiseMargin,
+		LayerChanges: p.cfg.LayerChanges,
+		TotalChanges: p.cfg.TotalChanges,
+		Decisions:    slices.Clone(p.history),
+	}
+}
+
+func (p *Planner) remember(rec Record) {
+	if len(p.history) >= p.cfg.History {
+		p.history = slices.Delete(p.history, 0, len(p.history)-p.cfg.History+1)
+	}
+	p.history = append(p.history, rec)
+}
--- /dev/null
+++ b/internal/decide/burdockexpert/work.go
@@ -0,0 +1,186 @@
+package burdockexpert
+
+import (
+	"cmp"
+	"slices"
+
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+)
+
+// work is one decision in the making.
+type work struct {
+	cfg      Config
+	in       *Input
+	held     *Map // the present map without what replaced ranks have lost
+	base     *Map // held, made usable
+	next     *Map
+	forced   bool
+	before   []float64 // imbalance of each layer of base
+	after    []float64 // imbalance of each layer of next
+	holds    []float64 // by layer, in milliseconds
+	improved []bool    // by layer
+	saved    float64   // milliseconds, less the noise's part
+	refused  Reason    // why the layer that came closest was left alone
+	state    *layerState
+}
+
+func newWork(cfg Config, in *Input, holds []float64) *work {
+	w := &work{
+		cfg:      cfg,
+		in:       in,
+		held:     in.Present.clone(),
+		holds:    holds,
+		improved: make([]bool, len(holds)),
+		state:    newLayerState(in.shape(), in.Ranks),
+		refused:  ReasonEven,
+	}
+	for r, rank := range in.Ranks {
+		if rank.Empty {
+			w.forget(r)
+		}
+	}
+	w.base = w.held.clone()
+	return w
+}
+
+// forget takes from a rank all that the present map says it holds. A map that
+// names experts which the rank has lost can't stay in force.
+func (w *work) forget(r int) {
+	for l := range w.held.shape.Layers {
+		if len(w.held.layer(l)[r]) > 0 {
+			w.forced = true
+			w.held.layer(l)[r] = nil
+		}
+	}
+}
+
+// repair makes the present map usable; that is not weighed against its cost.
+func (w *work) repair() {
+	for l := range w.base.shape.Layers {
+		w.state.reset(w.in.Popularity.Share[l], w.base.layer(l))
+		if w.state.usableNow() {
+			w.before = append(w.before, w.state.largest())
+			continue
+		}
+		w.forced = true
+		w.state.repair()
+		w.state.copyHeld(w.base.layer(l))
+		w.before = append(w.before, w.state.largest())
+	}
+	w.next = w.base.clone()
+	w.after = slices.Clone(w.before)
+}
+
+// improve changes the layers that lose most, as far as the budget reaches.
+func (w *work) improve() {
+	order := make([]int, len(w.before))
+	for l := range order {
+		order[l] = l
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(w.before[b], w.before[a]) })
+	budget := w.cfg.TotalChanges
+	evictable := make([]int, w.base.shape.Ranks)
+	for _, l := range order {
+		if budget <= 0 {
+			break
+		}
+		budget -= w.improveLayer(l, min(budget, w.cfg.LayerChanges), evictable)
+	}
+}
+
+// improveLayer tries up to limit changes and keeps the state on the way that
+// is worth most. It returns the number of changes tried.
+func (w *work) improveLayer(l, limit int, evictable []int) int {
+	st := w.state
+	noise := w.cfg.NoiseMargin * noiseSkew(w.in.Popularity.Deviation[l], st, w.base.layer(l))
+	// Even a perfect layer would not save enough: this ends most layers'
+	// search before it begins when the group runs well.
+	ideal := w.worth(l, w.before[l]-1-noise) - w.price(1)
+	if ideal <= 0 {
+		w.refuse(w.worth(l, w.before[l]-1) > w.price(1))
+		return 0
+	}
+	st.reset(w.in.Popularity.Share[l], w.base.layer(l))
+	st.startFrom(w.held.layer(l))
+	needed := st.loads
+	best := 0.0
+	tried := 0
+	unguarded, found := 0.0, false
+	for ; tried < limit; tried++ {
+		c, ok := st.relieve(evictable)
+		if !ok {
+			break
+		}
+		st.apply(c)
+		saving := w.before[l] - st.largest()
+		value := w.worth(l, saving) - w.price(st.loads-needed)
+		unguarded = max(unguarded, value)
+		found = found || saving > 0
+		value -= w.worth(l, noise)
+		if value > best {
+			best = value
+			w.after[l] = st.largest()
+			st.copyHeld(w.next.layer(l))
+		}
+	}
+	if best > 0 {
+		w.saved += (w.before[l] - w.after[l] - noise) * w.unit(l)
+		w.improved[l] = true
+	} else if found {
+		w.refuse(unguarded > 0)
+	}
+	return tried + 1
+}
+
+// refuse notes why a layer stays: because of noise, or because of the cost.
+func (w *work) refuse(noise bool) {
+	if noise {
+		w.refused = ReasonNoise
+	} else if w.refused == ReasonEven {
+		w.refused = ReasonCost
+	}
+}
+
+// unit is the time that one unit of one layer's imbalance loses while the
+// popularity holds, in milliseconds: the layers share the step's time.
+func (w *work) unit(l int) float64 { return w.holds[l] / float64(w.base.shape.Layers) }
+
+// worth weighs an imbalance saved in one layer.
+func (w *work) worth(l int, saving float64) float64 {
+	return w.in.Weights.Skew * saving * w.unit(l)
+}
+
+// price weighs a number of fetches.
+func (w *work) price(n int) float64 { return w.in.Weights.Cost * float64(n) * w.in.perMove() }
+
+// decision compares the map made with the present one.
+func (w *work) decision() (Decision, Record) {
+	rec := Record{ImbalanceBefore: mean(w.before), ImbalanceAfter: mean(w.after)}
+	if !w.forced && w.next.Equal(w.in.Present) {
+		rec.Verdict, rec.Reason = verdictStay, w.refused
+		return Stay{Reason: w.refused}, rec
+	}
+	// A map that leaves an expert out would lose tokens on every rank, and
+	// ending the process would cut off its upstream's requests. Should the
+	// search ever have a fault, the present map is the lesser harm; the
+	// findings reach the log and the randomised tests.
+	if list := w.next.Check(w.in.Ranks); list.Err() != nil {
+		rec.Verdict, rec.Reason = verdictStay, ReasonFault
+		return Stay{Reason: ReasonFault, Findings: list}, rec
+	}
+	reason := ReasonSkew
+	if w.forced {
+		reason = ReasonNeed
+	}
+	moves := loads(w.held, w.next)
+	move := Move{
+		Reason: reason,
+		Map:    w.next,
+		Moves:  moves,
+		Cost:   w.in.moveCost(len(moves)),
+		Saving: burdockclock.Millis(w.saved),
+	}
+	rec.Verdict, rec.Reason = verdictMove, reason
+	rec.Moves, rec.Cost, rec.Saving = len(moves), move.Cost, move.Saving
+	return move, rec
+}
