--- a/internal/decide/burdockexpert/decision.go
+++ b/internal/decide/burdockexpert/decision.go
@@ -71,8 +71,8 @@
 	ReasonSkew Reason = "savingOutweighsCost"
 )
 
-// loads returns what ranks have to fetch to get from one map to another.
-func loads(from, to *Map) []Load {
+// Loads returns what ranks have to fetch to get from one map to another.
+func Loads(from, to *Map) []Load {
 	var list []Load
 	for l := range burdockid.Layer(to.shape.Layers) {
 		for r := range burdockid.Rank(to.shape.Ranks) {
--- a/internal/decide/burdockexpert/planner.go
+++ b/internal/decide/burdockexpert/planner.go
@@ -123,7 +123,7 @@
 // first places all experts afresh.
 func (p *Planner) first(in *Input) (Decision, Record) {
 	m := Solve(in.Popularity, in.Ranks)
-	moves := loads(NewMap(in.shape()), m)
+	moves := Loads(NewMap(in.shape()), m)
 	cost := in.moveCost(len(moves))
 	after := mean(Imbalance(m, in.Popularity, in.Ranks))
 	return Move{Reason: ReasonFirst, Map: m, Moves: moves, Cost: cost},
--- a/internal/decide/burdockexpert/scenario_test.go
+++ b/internal/decide/burdockexpert/scenario_test.go
@@ -1,20 +1,16 @@
 package burdockexpert
 
 import (
-	"flag"
 	"fmt"
 	"math"
-	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/base/burdockgolden"
 )
 
-var update = flag.Bool("update", false, "write the golden files")
-
 const (
 	scenarioLayers  = 6
 	scenarioExperts = 64
@@ -114,24 +110,6 @@
 	}
 }
 
-func compareGolden(t *testing.T, name string, lines []string) {
-	t.Helper()
-	path := filepath.Join("testdata", name+".golden")
-	got := strings.Join(lines, "\n") + "\n"
-	if *update {
-		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if got != string(want) {
-		t.Errorf("%s: got\n%s\nwant\n%s", path, got, want)
-	}
-}
-
 func TestScenarios(t *testing.T) {
 	start := newDrift(7, scenarioLayers, scenarioExperts)
 	other := newDrift(8, scenarioLayers, scenarioExperts)
@@ -191,7 +169,7 @@
 			if got.moves < c.fewest || got.moves > c.mostMoves {
 				t.Errorf("moves = %d, want %d to %d", got.moves, c.fewest, c.mostMoves)
 			}
-			compareGolden(t, c.name, got.log)
+			burdockgolden.Compare(t, c.name, strings.Join(got.log, "\n")+"\n")
 		})
 	}
 }
--- a/internal/decide/burdockexpert/work.go
+++ b/internal/decide/burdockexpert/work.go
@@ -172,7 +172,7 @@
 	if w.forced {
 		reason = ReasonNeed
 	}
-	moves := loads(w.held, w.next)
+	moves := Loads(w.held, w.next)
 	move := Move{
 		Reason: reason,
 		Map:    w.next,
