--- a/internal/proof/burdockprograms/process.go
+++ b/internal/proof/burdockprograms/process.go
@@ -12,10 +12,6 @@
 	"time"
 )
 
-// startTimeout is generous: a machine that is busy with other tests is slow
-// to start a process, and no verdict may depend on that.
-const startTimeout = 30 * time.Second
-
 // Process is one started program.
 type Process struct {
 	Name string
