--- a/cmd/burdock-standin/main.go
+++ b/cmd/burdock-standin/main.go
@@ -23,11 +23,12 @@
 
 func run(args []string) int {
 	flags := flag.NewFlagSet("burdock-standin", flag.ContinueOnError)
-	kind := flags.String("kind", "", "store, list, engine or plain")
+	kind := flags.String("kind", "", "store, list, engine, plain or link")
 	listen := flags.String("listen", "127.0.0.1:0", "IP and port to listen on")
 	lag := flags.Duration("lag", 0, "how late the list shows a change")
 	step := flags.Duration("step", 4500*time.Microsecond, "time between two tokens of an engine")
 	prefill := flags.Duration("prefill", 2*time.Millisecond, "time to the first byte of an answer")
+	target := flags.String("target", "", "IP and port that a link leads to")
 	models := flags.String("models", "", "names of an engine's models, with commas")
 	if err := ff.Parse(flags, args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -35,6 +36,9 @@
 	}
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	if *kind == "link" {
+		return runLink(*target, signals)
+	}
 	running, err := burdockstandin.Start(burdockstandin.Config{
 		Kind:    burdockstandin.Kind(*kind),
 		Address: *listen,
@@ -50,3 +54,16 @@
 	running.Close()
 	return burdockmain.ExitOK
 }
+
+// runLink runs a link, and prints its address and that of its control.
+func runLink(target string, signals <-chan os.Signal) int {
+	link, err := burdockstandin.StartLink(target)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return burdockmain.ExitUsage
+	}
+	fmt.Println(link.Address(), link.ControlAddress())
+	<-signals
+	link.Close()
+	return burdockmain.ExitOK
+}
--- a/internal/proof/burdockprograms/fleet.go
+++ b/internal/proof/burdockprograms/fleet.go
@@ -40,6 +40,8 @@
 	Step    time.Duration // between two tokens
 	Prefill time.Duration
 	Lag     time.Duration // of the membership list
+	// Links puts a link between the entries and each agent.
+	Links bool
 	// ProfileExtra is added to the profile's TOML, such as its stop behaviour.
 	ProfileExtra string
 }
@@ -58,9 +60,19 @@
 	Peer     string
 	Admin    string
 	Upstream *Standin
+	// Link is what entries reach the agent through; nil without Config.Links.
+	Link     *Link
 	settings string
 }
 
+// Address returns where entries reach the agent.
+func (a *Agent) Address() string {
+	if a.Link != nil {
+		return a.Link.Address
+	}
+	return a.Peer
+}
+
 // Entry is one entry process.
 type Entry struct {
 	*Process
@@ -136,6 +148,9 @@
 kind = %q
 slots = %d
 `, a.Name, a.Upstream.Address, kind, f.Config.Slots))
+	if f.Config.Links {
+		a.Link = f.link(t, a.Peer)
+	}
 	f.Agents = append(f.Agents, a)
 	f.StartAgent(t, a)
 }
@@ -224,7 +239,7 @@
 	}
 	for i, a := range f.Agents {
 		fmt.Fprintf(&b, "[[upstream]]\nname = %q\nservice = %q\nvm = %q\ndataCentre = %q\nagent = %q\n",
-			a.Name, a.Service, a.Name, dataCentres[i%len(dataCentres)], a.Peer)
+			a.Name, a.Service, a.Name, dataCentres[i%len(dataCentres)], a.Address())
 	}
 	for i, e := range f.Entries {
 		fmt.Fprintf(&b, "[[entry]]\nvm = %q\ndataCentre = %q\npeer = %q\n", e.Name, dataCentres[i%len(dataCentres)], e.Peer)
--- /dev/null
+++ b/internal/proof/burdockpromise/stop_test.go
@@ -0,0 +1,117 @@
+package burdockpromise
+
+import (
+	"testing"
+	"time"
+
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/proof/burdockprograms"
+)
+
+const stopTimeout = 60 * time.Second
+
+// No caller sees a failure while every agent and every entry is stopped and
+// started again in turn, with kept-alive connections and streams under way.
+// A stop that closed idle connections at once would meet requests on their
+// way; one that did not wait would cut streams.
+func TestRollingRestartFailsNoRequest(t *testing.T) {
+	f := burdockprograms.Start(t, burdockprograms.Config{Models: 3, Entries: 2, Slots: 16, Step: 5 * time.Millisecond})
+	const tokens = 60
+	load := f.StartLoad(12, burdockprograms.StreamedChats(tokens))
+	for _, a := range f.Agents {
+		a.Terminate()
+		if got, want := a.Wait(t, stopTimeout), 0; got != want {
+			t.Errorf("%s: exit status got %d, want %d", a.Name, got, want)
+		}
+		f.StartAgent(t, a)
+		f.WaitReady(t)
+	}
+	for _, e := range f.Entries {
+		e.Terminate()
+		if got, want := e.Wait(t, stopTimeout), 0; got != want {
+			t.Errorf("%s: exit status got %d, want %d", e.Name, got, want)
+		}
+		f.StartEntry(t, e)
+		f.WaitReady(t)
+	}
+	sent := load.Stop()
+	if len(sent) == 0 {
+		t.Fatal("the load sent nothing")
+	}
+	failed := 0
+	for _, s := range sent {
+		if !s.Answer.WholeStream(s.Prompt, s.Tokens) {
+			failed++
+			t.Errorf("%s at %s: status %d err %v body %q", s.Prompt, s.Entry, s.Answer.Status, s.Answer.Err, s.Answer.Body)
+		}
+	}
+	t.Logf("requests %d, failed %d", len(sent), failed)
+}
+
+// An agent that is told to stop gets no new work after three seconds, while
+// the membership list goes on showing it as live for thirty. Its callers are
+// answered by the others.
+func TestLeavingAgentGetsNoNewWork(t *testing.T) {
+	f := burdockprograms.Start(t, burdockprograms.Config{Models: 3, Entries: 2, Slots: 16, Step: 5 * time.Millisecond, Lag: 30 * time.Second})
+	load := f.StartLoad(8, burdockprograms.StreamedChats(20))
+	leaving := f.Agents[0]
+	burdockprograms.Eventually(t, "the agent has work", func() bool { return len(leaving.Upstream.Runs().Started) > 10 })
+	leaving.Terminate()
+	time.Sleep(3 * time.Second)
+	after := len(leaving.Upstream.Runs().Started)
+	time.Sleep(2 * time.Second)
+	if got, want := len(leaving.Upstream.Runs().Started), after; got != want {
+		t.Errorf("runs begun later than 3 s after the stop: got %d, want 0", got-want)
+	}
+	for _, s := range load.Stop() {
+		if !s.Answer.WholeStream(s.Prompt, s.Tokens) {
+			t.Errorf("%s at %s: status %d err %v body %q", s.Prompt, s.Entry, s.Answer.Status, s.Answer.Err, s.Answer.Body)
+		}
+	}
+}
+
+// Whoever is told "not run" can rely on it: the engines' own counts know
+// nothing of those requests, and of each other request exactly one run. The
+// engines are saturated several times over, so most requests are refused, by
+// the queue at once or after a wait.
+func TestNotRunIsTrue(t *testing.T) {
+	f := burdockprograms.Start(t, burdockprograms.Config{
+		Models: 2, Entries: 2, Slots: 2, Step: 5 * time.Millisecond, ProfileExtra: "",
+	})
+	f.ApplyProfile(t, f.ProfileTOML(4))
+	f.WaitReady(t)
+	load := f.StartLoad(40, burdockprograms.StreamedChats(20))
+	time.Sleep(4 * time.Second)
+	sent := load.Stop()
+	runs := map[burdockid.Request]int{}
+	for _, a := range f.Agents {
+		for id, n := range a.Upstream.Runs().Started {
+			runs[id] += n
+		}
+	}
+	refused, answered := 0, 0
+	for _, s := range sent {
+		id := burdockid.Request(s.Answer.Header.Get("Burdock-Request-Id"))
+		switch {
+		case s.Answer.WholeStream(s.Prompt, s.Tokens):
+			answered++
+			if got, want := runs[id], 1; got != want {
+				t.Errorf("answered %s: runs got %d, want %d", id, got, want)
+			}
+		case s.Answer.NotRun():
+			refused++
+			if got, want := runs[id], 0; got != want {
+				t.Errorf("refused %s: runs got %d, want %d", id, got, want)
+			}
+			if got := s.Answer.Header.Get("Retry-After"); got == "" {
+				t.Errorf("refused %s: no Retry-After", id)
+			}
+		default:
+			t.Errorf("%s: status %d err %v body %q", s.Prompt, s.Answer.Status, s.Answer.Err, s.Answer.Body)
+		}
+	}
+	if refused == 0 || answered == 0 {
+		t.Errorf("refused %d, answered %d; want some of each", refused, answered)
+	}
+	t.Logf("answered %d, refused %d", answered, refused)
+}
