--- a/internal/decide/burdockqueue/admit.go
+++ b/internal/decide/burdockqueue/admit.go
@@ -1,8 +1,6 @@
 package burdockqueue
 
 import (
-	"math"
-
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 )
 
@@ -30,7 +28,7 @@
 // or later, and the queue holds work that is dropped in the end.
 func (q *Queue) hopeless(w Work, expected burdockclock.Millis) Reason {
 	if w.Class > 0 {
-		expected = burdockclock.Millis(overtakingMargin * float64(expected))
+		expected = millisOf(overtakingMargin * float64(expected))
 	}
 	if w.Deadline > 0 && q.now+expected+q.serviceMillis(w) > w.Deadline {
 		return q.blame(w, ReasonDeadline)
@@ -124,7 +122,7 @@
 	for _, c := range q.classes[:w.Class] {
 		ahead += float64(c.queuedCost)
 	}
-	return q.running.nextEnd(q.now) + burdockclock.Millis(math.Ceil(ahead/rate))
+	return q.running.nextEnd(q.now) + millisOf(ahead/rate)
 }
 
 // aheadInClass returns the tokens of the class that are served before w. While
@@ -170,5 +168,5 @@
 	if millis <= 0 {
 		millis = q.service.millis(q.now, w.Cost)
 	}
-	return burdockclock.Millis(math.Ceil(millis))
+	return millisOf(millis)
 }
--- /dev/null
+++ b/internal/decide/burdockqueue/bench_test.go
@@ -0,0 +1,88 @@
+package burdockqueue
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"testing"
+
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+)
+
+// BenchmarkCycle measures one request's way through a queue that stays at a
+// given length: an offer that waits, the end of the oldest running request, and
+// the start of another.
+func BenchmarkCycle(b *testing.B) {
+	for _, length := range []int{16, 256, 4096, 65536} {
+		for _, customers := range []int{10, 3800} {
+			b.Run(fmt.Sprintf("queued=%d/customers=%d", length, customers), func(b *testing.B) {
+				c := newCycle(length, customers)
+				b.ReportAllocs()
+				for b.Loop() {
+					c.step()
+				}
+			})
+		}
+	}
+}
+
+// cycle keeps a queue at a given length.
+type cycle struct {
+	q         *Queue
+	rnd       *rand.Rand
+	customers []burdockid.Customer
+	running   []burdockid.Request
+	now       burdockclock.Millis
+	n         int
+}
+
+func newCycle(length, customers int) *cycle {
+	const slots = 16
+	c := &cycle{
+		q: New(Config{
+			Slots: slots, MaxQueued: 2 * length,
+			Classes: []ClassConfig{{KeptSlots: 2}, {MaxStarvation: 5 * burdockclock.Second}, {MaxStarvation: 5 * burdockclock.Second}},
+		}, rand.New(rand.NewPCG(1, 1))),
+		rnd: rand.New(rand.NewPCG(1, 2)),
+		now: 1000,
+	}
+	for i := range customers {
+		c.customers = append(c.customers, burdockid.Customer("customer-"+strconv.Itoa(i)))
+	}
+	for c.q.Load().Queued < length {
+		c.offer()
+		c.take(c.q.Next(c.now))
+	}
+	return c
+}
+
+func (c *cycle) offer() {
+	c.n++
+	w := Work{
+		ID:       burdockid.Request(strconv.Itoa(c.n)),
+		Customer: c.customers[c.rnd.IntN(len(c.customers))],
+		Class:    Class(c.rnd.IntN(3)),
+		Cost:     burdockid.Tokens(1 + c.rnd.IntN(4000)),
+		Deadline: c.now + 24*burdockclock.Hour,
+	}
+	if _, ok := c.q.Offer(c.now, w).(Start); ok {
+		c.running = append(c.running, w.ID)
+	}
+}
+
+func (c *cycle) take(events []Event) {
+	for _, e := range events {
+		if started, ok := e.(Started); ok {
+			c.running = append(c.running, started.ID)
+		}
+	}
+}
+
+func (c *cycle) step() {
+	c.now++
+	c.offer()
+	c.q.Finish(c.now, c.running[0], 1000)
+	c.running = c.running[1:]
+	c.take(c.q.Next(c.now))
+}
--- a/internal/decide/burdockqueue/config.go
+++ b/internal/decide/burdockqueue/config.go
@@ -48,6 +48,7 @@
 	// leastShare keeps a customer whose share is 0 from dividing by zero; it is
 	// served when nobody else in its class waits.
 	leastShare = 1e-6
+	mostShare  = 1e6
 )
 
 // withDefaults fills in what cfg leaves at zero.
@@ -67,11 +68,14 @@
 	return cfg
 }
 
-// share returns the weight of a customer, always above zero.
+// share returns the weight of a customer, always above zero and finite.
 func (cfg Config) share(customer burdockid.Customer) float64 {
 	share, ok := cfg.Shares[customer]
 	if !ok {
 		share = cfg.DefaultShare
 	}
-	return max(share, leastShare)
+	if !(share > leastShare) { // also when it is not a number
+		return leastShare
+	}
+	return min(share, mostShare)
 }
--- a/internal/decide/burdockqueue/heap.go
+++ b/internal/decide/burdockqueue/heap.go
@@ -64,3 +64,14 @@
 
 // rebuild restores the order after elements have changed.
 func (h *indexedHeap[T]) rebuild() { heap.Init(h) }
+
+// ordered reports whether the heap's order holds and each element knows its
+// place.
+func (h *indexedHeap[T]) ordered() bool {
+	for i, item := range h.items {
+		if *h.index(item) != i || (i > 0 && h.less(item, h.items[(i-1)/2])) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/decide/burdockqueue/invariant.go
+++ b/internal/decide/burdockqueue/invariant.go
@@ -62,9 +62,9 @@
 		broken(InvariantCounts, "classes run %d, the engine %d; %d known, %d queued",
 			running, q.running.len(), len(q.items), queued)
 	}
-	ended := q.counts.Refused.total() + q.counts.Dropped.total() + q.counts.Cancelled + q.counts.Finished
-	if q.counts.Offered != ended+uint64(len(q.items)) {
-		broken(InvariantCounts, "%d offered, %d ended, %d here", q.counts.Offered, ended, len(q.items))
+	ended := q.counts.refused.total() + q.counts.dropped.total() + q.counts.cancelled + q.counts.finished
+	if q.counts.offered != ended+uint64(len(q.items)) {
+		broken(InvariantCounts, "%d offered, %d ended, %d here", q.counts.offered, ended, len(q.items))
 	}
 }
 
@@ -121,8 +121,11 @@
 	for i, c := range q.classes {
 		seen += q.checkClass(Class(i), c)
 	}
-	for i, it := range q.running.byEnd.items {
-		if it.place != placeRunning || it.runningIndex != i || q.items[it.work.ID] != it {
+	if !q.expiry.ordered() || !q.running.byEnd.ordered() {
+		broken(InvariantPlace, "expiry or ends are out of order")
+	}
+	for _, it := range q.running.byEnd.items {
+		if it.place != placeRunning || q.items[it.work.ID] != it {
 			broken(InvariantPlace, "%s is running, but filed elsewhere", it.work.ID)
 		}
 		if it.expiryIndex != notInHeap {
@@ -158,6 +161,9 @@
 		q.checkShare(f, class)
 		seen += inFlow
 	}
+	if !c.byStart.ordered() || !c.byTail.ordered() || !c.idle.ordered() {
+		broken(InvariantPlace, "customers of class %d are out of order", class)
+	}
 	if seen != c.queued || len(c.byTail.items) != len(c.byStart.items) {
 		broken(InvariantCounts, "class %d holds %d, counted %d", class, seen, c.queued)
 	}
--- a/internal/decide/burdockqueue/load.go
+++ b/internal/decide/burdockqueue/load.go
@@ -1,8 +1,6 @@
 package burdockqueue
 
 import (
-	"math"
-
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 )
@@ -34,7 +32,7 @@
 	if rate <= 0 || q.running.len() < q.cfg.Slots {
 		return 0
 	}
-	return q.running.nextEnd(q.now) + burdockclock.Millis(math.Ceil(float64(q.queuedCost)/rate))
+	return q.running.nextEnd(q.now) + millisOf(float64(q.queuedCost)/rate)
 }
 
 // servedSoFar estimates what running work has been served when it is cancelled.
--- a/internal/decide/burdockqueue/machine_test.go
+++ b/internal/decide/burdockqueue/machine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 
@@ -46,7 +47,7 @@
 		Slots:       rapid.IntRange(0, 5).Draw(t, "slots"),
 		MaxQueued:   rapid.IntRange(0, 30).Draw(t, "maxQueued"),
 		InitialRate: rapid.SampledFrom([]float64{0, 10, 1000}).Draw(t, "rate"),
-		Shares:      map[burdockid.Customer]float64{"a": 1, "b": 5, "c": 0.1, "d": 0},
+		Shares:      map[burdockid.Customer]float64{"a": 1, "b": 5, "c": 0.1, "d": 0, "f": math.NaN(), "g": math.Inf(1)},
 	}
 	for i := range classes {
 		cfg.Classes = append(cfg.Classes, ClassConfig{
@@ -62,9 +63,9 @@
 func drawWork(t *rapid.T, now burdockclock.Millis, n int) Work {
 	w := Work{
 		ID:       burdockid.Request(fmt.Sprint("r", n)),
-		Customer: burdockid.Customer(rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}).Draw(t, "customer")),
+		Customer: burdockid.Customer(rapid.SampledFrom([]string{"a", "b", "c", "d", "e", "f", "g"}).Draw(t, "customer")),
 		Class:    Class(rapid.IntRange(-1, 3).Draw(t, "class")),
-		Cost:     burdockid.Tokens(rapid.SampledFrom([]int{-1, 0, 1, 30, 400, 9000}).Draw(t, "cost")),
+		Cost:     burdockid.Tokens(rapid.SampledFrom([]int{-1, 0, 1, 30, 400, 9000, math.MaxInt64}).Draw(t, "cost")),
 	}
 	if rapid.Bool().Draw(t, "hasDeadline") {
 		w.Deadline = now + burdockclock.Millis(rapid.IntRange(-10, 10000).Draw(t, "deadline"))
@@ -130,7 +131,11 @@
 			},
 			"pass": func(t *rapid.T) { now += burdockclock.Millis(rapid.IntRange(0, 3000).Draw(t, "span")) },
 			"setBack": func(t *rapid.T) {
+				before := q.State().Now
 				m.apply(t, q.Next(now-500))
+				if got := q.State().Now; got < before {
+					t.Fatalf("Now = %d after %d, want no step back", got, before)
+				}
 			},
 			"reconfigure": func(t *rapid.T) {
 				before := q.Load()
@@ -161,3 +166,65 @@
 		})
 	})
 }
+
+// Customers that stay backlogged, with any shares, costs and errors of estimate.
+// Whatever ends first, no two of them may differ in service over share by more
+// than the bound that is stated for each.
+func TestSharesWhileBacklogged(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := []burdockid.Customer{"a", "b", "c"}
+		slots := rapid.IntRange(1, 4).Draw(t, "slots")
+		cfg := Config{Slots: slots, MaxQueued: 1000, Shares: map[burdockid.Customer]float64{}}
+		for _, name := range names {
+			cfg.Shares[name] = rapid.SampledFrom([]float64{0.5, 1, 3}).Draw(t, "share")
+		}
+		q := New(cfg, rand.New(rand.NewPCG(1, 2)))
+		now, n := burdockclock.Millis(1000), 0
+		works := map[burdockid.Request]Work{}
+		service := map[burdockid.Customer]float64{} // of ended work, and the charge of what runs
+		var running []Work
+		greatest := 1.0
+		offer := func(name burdockid.Customer) {
+			n++
+			w := Work{ID: burdockid.Request(fmt.Sprint(n)), Customer: name, Cost: burdockid.Tokens(rapid.IntRange(1, 500).Draw(t, "cost"))}
+			works[w.ID] = w
+			greatest = max(greatest, float64(w.Cost))
+			if _, ok := q.Offer(now, w).(Start); ok {
+				running = append(running, w)
+			}
+		}
+		for range slots {
+			offer("other")
+		}
+		for range 60 {
+			now += 10
+			for _, name := range names {
+				if f := q.classes[0].flows[name]; f == nil || f.queued < 2 {
+					offer(name)
+				}
+			}
+			i := rapid.IntRange(0, len(running)-1).Draw(t, "ends")
+			ended := running[i]
+			served := burdockid.Tokens(rapid.IntRange(0, 1000).Draw(t, "served"))
+			greatest = max(greatest, float64(served))
+			service[ended.Customer] += float64(served - ended.Cost)
+			running = append(running[:i], running[i+1:]...)
+			q.Finish(now, ended.ID, served)
+			for _, e := range q.Next(now) {
+				w := works[e.(Started).ID]
+				running = append(running, w)
+				service[w.Customer] += float64(w.Cost)
+			}
+			q.Check()
+			bound := float64(slots) * greatest
+			for i, a := range names {
+				for _, b := range names[:i] {
+					got := math.Abs(service[a]/cfg.Shares[a] - service[b]/cfg.Shares[b])
+					if want := bound/cfg.Shares[a] + bound/cfg.Shares[b]; got > want {
+						t.Fatalf("customers %s and %s differ by %.0f tokens over share, want at most %.0f", a, b, got, want)
+					}
+				}
+			}
+		}
+	})
+}
--- a/internal/decide/burdockqueue/queue.go
+++ b/internal/decide/burdockqueue/queue.go
@@ -25,7 +25,7 @@
 	now        burdockclock.Millis
 	pending    []Event // for the next call of Next
 	log        decisionLog
-	counts     Counts
+	counts     counts
 }
 
 // New returns an empty queue. It draws from rnd to spread those it refuses.
@@ -51,7 +51,7 @@
 	q.advance(now)
 	q.believeInitialRate()
 	w = q.normalise(w)
-	q.counts.Offered++
+	q.counts.offered++
 	if reason := q.unwelcome(w); reason != ReasonNone {
 		return q.refuse(w, reason, 0)
 	}
@@ -91,8 +91,8 @@
 		q.service.learn(q.now, it.work.Cost, took)
 		q.classes[it.work.Class].service.learn(q.now, it.work.Cost, took)
 	}
-	q.counts.Finished++
-	q.stop(it, max(served, 0))
+	q.counts.finished++
+	q.stop(it, min(max(served, 0), maxCost))
 }
 
 // Cancel forgets work that nobody waits for any longer, queued or running. It
@@ -103,7 +103,7 @@
 	if !ok {
 		return
 	}
-	q.counts.Cancelled++
+	q.counts.cancelled++
 	if it.place == placeRunning {
 		q.stop(it, q.servedSoFar(it))
 		return
@@ -178,7 +178,7 @@
 
 func (q *Queue) normalise(w Work) Work {
 	w.Class = min(max(w.Class, 0), Class(len(q.classes)-1))
-	w.Cost = max(w.Cost, 0)
+	w.Cost = min(max(w.Cost, 0), maxCost)
 	if w.Arrived <= 0 || w.Arrived > q.now {
 		w.Arrived = q.now
 	}
@@ -208,7 +208,7 @@
 }
 
 func (q *Queue) refuse(w Work, reason Reason, expected burdockclock.Millis) Refuse {
-	q.counts.Refused[reason]++
+	q.counts.refused[reason]++
 	after := q.retryAfter(w, reason, expected)
 	q.note(w, OutcomeRefuse, reason, after)
 	return Refuse{Reason: reason, RetryAfter: after}
@@ -254,7 +254,7 @@
 	q.service.begin(it.work.Cost, it.started)
 	q.classes[it.work.Class].service.begin(it.work.Cost, it.started)
 	q.classes[it.work.Class].charge(q.now, it.flow, it.work.Cost)
-	q.counts.Started++
+	q.counts.started++
 	q.note(it.work, OutcomeStart, ReasonNone, q.now-it.work.Arrived)
 }
 
@@ -272,7 +272,7 @@
 func (q *Queue) drop(it *item, reason Reason) Dropped {
 	q.dequeue(it)
 	delete(q.items, it.work.ID)
-	q.counts.Dropped[reason]++
+	q.counts.dropped[reason]++
 	after := q.retryAfter(it.work, reason, q.expectedWait(it.work))
 	q.note(it.work, OutcomeDrop, reason, after)
 	return Dropped{ID: it.work.ID, Reason: reason, RetryAfter: after}
--- a/internal/decide/burdockqueue/retry.go
+++ b/internal/decide/burdockqueue/retry.go
@@ -44,7 +44,7 @@
 		return q.retry.between(1, q.cfg.RetrySpread)
 	}
 	limit := q.cfg.MaxRetryAfter
-	spread := burdockclock.Millis(q.retry.span(q.now, w.Cost, q.slotRate()*float64(q.cfg.Slots)))
+	spread := millisOf(q.retry.span(q.now, w.Cost, q.slotRate()*float64(q.cfg.Slots)))
 	spread = min(max(spread, q.cfg.RetrySpread), limit)
 	base := min(max(expected, 1), limit-spread)
 	return q.retry.between(max(base, 1), spread)
--- a/internal/decide/burdockqueue/state.go
+++ b/internal/decide/burdockqueue/state.go
@@ -96,14 +96,14 @@
 	return n
 }
 
-// Counts counts decisions since the queue was made.
-type Counts struct {
-	Offered   uint64
-	Started   uint64
-	Finished  uint64
-	Cancelled uint64
-	Refused   reasonCounts
-	Dropped   reasonCounts
+// counts counts decisions since the queue was made.
+type counts struct {
+	offered   uint64
+	started   uint64
+	finished  uint64
+	cancelled uint64
+	refused   reasonCounts
+	dropped   reasonCounts
 }
 
 // ReasonCount is how often a reason was given.
@@ -172,12 +172,12 @@
 		MaxQueued:     q.cfg.MaxQueued,
 		Leaving:       q.leaving,
 		TokensASecond: q.slotRate() * float64(burdockclock.Second),
-		Offered:       q.counts.Offered,
-		Started:       q.counts.Started,
-		Finished:      q.counts.Finished,
-		Cancelled:     q.counts.Cancelled,
-		Refused:       q.counts.Refused.list(),
-		Dropped:       q.counts.Dropped.list(),
+		Offered:       q.counts.offered,
+		Started:       q.counts.started,
+		Finished:      q.counts.finished,
+		Cancelled:     q.counts.cancelled,
+		Refused:       q.counts.refused.list(),
+		Dropped:       q.counts.dropped.list(),
 		Decisions:     q.log.all(),
 	}
 	for _, c := range q.classes {
--- a/internal/decide/burdockqueue/work.go
+++ b/internal/decide/burdockqueue/work.go
@@ -47,5 +47,17 @@
 	prev, next   *item // neighbours in the flow while queued
 }
 
+// maxCost bounds the tokens of one request, far beyond any context. An estimate
+// without sense must not overflow the sums over the queue.
+const maxCost burdockid.Tokens = 1 << 32
+
+// maxSpan bounds every expected span, for the same reason.
+const maxSpan = 1000 * burdockclock.Hour
+
+// millisOf rounds a computed span up.
+func millisOf(span float64) burdockclock.Millis {
+	return burdockclock.Millis(min(math.Ceil(span), float64(maxSpan)))
+}
+
 // never is an instant that no clock reaches.
 const never burdockclock.Millis = math.MaxInt64
