--- a/internal/decide/burdockqueue/queue.go
+++ b/internal/decide/burdockqueue/queue.go
@@ -25,7 +25,7 @@
 	now        burdockclock.Millis
 	pending    []Event // for the next call of Next
 	log        decisionLog
-	counts     Counts
+	counts     counts
 }
 
 // New returns an empty queue. It draws from rnd to spread those it refuses.
@@ -51,7 +51,7 @@
 	q.advance(now)
 	q.believeInitialRate()
 	w = q.normalise(w)
-	q.counts.Offered++
+	q.counts.offered++
 	if reason := q.unwelcome(w); reason != ReasonNone {
 		return q.refuse(w, reason, 0)
 	}
@@ -91,8 +91,8 @@
 		q.service.learn(q.now, it.work.Cost, took)
 		q.classes[it.work.Class].service.learn(q.now, it.work.Cost, took)
 	}
-	q.counts.Finished++
-	q.stop(it, max(served, 0))
+	q.counts.finished++
+	q.stop(it, min(max(served, 0), maxCost))
 }
 
 // Cancel forgets work that nobody waits for any longer, queued or running. It
@@ -103,7 +103,7 @@
 	if !ok {
 		return
 	}
-	q.counts.Cancelled++
+	q.counts.cancelled++
 	if it.place == placeRunning {
 		q.stop(it, q.servedSoFar(it))
 		return
@@ -151,34 +151,13 @@
 	q.leaving = true
 }
 
-// Reconfigure takes over a new profile. Queued work stays, also beyond a lower
-// bound on length, and keeps the bound on its wait under which it was admitted;
-// work of a class that is gone joins the last class.
-func (q *Queue) Reconfigure(now burdockclock.Millis, cfg Config) {
-	q.advance(now)
-	q.cfg = cfg.withDefaults()
-	for i, class := range q.cfg.Classes {
-		if i < len(q.classes) {
-			q.classes[i].cfg = class
-			continue
-		}
-		q.classes = append(q.classes, newFairQueue(class))
-	}
-	for len(q.classes) > len(q.cfg.Classes) {
-		q.foldLastClass()
-	}
-	for _, class := range q.classes {
-		class.reweigh(q.cfg.share)
-	}
-}
-
 // advance moves the queue's time. A clock that was set back must not make
 // spans negative, so time stands still until the clock has caught up.
 func (q *Queue) advance(now burdockclock.Millis) { q.now = max(q.now, now) }
 
 func (q *Queue) normalise(w Work) Work {
 	w.Class = min(max(w.Class, 0), Class(len(q.classes)-1))
-	w.Cost = max(w.Cost, 0)
+	w.Cost = min(max(w.Cost, 0), maxCost)
 	if w.Arrived <= 0 || w.Arrived > q.now {
 		w.Arrived = q.now
 	}
@@ -208,120 +187,8 @@
 }
 
 func (q *Queue) refuse(w Work, reason Reason, expected burdockclock.Millis) Refuse {
-	q.counts.Refused[reason]++
+	q.counts.refused[reason]++
 	after := q.retryAfter(w, reason, expected)
 	q.note(w, OutcomeRefuse, reason, after)
 	return Refuse{Reason: reason, RetryAfter: after}
 }
-
-func (q *Queue) enqueue(w Work) {
-	it := &item{work: w, place: placeQueued, expiryIndex: notInHeap, runningIndex: notInHeap}
-	q.items[w.ID] = it
-	q.classes[w.Class].push(q.now, it, q.cfg.share(w.Customer))
-	q.queued++
-	q.queuedCost += charged(w.Cost)
-	it.expires, it.expiryReason = q.expiryOf(w)
-	q.expiry.add(it)
-}
-
-func (q *Queue) dequeue(it *item) {
-	q.classes[it.work.Class].remove(it)
-	q.expiry.remove(it)
-	q.queued--
-	q.queuedCost -= charged(it.work.Cost)
-	it.place = placeNone
-}
-
-// expiryOf returns when queued work is dropped and why.
-func (q *Queue) expiryOf(w Work) (burdockclock.Millis, Reason) {
-	expires, reason := never, ReasonNone
-	if bound := q.classes[w.Class].cfg.MaxWait; bound > 0 {
-		expires, reason = w.Arrived+bound, ReasonWaitExceeded
-	}
-	if w.Deadline > 0 {
-		if latest := w.Deadline - q.serviceMillis(w) + 1; latest < expires {
-			expires, reason = latest, ReasonDeadline
-		}
-	}
-	return expires, reason
-}
-
-// start gives a slot to an item that is not queued.
-func (q *Queue) start(it *item) {
-	it.place, it.started = placeRunning, q.now
-	it.ends = q.now + q.serviceMillis(it.work)
-	q.running.add(it)
-	q.service.begin(it.work.Cost, it.started)
-	q.classes[it.work.Class].service.begin(it.work.Cost, it.started)
-	q.classes[it.work.Class].charge(q.now, it.flow, it.work.Cost)
-	q.counts.Started++
-	q.note(it.work, OutcomeStart, ReasonNone, q.now-it.work.Arrived)
-}
-
-// stop takes the slot from a running item.
-func (q *Queue) stop(it *item, served burdockid.Tokens) {
-	q.running.remove(it)
-	q.service.end(it.work.Cost, it.started)
-	q.classes[it.work.Class].service.end(it.work.Cost, it.started)
-	q.classes[it.work.Class].release(it.flow, it.work.Cost, served)
-	it.place = placeNone
-	delete(q.items, it.work.ID)
-}
-
-// drop takes a queued item out for good.
-func (q *Queue) drop(it *item, reason Reason) Dropped {
-	q.dequeue(it)
-	delete(q.items, it.work.ID)
-	q.counts.Dropped[reason]++
-	after := q.retryAfter(it.work, reason, q.expectedWait(it.work))
-	q.note(it.work, OutcomeDrop, reason, after)
-	return Dropped{ID: it.work.ID, Reason: reason, RetryAfter: after}
-}
-
-func (q *Queue) expire(events []Event) []Event {
-	for {
-		it, ok := q.expiry.first()
-		if !ok || it.expires > q.now {
-			return events
-		}
-		events = append(events, q.drop(it, it.expiryReason))
-	}
-}
-
-// startOrDrop starts the work whose turn it is, unless its deadline can no
-// longer be met.
-//
-// Load: a backlog, or an engine that became slower since the work was
-// admitted. Harm prevented: slots spent on answers that come too late for
-// anybody, which keeps every later request late as well.
-func (q *Queue) startOrDrop(it *item) Event {
-	if q.deadlineLost(it.work) {
-		return q.drop(it, ReasonDeadline)
-	}
-	q.checkOrder(it.work.Class)
-	q.dequeue(it)
-	q.start(it)
-	q.checkShare(it.flow, it.work.Class)
-	return Started{ID: it.work.ID}
-}
-
-// foldLastClass moves the work of the last class to the one before it.
-func (q *Queue) foldLastClass() {
-	last := len(q.classes) - 1
-	from, to := q.classes[last], q.classes[last-1]
-	for _, it := range from.inOrder() {
-		from.remove(it)
-		it.work.Class = Class(last - 1)
-		to.push(q.now, it, q.cfg.share(it.work.Customer))
-	}
-	for _, it := range q.running.inOrder() {
-		if it.work.Class != Class(last) {
-			continue
-		}
-		it.work.Class = Class(last - 1)
-		from.service.end(it.work.Cost, it.started)
-		to.service.begin(it.work.Cost, it.started)
-		it.flow = to.adopt(it, q.cfg.share(it.work.Customer))
-	}
-	q.classes = q.classes[:last]
-}
