--- /dev/null
+++ b/internal/measure/burdockplacelab/policy.go
@@ -0,0 +1,146 @@
+package burdockplacelab
+
+import (
+	"math/rand/v2"
+
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/decide/burdockplace"
+)
+
+// Policy chooses the replica of a request: one of the types below.
+type Policy interface{ policy() }
+
+// Ours is the project's own placer, one at each entry, which knows only what
+// the answers and refusals to its own requests tell.
+type Ours struct{}
+
+// Random takes any replica.
+type Random struct{}
+
+// RoundRobin takes each replica in turn, at each entry from another start.
+type RoundRobin struct{}
+
+// TwoChoices takes the less loaded of two random replicas, by loads that are
+// renewed for all entries once in each lag.
+type TwoChoices struct{}
+
+// LeastStale takes the least loaded of all by the same loads.
+type LeastStale struct{}
+
+// Affinity takes the replica that the prefix hashes to, whatever its load.
+type Affinity struct{}
+
+// Perfect takes the least loaded of all by their true loads, counting what is
+// on its way; among those, one that keeps the prefix.
+type Perfect struct{}
+
+func (Ours) policy()       {}
+func (Random) policy()     {}
+func (RoundRobin) policy() {}
+func (TwoChoices) policy() {}
+func (LeastStale) policy() {}
+func (Affinity) policy()   {}
+func (Perfect) policy()    {}
+
+// Policies returns all of them in the order in which they are printed.
+func Policies() []Policy {
+	return []Policy{
+		Ours{}, Random{}, RoundRobin{}, TwoChoices{}, LeastStale{}, Affinity{}, Perfect{},
+	}
+}
+
+func policyName(p Policy) string {
+	switch p.(type) {
+	case Ours:
+		return "ours"
+	case Random:
+		return "random"
+	case RoundRobin:
+		return "round robin"
+	case TwoChoices:
+		return "two choices"
+	case LeastStale:
+		return "least stale"
+	case Affinity:
+		return "affinity"
+	case Perfect:
+		return "perfect"
+	default:
+		panic("burdockplacelab: unknown policy")
+	}
+}
+
+// choose returns the replica that the request is offered to.
+func (w *world) choose(req *request) int {
+	switch w.policy.(type) {
+	case Ours:
+		return w.chooseOurs(req)
+	case Random:
+		return w.rnd.IntN(len(w.replicas))
+	case RoundRobin:
+		w.turns[req.entry]++
+		return w.turns[req.entry] % len(w.replicas)
+	case TwoChoices:
+		a, b := w.rnd.IntN(len(w.replicas)), w.rnd.IntN(len(w.replicas))
+		if w.stale[b] < w.stale[a] {
+			return b
+		}
+		return a
+	case LeastStale:
+		return least(w.rnd, len(w.replicas), func(i int) int { return w.stale[i] })
+	case Affinity:
+		return int(req.prefix[0] % uint64(len(w.replicas)))
+	case Perfect:
+		return w.choosePerfect(req)
+	default:
+		panic("burdockplacelab: unknown policy")
+	}
+}
+
+func (w *world) chooseOurs(req *request) int {
+	choice, ok := w.placers[req.entry].Choose(w.now, burdockplace.Request{
+		Prefix:     req.prefix,
+		DataCentre: w.entryDataCentre(req.entry),
+		Cost:       req.promptTokens() + req.output,
+		Attempt:    req.offers,
+		Exclude: func(u burdockid.Upstream) bool {
+			for _, i := range req.refused {
+				if w.names[i] == u {
+					return true
+				}
+			}
+			return false
+		},
+	})
+	if !ok {
+		panic("burdockplacelab: no replica found")
+	}
+	req.maxLoad = choice.MaxLoad
+	w.placers[req.entry].Sent(w.now, choice.Upstream, req.output)
+	return w.indexOf[choice.Upstream]
+}
+
+func (w *world) choosePerfect(req *request) int {
+	load := func(i int) int { return w.replicas[i].held() + w.replicas[i].coming }
+	lowest := load(least(w.rnd, len(w.replicas), load))
+	return least(w.rnd, len(w.replicas), func(i int) int {
+		if load(i) > lowest {
+			return 0
+		}
+		return -1 - int(w.replicas[i].cache.found(req))
+	})
+}
+
+// least returns the index from 0 to n-1 of the lowest value, any of them where
+// several are equal.
+func least(rnd *rand.Rand, n int, value func(int) int) int {
+	start := rnd.IntN(n)
+	best, lowest := start, value(start)
+	for i := 1; i < n; i++ {
+		index := (start + i) % n
+		if v := value(index); v < lowest {
+			best, lowest = index, v
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/measure/burdockplacelab/world.go
@@ -0,0 +1,226 @@
+package burdockplacelab
+
+import (
+	"fmt"
+	"math/rand/v2"
+
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/decide/burdockplace"
+)
+
+const (
+	// nearMillis and farMillis are the way from an entry to a replica in the
+	// same data centre and in another, in whole milliseconds.
+	nearMillis burdockclock.Millis = 1
+	farMillis  burdockclock.Millis = 2
+	// sampleMillis is the time between two looks at all loads.
+	sampleMillis burdockclock.Millis = 250
+)
+
+// world is the state of one run.
+type world struct {
+	o        Options
+	policy   Policy
+	rnd      *rand.Rand
+	now      burdockclock.Millis
+	agenda   agenda
+	workload *workload
+	replicas []replica
+	names    []burdockid.Upstream
+	indexOf  map[burdockid.Upstream]int
+	placers  []*burdockplace.Placer
+	turns    []int // of round robin, by entry
+	stale    []int // requests held, as of the last refreshing
+	tally    *tally
+}
+
+func newWorld(o Options, p Policy) *world {
+	w := &world{
+		o:        o,
+		policy:   p,
+		rnd:      source(o, partPolicy),
+		workload: newWorkload(o),
+		replicas: make([]replica, o.Replicas),
+		names:    make([]burdockid.Upstream, o.Replicas),
+		indexOf:  make(map[burdockid.Upstream]int, o.Replicas),
+		turns:    make([]int, o.Entries),
+		stale:    make([]int, o.Replicas),
+		tally:    newTally(),
+	}
+	for i := range w.replicas {
+		w.replicas[i] = replica{slots: o.Slots, cache: newCache(o.CacheTokens)}
+		w.names[i] = burdockid.Upstream(fmt.Sprintf("replica-%d", i))
+		w.indexOf[w.names[i]] = i
+	}
+	for i := range w.turns {
+		w.turns[i] = w.rnd.IntN(o.Replicas)
+	}
+	if _, ok := p.(Ours); ok {
+		w.addPlacers()
+	}
+	return w
+}
+
+func (w *world) addPlacers() {
+	members := make([]burdockplace.Member, len(w.replicas))
+	for i := range members {
+		members[i] = burdockplace.Member{
+			Upstream:   w.names[i],
+			DataCentre: w.replicaDataCentre(i),
+			Weight:     1,
+		}
+	}
+	for i := range w.o.Entries {
+		placer := burdockplace.New(w.o.Placing, source(w.o, partEntries+uint64(i)))
+		placer.SetMembers(0, members)
+		w.placers = append(w.placers, placer)
+	}
+}
+
+func (w *world) dataCentre(i int) burdockid.DataCentre {
+	return burdockid.DataCentre(rune('a' + i%w.o.DataCentres))
+}
+
+func (w *world) entryDataCentre(i int) burdockid.DataCentre   { return w.dataCentre(i) }
+func (w *world) replicaDataCentre(i int) burdockid.DataCentre { return w.dataCentre(i) }
+
+func (w *world) remote(entry, replica int) bool {
+	return w.entryDataCentre(entry) != w.replicaDataCentre(replica)
+}
+
+func (w *world) way(entry, replica int) burdockclock.Millis {
+	if w.remote(entry, replica) {
+		return farMillis
+	}
+	return nearMillis
+}
+
+// run works through the events of the whole span.
+func (w *world) run() {
+	end := w.o.Warm + w.o.Measured
+	w.addNew()
+	for _, req := range w.workload.underWay() {
+		w.agenda.add(req.arrived, arrival{req: req})
+	}
+	w.agenda.add(w.o.Warm, sampling{})
+	w.agenda.add(0, refreshing{})
+	for {
+		next := w.agenda.next()
+		if next.at > end {
+			return
+		}
+		w.now = next.at
+		w.handle(next.event)
+	}
+}
+
+func (w *world) addNew() {
+	req := w.workload.next()
+	w.agenda.add(req.arrived, arrival{req: req, first: true})
+}
+
+func (w *world) handle(e event) {
+	switch e := e.(type) {
+	case arrival:
+		if e.first {
+			w.addNew()
+		}
+		w.offer(e.req)
+	case offer:
+		w.handleOffer(e)
+	case refusal:
+		w.handleRefusal(e)
+	case finish:
+		w.handleFinish(e)
+	case hearing:
+		w.handleHearing(e)
+	case sampling:
+		w.tally.sample(w.replicas)
+		w.agenda.add(w.now+sampleMillis, e)
+	case refreshing:
+		for i := range w.replicas {
+			w.stale[i] = w.replicas[i].held()
+		}
+		w.agenda.add(w.now+max(w.o.Lag, 1), e)
+	}
+}
+
+func (w *world) offer(req *request) {
+	chosen := w.choose(req)
+	req.offers++
+	w.replicas[chosen].coming++
+	w.agenda.add(w.now+w.way(req.entry, chosen), offer{req, chosen})
+}
+
+func (w *world) handleOffer(e offer) {
+	r := &w.replicas[e.replica]
+	r.coming--
+	if !r.takes(e.req) {
+		back := w.now + w.way(e.req.entry, e.replica)
+		w.agenda.add(back, refusal{e.req, e.replica, r.report()})
+		return
+	}
+	if r.running < r.slots {
+		w.start(e.req, e.replica)
+		return
+	}
+	r.queue = append(r.queue, e.req)
+}
+
+func (w *world) handleRefusal(e refusal) {
+	w.hear(hearing{entry: e.req.entry, replica: e.replica, report: e.report, ended: true})
+	e.req.refused = append(e.req.refused, e.replica)
+	w.offer(e.req)
+}
+
+func (w *world) start(req *request, index int) {
+	r := &w.replicas[index]
+	r.running++
+	found := r.cache.found(req)
+	r.cache.keep(req)
+	computed := req.promptTokens() - found
+	took := burdockclock.Millis(computed/prefillPerMillis + req.output*paceMillis)
+	if w.now >= w.o.Warm {
+		w.tally.started(w, req, index, found)
+	}
+	w.agenda.add(w.now+took, finish{req, index})
+	w.tell(req, index, false)
+}
+
+func (w *world) handleFinish(e finish) {
+	r := &w.replicas[e.replica]
+	r.running--
+	if len(r.queue) > 0 {
+		next := r.queue[0]
+		r.queue = r.queue[1:]
+		w.start(next, e.replica)
+	}
+	w.tell(e.req, e.replica, true)
+	if next := w.workload.following(e.req, w.now); next != nil {
+		w.agenda.add(next.arrived, arrival{req: next})
+	}
+}
+
+// tell sends the load of a replica to the entry with an answer.
+func (w *world) tell(req *request, index int, ended bool) {
+	if len(w.placers) == 0 {
+		return
+	}
+	heard := hearing{entry: req.entry, replica: index, report: w.replicas[index].report(), ended: ended}
+	w.agenda.add(w.now+w.way(req.entry, index)+w.o.Lag, heard)
+}
+
+func (w *world) handleHearing(e hearing) { w.hear(e) }
+
+func (w *world) hear(e hearing) {
+	if len(w.placers) == 0 {
+		return
+	}
+	placer := w.placers[e.entry]
+	name := w.names[e.replica]
+	if e.ended {
+		placer.Done(w.now, name, 0)
+	}
+	placer.Report(w.now, name, e.report)
+}
