Keep the unbounded offer away from the home of a hot prefix

Cause: a request refused three times was offered to its home again, now without a bound, so that a hot home took all that overflowed from it. Ruled out: too few widths remembered (the homes refused at any width). Change: the last offer goes to random upstreams.

--- a/internal/decide/burdockplace/choose.go
+++ b/internal/decide/burdockplace/choose.go
@@ -67,8 +67,12 @@
 		return Choice{}, false
 	}
 	c := chooser{p: p, now: now, req: &req, bound: p.bound()}
-	if choice, ok := c.home(); ok {
-		return choice, true
+	// The last offer carries no bound and so must not go to a home: all that
+	// overflows from a hot prefix would be queued there, without end.
+	if req.Attempt < p.cfg.Offers {
+		if choice, ok := c.home(); ok {
+			return choice, true
+		}
 	}
 	if choice, ok := c.spill(); ok {
 		return choice, true
