Count two swapped letters as one slip, and say where a check stops

A key with two letters swapped got no suggestion, as the distance counted two changes. A syntax error that the check can't go past now says that the lines after it were not checked.

--- a/internal/config/burdockrule/rule.go
+++ b/internal/config/burdockrule/rule.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 
 	"burdockbend.example/burdockbend/internal/base/burdockfinding"
@@ -52,17 +53,25 @@
 // Between asks for a number from low to high.
 func Between[N cmp.Ordered](c *Checker, key string, value, low, high N) {
 	if value < low || value > high {
-		c.Add(key, fmt.Sprintf("is %v", value), fmt.Sprintf("%v to %v", low, high))
+		c.Add(key, "is "+plain(value), plain(low)+" to "+plain(high))
 	}
 }
 
 // Above asks for a number over low and not over high.
 func Above[N cmp.Ordered](c *Checker, key string, value, low, high N) {
 	if value <= low || value > high {
-		c.Add(key, fmt.Sprintf("is %v", value), fmt.Sprintf("more than %v, at most %v", low, high))
+		c.Add(key, "is "+plain(value), fmt.Sprintf("more than %s, at most %s", plain(low), plain(high)))
 	}
 }
 
+// plain writes a number as a file would, without an exponent.
+func plain[N cmp.Ordered](value N) string {
+	if x, ok := any(value).(float64); ok {
+		return strconv.FormatFloat(x, 'f', -1, 64)
+	}
+	return fmt.Sprint(value)
+}
+
 // OneOf asks for one of some words.
 func OneOf[S ~string](c *Checker, key string, value S, words ...S) {
 	if slices.Contains(words, value) {
--- a/internal/config/burdocktoml/decode.go
+++ b/internal/config/burdocktoml/decode.go
@@ -72,7 +72,7 @@
 			return
 		}
 	case reflect.Int, reflect.Int64:
-		if n, ok := src.(int64); ok {
+		if n, ok := src.(int64); ok && !dst.OverflowInt(n) {
 			dst.SetInt(n)
 			return
 		}
--- a/internal/config/burdocktoml/document.go
+++ b/internal/config/burdocktoml/document.go
@@ -69,6 +69,9 @@
 	}
 }
 
+// Findings returns the findings so far.
+func (d *Document) Findings() burdockfinding.List { return d.list }
+
 // Err returns nil, or a *burdockfinding.Error with all findings.
 func (d *Document) Err() error { return d.list.Err() }
 
--- a/internal/config/burdocktoml/nearest.go
+++ b/internal/config/burdocktoml/nearest.go
@@ -18,26 +18,36 @@
 	return best
 }
 
-// distance counts the letters to add, drop or change to turn a into b.
+// distance counts the letters to add, drop, change or swap with the next one
+// to turn a into b.
 func distance(a, b string) int {
 	if len(a)-len(b) > maxTypos || len(b)-len(a) > maxTypos {
 		return maxTypos + 1
 	}
-	row := make([]int, len(b)+1)
-	for j := range row {
-		row[j] = j
+	// rows[i][j] is the distance of the first i letters of a from the first j of b.
+	rows := make([][]int, len(a)+1)
+	for i := range rows {
+		rows[i] = make([]int, len(b)+1)
+		rows[i][0] = i
 	}
-	for i := range len(a) {
-		diagonal := row[0]
-		row[0] = i + 1
-		for j := range len(b) {
-			cost := 1
-			if a[i] == b[j] {
-				cost = 0
+	for j := range rows[0] {
+		rows[0][j] = j
+	}
+	for i := 1; i <= len(a); i++ {
+		for j := 1; j <= len(b); j++ {
+			rows[i][j] = min(rows[i-1][j], rows[i][j-1]) + 1
+			rows[i][j] = min(rows[i][j], rows[i-1][j-1]+differ(a[i-1], b[j-1]))
+			if i > 1 && j > 1 && a[i-1] == b[j-2] && a[i-2] == b[j-1] {
+				rows[i][j] = min(rows[i][j], rows[i-2][j-2]+1)
 			}
-			next := min(diagonal+cost, row[j]+1, row[j+1]+1)
-			diagonal, row[j+1] = row[j+1], next
 		}
 	}
-	return row[len(b)]
+	return rows[len(a)][len(b)]
+}
+
+func differ(a, b byte) int {
+	if a == b {
+		return 0
+	}
+	return 1
 }
--- a/internal/config/burdocktoml/syntax.go
+++ b/internal/config/burdocktoml/syntax.go
@@ -34,10 +34,12 @@
 		d.broken = true
 		line := d.syntaxError(err)
 		if line <= last || !blank(data, line) {
+			d.addAt(max(line, 1), "", "the lines after this one could not be checked", "")
 			return nil
 		}
 		last = line
 	}
+	d.addAt(last, "", "the lines after this one were not checked, as there are so many mistakes", "")
 	return nil
 }
 
