--- a/internal/config/burdockprofile/check.go
+++ b/internal/config/burdockprofile/check.go
@@ -63,18 +63,10 @@
 		class.check(c, at)
 	}
 	if _, ok := p.Class(p.DefaultClass); !ok {
-		burdockrule.OneOf(c, key+".defaultClass", p.DefaultClass, p.classNames()...)
+		c.Add(key+".defaultClass", fmt.Sprintf("is %q, which is no class of the profile", p.DefaultClass), "the name of a [[profile.class]]")
 	}
 }
 
-func (p Profile) classNames() []string {
-	names := make([]string, len(p.Classes))
-	for i, class := range p.Classes {
-		names[i] = class.Name
-	}
-	return names
-}
-
 func (k Class) check(c *burdockrule.Checker, key string) {
 	burdockrule.Between(c, key+".maxStarvationMillis", k.MaxStarvationMillis, 1, maxSpan)
 	burdockrule.Between(c, key+".deadlineMillis", k.DeadlineMillis, 1, maxSpan)
