--- a/internal/config/burdocksettings/load_test.go
+++ b/internal/config/burdocksettings/load_test.go
@@ -32,3 +32,21 @@
 		}
 	}
 }
+
+func FuzzLoad(f *testing.F) {
+	for _, file := range []string{"tecnoval/entry.toml", "nuty-wspolne/agent.toml"} {
+		data, err := os.ReadFile(filepath.Join("..", "..", "..", "examples", file))
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if entry, err := LoadEntry("f", data); err == nil && len(entry.Check()) > 0 {
+			t.Errorf("LoadEntry took settings with findings: %v", entry.Check())
+		}
+		if agent, err := LoadAgent("f", data); err == nil && len(agent.Check()) > 0 {
+			t.Errorf("LoadAgent took settings with findings: %v", agent.Check())
+		}
+	})
+}
