Refuse a grace time that would cut off requests, and the hash of no key

A planned stop must not cut off a request in flight, so a profile's grace time has to cover the longest deadline of its classes. The hash of an empty key would let in anyone who sends none. A share has a least value, as virtual time is divided by it.

--- a/internal/config/burdockmember/check.go
+++ b/internal/config/burdockmember/check.go
@@ -108,6 +108,9 @@
 			c.Add(key+".keyHash", "is no hash of a key", "sha256: and 64 hexadecimal digits in lower case, as printed by burdock customer key")
 			continue
 		}
+		if burdockkey.Matches(customer.KeyHash, "") {
+			c.Add(key+".keyHash", "is the hash of an empty key, which anyone has", "the hash of a key of burdock customer key")
+		}
 		hashes.Add(&c.Checker, key+".keyHash", customer.KeyHash)
 	}
 }
--- a/internal/config/burdockprofile/check.go
+++ b/internal/config/burdockprofile/check.go
@@ -13,9 +13,12 @@
 // Bounds of what a profile may ask for. A value beyond them is a slip of the
 // pen, such as seconds for milliseconds, more often than an intention.
 const (
-	maxClasses  = 16
-	maxSpan     = 24 * burdockclock.Hour
-	maxShare    = 1e6
+	maxClasses = 16
+	maxSpan    = 24 * burdockclock.Hour
+	// A share far below the others would make the virtual time of one token
+	// outgrow what a float can tell apart.
+	minShare    = 0.001
+	maxShare    = 1000000.0
 	maxWeight   = 1e6
 	maxAttempts = 16
 	maxQueued   = 1 << 20
@@ -44,7 +47,7 @@
 func (p Profile) check(c *burdockrule.Checker, key string) {
 	p.checkClasses(c, key)
 	p.checkShares(c, key)
-	p.Stop.check(c, key+".stop")
+	p.Stop.check(c, key+".stop", p.longestDeadline())
 	p.Experts.check(c, key+".experts")
 	p.Retry.check(c, key+".retry")
 	burdockrule.Between(c, key+".queue.maxQueued", p.Queue.MaxQueued, 1, maxQueued)
@@ -83,13 +86,28 @@
 		if burdockrule.Name(c, at+".customer", share.Customer) {
 			customers.Add(c, at+".customer", share.Customer)
 		}
-		burdockrule.Above(c, at+".share", share.Share, 0, maxShare)
+		burdockrule.Between(c, at+".share", share.Share, minShare, maxShare)
 	}
-	burdockrule.Above(c, key+".defaultShare", p.DefaultShare, 0, maxShare)
+	burdockrule.Between(c, key+".defaultShare", p.DefaultShare, minShare, maxShare)
 }
 
-func (s Stop) check(c *burdockrule.Checker, key string) {
+// longestDeadline returns how long a request of the profile may be in flight.
+func (p Profile) longestDeadline() burdockclock.Millis {
+	var longest burdockclock.Millis
+	for _, class := range p.Classes {
+		longest = max(longest, class.DeadlineMillis)
+	}
+	return longest
+}
+
+// check asks for a grace time that covers the longest deadline. With a
+// shorter one a planned stop would cut off a request in flight, and its
+// caller would lose an answer that was under way.
+func (s Stop) check(c *burdockrule.Checker, key string, longest burdockclock.Millis) {
 	burdockrule.Between(c, key+".graceMillis", s.GraceMillis, 1, maxSpan)
+	if s.GraceMillis > 0 && s.GraceMillis < longest {
+		c.Add(key+".graceMillis", fmt.Sprintf("is %d, but a request may be in flight for %d", s.GraceMillis, longest), "at least the longest deadlineMillis of the classes")
+	}
 	burdockrule.OneOf(c, key+".queued", s.Queued, FinishQueued, RefuseQueued)
 }
 
--- a/internal/config/burdockprofile/default.go
+++ b/internal/config/burdockprofile/default.go
@@ -8,7 +8,7 @@
 	defaultMaxStarvationMillis = 10 * burdockclock.Second
 	defaultMaxWaitMillis       = 30 * burdockclock.Second
 	defaultDeadlineMillis      = 5 * burdockclock.Minute
-	defaultGraceMillis         = burdockclock.Minute
+	defaultGraceMillis         = defaultDeadlineMillis
 	defaultQueued              = RefuseQueued
 	defaultSkewWeight          = 1.0
 	defaultCostWeight          = 1.0
--- a/internal/config/burdockprofile/profile.go
+++ b/internal/config/burdockprofile/profile.go
@@ -59,6 +59,8 @@
 
 // Stop says how a process or upstream under this profile stops as planned.
 type Stop struct {
+	// GraceMillis bounds the time for requests in flight, and for queued ones
+	// that are finished. It covers the longest deadline of the classes.
 	GraceMillis burdockclock.Millis `toml:"graceMillis" json:"graceMillis"`
 	Queued      QueuedWork          `toml:"queued" json:"queued"`
 }
--- a/internal/config/burdockprofile/profile_test.go
+++ b/internal/config/burdockprofile/profile_test.go
@@ -20,7 +20,7 @@
 	fmt.Println(err)
 	// Output:
 	// profiles.toml:4: profile[0].defaultClass: is "urgent", which is no class of the profile; want the name of a [[profile.class]]
-	// profiles.toml:5: profile[0].defaultShare: is 0; want more than 0, at most 1000000
+	// profiles.toml:5: profile[0].defaultShare: is 0; want 0.001 to 1000000
 	// profiles.toml:6: profile[0].clas: unknown key; want class
 }
 
--- a/internal/config/burdockrule/rule.go
+++ b/internal/config/burdockrule/rule.go
@@ -57,13 +57,6 @@
 	}
 }
 
-// Above asks for a number over low and not over high.
-func Above[N cmp.Ordered](c *Checker, key string, value, low, high N) {
-	if value <= low || value > high {
-		c.Add(key, "is "+plain(value), fmt.Sprintf("more than %s, at most %s", plain(low), plain(high)))
-	}
-}
-
 // plain writes a number as a file would, without an exponent.
 func plain[N cmp.Ordered](value N) string {
 	if x, ok := any(value).(float64); ok {
--- a/internal/config/burdocksettings/default.go
+++ b/internal/config/burdocksettings/default.go
@@ -22,8 +22,12 @@
 	defaultWriteStallMillis = 30 * burdockclock.Second
 	defaultMaxConnections   = 4096
 
-	defaultDrainGraceMillis = burdockclock.Minute
-	defaultSlots            = 16
+	// Twice the deadline of a class that states none: a stop ends as soon as
+	// nothing is in flight, so a long bound costs nothing.
+	defaultDrainGraceMillis = 10 * burdockclock.Minute
+	// The usual batch of a small replica; more would wait inside the engine,
+	// where the agent can neither order nor refuse it.
+	defaultSlots = 16
 )
 
 // SetDefaults fills in what holds when a file leaves a key out.
--- a/internal/config/burdocksettings/settings.go
+++ b/internal/config/burdocksettings/settings.go
@@ -62,7 +62,8 @@
 	Common
 	// Listen is the IP:port for callers.
 	Listen string `toml:"listen" json:"listen"`
-	// DrainGraceMillis bounds the time for open requests on a planned stop.
+	// DrainGraceMillis bounds the time for requests in flight on a planned
+	// stop; the graceMillis of a request's profile holds when it is shorter.
 	DrainGraceMillis burdockclock.Millis `toml:"drainGraceMillis" json:"drainGraceMillis"`
 }
 
@@ -76,6 +77,8 @@
 	// Slots is the number of requests that the upstream runs at a time.
 	Slots int `toml:"slots" json:"slots"`
 	// Fenced says that the engine refuses an order with an old fencing number.
-	Fenced           bool                `toml:"fenced" json:"fenced"`
+	Fenced bool `toml:"fenced" json:"fenced"`
+	// DrainGraceMillis bounds the time for requests in flight on a planned
+	// stop; the graceMillis of the service's profile holds when it is shorter.
 	DrainGraceMillis burdockclock.Millis `toml:"drainGraceMillis" json:"drainGraceMillis"`
 }
--- a/internal/config/burdocktoml/document.go
+++ b/internal/config/burdocktoml/document.go
@@ -11,8 +11,8 @@
 )
 
 // MaxBytes bounds a file. A fleet of 3,800 upstreams and as many customers
-// takes about a quarter of it; a file beyond it is not one of ours, and
-// decoding it would cost a process its memory.
+// takes 1.2 MB; a file several times as long is none of ours, and decoding it
+// would cost a process its memory.
 const MaxBytes = 4 << 20
 
 // Document is a decoded file: the lines of its keys, and its findings so far.
