Route no call whose path an upstream may resolve otherwise

A path such as /jobs/../letters matched the route of /jobs, which says that a call may be repeated; an upstream that resolves it runs a call of /letters.

--- a/internal/config/burdockmember/fleet_test.go
+++ b/internal/config/burdockmember/fleet_test.go
@@ -28,6 +28,12 @@
 		{"GET", "/jobsearch", "", false},
 		{"GET", "/model-cards/bjt", "lookup", false},
 		{"GET", "/", "", false},
+		{"GET", "/jobs/", "licence", true},
+		{"GET", "/jobs/../model-cards/bjt", "", false},
+		{"GET", "/jobs//17", "", false},
+		{"GET", "/jobs/./17", "", false},
+		{"GET", "jobs", "", false},
+		{"GET", "//", "", false},
 	}
 	for _, tt := range tests {
 		service, route, ok := fleet.FindRoute(tt.method, tt.path)
@@ -45,6 +51,7 @@
 	part := Service{Name: "part", Routes: []Route{{PathPrefix: "/a", Methods: []string{"GET"}}, {PathPrefix: "/a/b"}}}
 	fleet := Fleet{Services: []Service{part, whole}}
 	for call, want := range map[string]string{
+		"GET //": "", "GET /a/..": "",
 		"GET /": "/", "GET /ab": "/", "POST /a": "/", "GET /a": "/a", "POST /a/b": "/a/b", "GET /a/bc": "/a",
 	} {
 		method, path, _ := strings.Cut(call, " ")
--- a/internal/config/burdockmember/route.go
+++ b/internal/config/burdockmember/route.go
@@ -1,6 +1,7 @@
 package burdockmember
 
 import (
+	pathpkg "path"
 	"slices"
 	"strings"
 )
@@ -16,8 +17,15 @@
 }
 
 // FindRoute returns the service and route of a call: of those that match, the
-// one with the longest prefix.
+// one with the longest prefix. The path is the decoded one.
+//
+// A path with "..", "." or an empty part has no route. An upstream that
+// resolves /jobs/../letters would run a call of /letters, while the call was
+// treated as one of /jobs and may have been repeated.
 func (f Fleet) FindRoute(method, path string) (Service, Route, bool) {
+	if !isClean(path) {
+		return Service{}, Route{}, false
+	}
 	var service Service
 	var route Route
 	found := false
@@ -30,3 +38,9 @@
 	}
 	return service, route, found
 }
+
+// isClean takes a path with or without a slash at its end.
+func isClean(path string) bool {
+	clean := pathpkg.Clean(path)
+	return strings.HasPrefix(path, "/") && (path == clean || clean != "/" && path == clean+"/")
+}
