--- a/internal/config/burdocktoml/document.go
+++ b/internal/config/burdocktoml/document.go
@@ -11,8 +11,8 @@
 )
 
 // MaxBytes bounds a file. A fleet of 3,800 upstreams and as many customers
-// takes about a quarter of it; a file beyond it is not one of ours, and
-// decoding it would cost a process its memory.
+// takes 1.2 MB; a file several times as long is none of ours, and decoding it
+// would cost a process its memory.
 const MaxBytes = 4 << 20
 
 // Document is a decoded file: the lines of its keys, and its findings so far.
@@ -69,6 +69,9 @@
 	}
 }
 
+// Findings returns the findings so far.
+func (d *Document) Findings() burdockfinding.List { return d.list }
+
 // Err returns nil, or a *burdockfinding.Error with all findings.
 func (d *Document) Err() error { return d.list.Err() }
 
