--- /dev/null
+++ b/internal/decide/burdockledger/handover.go
@@ -0,0 +1,61 @@
+package burdockledger
+
+import (
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+)
+
+// Line is what one home tells the next of one key.
+type Line struct {
+	Key         Key
+	Request     burdockid.Request
+	Fingerprint Fingerprint
+	Fate        Fate
+	At          burdockclock.Millis // when it came, on the wall clock
+}
+
+// Lines returns all that is remembered of the keys of one slot.
+func (l *Ledger) Lines(slot Slot) []Line {
+	var lines []Line
+	for _, a := range l.arrivals {
+		known, ok := l.records[a.key]
+		if !ok || SlotOf(a.key) != slot {
+			continue
+		}
+		lines = append(lines, Line{
+			Key:         a.key,
+			Request:     known.request,
+			Fingerprint: known.fingerprint,
+			Fate:        known.fate,
+			At:          a.at,
+		})
+	}
+	return lines
+}
+
+// Since returns from when on the ledger holds every run of a slot's keys.
+func (l *Ledger) Since(slot Slot) burdockclock.Millis { return l.since[slot] }
+
+// Horizon returns the instant before which keys have been forgotten.
+func (l *Ledger) Horizon() burdockclock.Millis { return l.horizon }
+
+// Take holds a slot with the memory that its last home handed over. Since that
+// memory is whole, keys go on to be known from the same instant on.
+func (l *Ledger) Take(slot Slot, since burdockclock.Millis, lines []Line) {
+	l.Hold(slot, since)
+	for _, line := range lines {
+		if _, ok := l.records[line.Key]; ok {
+			continue // handed over twice
+		}
+		l.records[line.Key] = record{request: line.Request, fingerprint: line.Fingerprint, fate: line.Fate}
+		l.insert(arrival{key: line.Key, at: line.At})
+	}
+}
+
+// insert keeps the arrivals in order of time.
+func (l *Ledger) insert(a arrival) {
+	l.arrivals = append(l.arrivals, a)
+	for i := len(l.arrivals) - 1; i > 0 && l.arrivals[i-1].at > a.at; i-- {
+		l.arrivals[i-1], l.arrivals[i] = l.arrivals[i], l.arrivals[i-1]
+	}
+}
--- /dev/null
+++ b/internal/decide/burdockledger/ledger.go
@@ -0,0 +1,186 @@
+package burdockledger
+
+import (
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+)
+
+// Fate is what became of the request that a key came with first.
+type Fate uint8
+
+// Fates.
+const (
+	// FateRunning: it waits or runs.
+	FateRunning Fate = iota
+	// FateAnswered: its answer came whole.
+	FateAnswered
+	// FateUnknown: it was handed to the upstream, and no whole answer came.
+	FateUnknown
+)
+
+// Fingerprint tells whether two requests with one key are the same request.
+type Fingerprint uint64
+
+// Ask is a request with a key, as it comes to the home of the key.
+type Ask struct {
+	Key         Key
+	Request     burdockid.Request
+	Fingerprint Fingerprint
+	// Birth is when the key was made, on the wall clock; 0 when it doesn't say.
+	Birth burdockclock.Millis
+}
+
+// Decision is the answer to an Ask: Run, Attach, MayHaveRun or Reused.
+type Decision interface{ isDecision() }
+
+// Run means that the key is new here, and certain not to have run elsewhere.
+type Run struct{}
+
+// Attach means that the key's request is known: the caller gets its answer.
+type Attach struct {
+	Request burdockid.Request
+	Fate    Fate
+}
+
+// MayHaveRun means that the request may have run before this home could
+// remember. Nobody can tell, so it is not run.
+type MayHaveRun struct{}
+
+// Reused means that the key came before, with another request.
+type Reused struct{}
+
+func (Run) isDecision()        {}
+func (Attach) isDecision()     {}
+func (MayHaveRun) isDecision() {}
+func (Reused) isDecision()     {}
+
+const (
+	// RepeatWindow is the longest time after which a caller repeats a key. A new
+	// home that lacks the memory of the one before it lets a key without a time
+	// of birth run only when this much time has passed.
+	RepeatWindow = 10 * burdockclock.Minute
+	// Skew covers how far the clocks of those who make keys may be from ours.
+	Skew = burdockclock.Minute
+	// RememberFor is how long a key is remembered. A repeat after more than
+	// that runs anew, unless the key says that it is older.
+	RememberFor = 24 * burdockclock.Hour
+	// MaxKeys bounds the memory: 64 bytes each, 13 MB. At the design's peak
+	// rate a replica sees 140,000 requests a day, with a key or without.
+	MaxKeys = 200_000
+)
+
+// record is what the ledger keeps for a key.
+type record struct {
+	request     burdockid.Request
+	fingerprint Fingerprint
+	fate        Fate
+}
+
+// arrival is when a key came, oldest first.
+type arrival struct {
+	key Key
+	at  burdockclock.Millis
+}
+
+// Ledger is the memory of one home for the slots that it holds.
+type Ledger struct {
+	records  map[Key]record
+	arrivals []arrival
+	since    map[Slot]burdockclock.Millis
+	// horizon is the instant before which keys have been forgotten.
+	horizon burdockclock.Millis
+}
+
+// New returns a ledger that holds no slot.
+func New() *Ledger {
+	return &Ledger{records: map[Key]record{}, since: map[Slot]burdockclock.Millis{}}
+}
+
+// Hold takes a slot. since is the instant on the wall clock from which on
+// every run of the slot's keys is in this ledger; 0 when the slot never had
+// another home.
+func (l *Ledger) Hold(slot Slot, since burdockclock.Millis) { l.since[slot] = since }
+
+// Drop gives a slot up, with what is remembered of its keys.
+func (l *Ledger) Drop(slot Slot) {
+	delete(l.since, slot)
+	for key := range l.records {
+		if SlotOf(key) == slot {
+			delete(l.records, key)
+		}
+	}
+}
+
+// Holds reports whether the ledger holds a slot.
+func (l *Ledger) Holds(slot Slot) bool {
+	_, ok := l.since[slot]
+	return ok
+}
+
+// Held returns how many slots the ledger holds.
+func (l *Ledger) Held() int { return len(l.since) }
+
+// Decide says whether a request with a key may run. The ledger must hold the
+// key's slot. After Run the key counts as running until NotRun or End.
+//
+// Load: callers repeat requests whose answer they lost, through any entry and
+// while processes fail. Harm prevented: a letter sent twice, a lookup answered
+// twice in two ways. A key that may have run where this ledger can't see is
+// not run again; the caller is told that nobody can tell.
+func (l *Ledger) Decide(wall burdockclock.Millis, a Ask) Decision {
+	if known, ok := l.records[a.Key]; ok {
+		if known.fingerprint != a.Fingerprint {
+			return Reused{}
+		}
+		return Attach{Request: known.request, Fate: known.fate}
+	}
+	if l.mayHaveRun(wall, a) {
+		return MayHaveRun{}
+	}
+	l.records[a.Key] = record{request: a.Request, fingerprint: a.Fingerprint}
+	l.arrivals = append(l.arrivals, arrival{key: a.Key, at: wall})
+	return Run{}
+}
+
+func (l *Ledger) mayHaveRun(wall burdockclock.Millis, a Ask) bool {
+	since := max(l.since[SlotOf(a.Key)], l.horizon)
+	if since == 0 {
+		return false
+	}
+	if a.Birth > 0 {
+		return a.Birth <= since+Skew
+	}
+	// Without a time of birth: the horizon is a day back, far beyond any repeat;
+	// the time of a takeover is not.
+	return wall < l.since[SlotOf(a.Key)]+RepeatWindow+Skew
+}
+
+// NotRun tells that the request of a key was not handed to the upstream and
+// never will be: the key may run when it comes again.
+func (l *Ledger) NotRun(key Key, request burdockid.Request) {
+	if known, ok := l.records[key]; ok && known.request == request {
+		delete(l.records, key)
+	}
+}
+
+// End tells what became of a key's request.
+func (l *Ledger) End(key Key, request burdockid.Request, fate Fate) {
+	if known, ok := l.records[key]; ok && known.request == request {
+		known.fate = fate
+		l.records[key] = known
+	}
+}
+
+// Forget drops keys that are too old or too many.
+func (l *Ledger) Forget(wall burdockclock.Millis) {
+	n := 0
+	for n < len(l.arrivals) && (wall-l.arrivals[n].at > RememberFor || len(l.arrivals)-n > MaxKeys) {
+		delete(l.records, l.arrivals[n].key)
+		l.horizon = l.arrivals[n].at
+		n++
+	}
+	l.arrivals = l.arrivals[n:]
+}
+
+// Len returns how many keys are remembered.
+func (l *Ledger) Len() int { return len(l.records) }
--- a/internal/serve/burdockagent/agent.go
+++ b/internal/serve/burdockagent/agent.go
@@ -12,6 +12,7 @@
 	"burdockbend.example/burdockbend/internal/config/burdockprofile"
 	"burdockbend.example/burdockbend/internal/decide/burdockqueue"
 	"burdockbend.example/burdockbend/internal/platform/burdockengine"
+	"burdockbend.example/burdockbend/internal/state/burdockconfig"
 	"burdockbend.example/burdockbend/internal/state/burdockfleet"
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
@@ -32,6 +33,7 @@
 // Config is what an agent is told at its start.
 type Config struct {
 	Upstream burdockid.Upstream
+	VM       burdockid.VM
 	Service  burdockid.Service // used until the configuration names the service
 	Slots    int
 }
@@ -41,7 +43,11 @@
 	Clock  burdockclock.Clock
 	Engine burdockengine.Engine
 	Fleet  *burdockfleet.Fleet
-	Log    *zap.Logger
+	// Verified reports whether the process knows that it is not cut off.
+	Verified func() bool
+	// Heard takes the digest of the configuration that an entry holds.
+	Heard func(burdockconfig.Digest)
+	Log   *zap.Logger
 	// Metrics takes the agent's metrics.
 	Metrics *metrics.Set
 	Random  *rand.Rand
@@ -56,11 +62,14 @@
 	stop        chan struct{}
 	stopped     chan struct{}
 
-	mu       sync.Mutex
-	queue    *burdockqueue.Queue
-	policy   policy
-	jobs     map[burdockid.Request]*job
+	mu     sync.Mutex
+	queue  *burdockqueue.Queue
+	policy policy
+	jobs   map[burdockid.Request]*job
+	// aliases lead requests that repeat a key to the job of the first.
+	aliases  map[burdockid.Request]*job
 	memory   *memory
+	keyed    *keyed
 	draining bool
 	counts   Counts
 }
@@ -75,7 +84,9 @@
 		stop:        make(chan struct{}),
 		stopped:     make(chan struct{}),
 		jobs:        map[burdockid.Request]*job{},
+		aliases:     map[burdockid.Request]*job{},
 		memory:      newMemory(),
+		keyed:       newKeyed(),
 	}
 	a.policy = policyOf(cfg, deps.Fleet.Now())
 	a.queue = burdockqueue.New(a.policy.queue, deps.Random)
@@ -113,6 +124,8 @@
 	a.followConfig(now)
 	a.tendJobs(now)
 	a.memory.forget(now)
+	a.keyed.ledger.Forget(a.deps.Clock.Now())
+	a.trimAnswers()
 	a.drive(now)
 }
 
@@ -124,6 +137,7 @@
 	}
 	a.policy = policyOf(a.cfg, fleet)
 	a.queue.Reconfigure(now, a.policy.queue)
+	a.keyed.follow(fleet.Homes[a.policy.service], a.cfg.Upstream, a.incarnation)
 }
 
 // tendJobs gives up requests that nobody waits for any longer, and forgets
@@ -143,6 +157,11 @@
 			j.poke()
 		}
 	}
+	for id, j := range a.aliases {
+		if j.forgettable(now) {
+			delete(a.aliases, id)
+		}
+	}
 }
 
 // drive applies what the queue decided. It must be called after each call of
@@ -203,5 +222,17 @@
 	return true
 }
 
+// Released reports whether the agent is idle and the home of no key. An agent
+// that can't hand its keys over, since the store is out or no other is left,
+// stops at the end of the grace time all the same.
+func (a *Agent) Released() bool {
+	if !a.Idle() {
+		return false
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.keyed.ledger.Held() == 0
+}
+
 // Incarnation returns the id of this run of the process.
 func (a *Agent) Incarnation() burdockid.Incarnation { return a.incarnation }
--- a/internal/serve/burdockagent/finish.go
+++ b/internal/serve/burdockagent/finish.go
@@ -21,6 +21,7 @@
 // the sum of the others.
 type Counts struct {
 	Offered   int `json:"offered"`
+	Repeated  int `json:"repeated"` // got the answer of an earlier request with their key
 	Answered  int `json:"answered"`
 	Refused   int `json:"refused"`
 	Cut       int `json:"cut"`
@@ -82,12 +83,18 @@
 // cancelJob gives a job up. One that runs keeps its slot until the engine has
 // let go of it; one that waits is gone at once. The agent's lock is held.
 func (a *Agent) cancelJob(now burdockclock.Millis, j *job, cause cancelCause) {
+	if j.worthFinishing() {
+		return
+	}
 	o := cut{reason: burdockwire.CutReason_CUT_REASON_CANCELLED, explanation: string(cause)}
 	if !j.settle(o) {
 		return
 	}
 	j.step(burdockcharts.RequestEventCancel)
 	a.account(now, j, o)
+	if j.cancelFunc() == nil {
+		a.forgetKey(j.request) // it waited: nothing of it was handed over
+	}
 	if cancel := j.cancelFunc(); cancel != nil {
 		cancel()
 		return
@@ -122,6 +129,7 @@
 		fields = append(fields, zap.String("outcome", "cut"), zap.String("reason", o.explanation))
 	}
 	a.memory.remember(now, j.id, f)
+	a.endKey(j, o)
 	a.deps.Log.Info("request ended", fields...)
 }
 
--- /dev/null
+++ b/internal/serve/burdockagent/handover.go
@@ -0,0 +1,322 @@
+package burdockagent
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/config/burdockmember"
+	"burdockbend.example/burdockbend/internal/decide/burdockledger"
+	"burdockbend.example/burdockbend/internal/state/burdockconfig"
+	"burdockbend.example/burdockbend/internal/state/burdockhome"
+	"burdockbend.example/burdockbend/internal/state/burdocksync"
+	"burdockbend.example/burdockbend/internal/wire/burdocktransport"
+	"burdockbend.example/burdockbend/internal/wire/burdockwire"
+	"connectrpc.com/connect"
+	"github.com/joomcode/errorx"
+	"go.uber.org/zap"
+)
+
+const (
+	// homesEvery is how often an agent looks after the homes of keys.
+	homesEvery = 500 * time.Millisecond
+	// writeTimeout bounds one write of a home: while the store is out, an agent
+	// has other slots to look after.
+	writeTimeout = 3 * time.Second
+	takeTimeout  = 2 * time.Second
+	// returnsAtOnce bounds how many slots an agent hands back at a time to those
+	// that the slots prefer, so that a restart moves them gently.
+	returnsAtOnce = 4
+)
+
+// Homes looks after the homes of keys on behalf of one agent: it claims slots
+// that have none, and hands slots over when the agent leaves or when another
+// is preferred.
+type Homes struct {
+	agent   *Agent
+	writer  *burdocksync.Writer
+	view    *burdockconfig.View
+	peers   *burdocktransport.Peers
+	claimer *burdockhome.Claimer
+	// open holds handovers whose write had no clear outcome.
+	open   map[burdockledger.Slot]move
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+}
+
+// move is the write that hands one slot over.
+type move struct {
+	base burdockid.Version
+	home burdockhome.Home
+}
+
+// written is how the write of a home ended.
+type written int
+
+const (
+	// writeDone: the home is in force.
+	writeDone written = iota
+	// writeLost: another write came first, and this one had no effect.
+	writeLost
+	// writeOpen: it may or may not take effect.
+	writeOpen
+)
+
+// NewHomes returns a keeper of homes that is not yet running.
+func NewHomes(agent *Agent, writer *burdocksync.Writer, view *burdockconfig.View, peers *burdocktransport.Peers) *Homes {
+	return &Homes{agent: agent, writer: writer, view: view, peers: peers, open: map[burdockledger.Slot]move{}}
+}
+
+// Start begins to look after the homes.
+func (h *Homes) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	h.cancel = cancel
+	h.done.Add(1)
+	go h.loop(ctx)
+}
+
+// Close ends it.
+func (h *Homes) Close() {
+	h.cancel()
+	h.done.Wait()
+}
+
+func (h *Homes) loop(ctx context.Context) {
+	defer h.done.Done()
+	ticker := time.NewTicker(homesEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			h.once(ctx)
+		}
+	}
+}
+
+func (h *Homes) once(ctx context.Context) {
+	a := h.agent
+	a.mu.Lock()
+	service, draining := a.policy.service, a.draining
+	a.mu.Unlock()
+	if service == "" || !a.deps.Verified() {
+		return
+	}
+	for slot, m := range h.open {
+		h.settle(ctx, service, slot, m)
+	}
+	if draining {
+		h.handOver(ctx, service, burdockledger.Slots, func(burdockledger.Slot) bool { return true })
+		return
+	}
+	h.claim(ctx, service)
+	h.handOver(ctx, service, returnsAtOnce, func(slot burdockledger.Slot) bool { return h.elsewhere(service, slot) })
+}
+
+// claim writes this agent's name on slots without a home.
+func (h *Homes) claim(ctx context.Context, service burdockid.Service) {
+	a := h.agent
+	if h.claimer == nil {
+		h.claimer = burdockhome.NewClaimer(burdockhome.Self{Service: service, Upstream: a.cfg.Upstream, Incarnation: a.incarnation})
+	}
+	fleet := a.deps.Fleet.Now()
+	if fleet.Upstreams[a.cfg.Upstream].VM != a.cfg.VM {
+		// Operators have put another VM in this one's place. Only that one may
+		// claim what the upstream held.
+		return
+	}
+	members := names(fleet.Members[service])
+	for _, claim := range h.claimer.Claims(a.deps.Clock.Boot(), a.deps.Clock.Now(), fleet.Homes[service], members) {
+		h.write(ctx, service, claim.Slot, move{base: claim.Base, home: claim.Home})
+	}
+}
+
+func names(members []burdockmember.Upstream) []burdockid.Upstream {
+	list := make([]burdockid.Upstream, len(members))
+	for i, m := range members {
+		list[i] = m.Name
+	}
+	return list
+}
+
+// write puts a home into the store, and takes up here what is then there.
+func (h *Homes) write(ctx context.Context, service burdockid.Service, slot burdockledger.Slot, m move) written {
+	value, err := burdockhome.Encode(m.home)
+	if err != nil {
+		panic(err) // strings and numbers can always be encoded
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	e, err := h.writer.Write(ctx, burdocksync.Edit{Key: burdockhome.Key(service, slot), Value: value, Base: m.base})
+	switch {
+	case err == nil:
+		h.view.Merge([]burdockconfig.Entry{e})
+		return writeDone
+	case errorx.IsOfType(err, burdocksync.ErrRace):
+		h.view.Merge([]burdockconfig.Entry{e})
+		return writeLost
+	default:
+		h.agent.deps.Log.Info("home of keys not written", zap.Int("slot", int(slot)), zap.Error(err))
+		return writeOpen
+	}
+}
+
+// elsewhere reports whether a slot prefers another upstream to this one.
+func (h *Homes) elsewhere(service burdockid.Service, slot burdockledger.Slot) bool {
+	members := names(h.agent.deps.Fleet.Now().Members[service])
+	return burdockhome.Rank(service, slot, members, h.agent.cfg.Upstream) > 0
+}
+
+// successors returns the members in the order that a slot prefers.
+func (h *Homes) successors(service burdockid.Service, slot burdockledger.Slot) []burdockmember.Upstream {
+	members := slices.Clone(h.agent.deps.Fleet.Now().Members[service])
+	list := names(members)
+	slices.SortFunc(members, func(x, y burdockmember.Upstream) int {
+		return cmp.Compare(burdockhome.Rank(service, slot, list, x.Name), burdockhome.Rank(service, slot, list, y.Name))
+	})
+	return members
+}
+
+// handOver passes on up to most of the held slots that which names.
+//
+// Failure: an agent is stopped as planned, and with it goes the memory of the
+// keys that it let run. Symptom: its successor must answer each repeat, and
+// each undated key, with "may have run". The memory goes to the successor
+// first and the home changes afterwards in one write, so at every moment one
+// home has all of it.
+func (h *Homes) handOver(ctx context.Context, service burdockid.Service, most int, which func(burdockledger.Slot) bool) {
+	for slot := range burdockledger.Slot(burdockledger.Slots) {
+		if most == 0 || ctx.Err() != nil {
+			return
+		}
+		if !h.agent.holdsIdle(slot) || !which(slot) {
+			continue
+		}
+		most--
+		h.handOverSlot(ctx, service, slot)
+	}
+}
+
+func (h *Homes) handOverSlot(ctx context.Context, service burdockid.Service, slot burdockledger.Slot) {
+	offer, base, ok := h.agent.beginMove(slot)
+	if !ok {
+		return
+	}
+	next, inc, ok := h.successor(ctx, service, slot, offer)
+	if !ok {
+		h.agent.endMove(slot)
+		return
+	}
+	h.settle(ctx, service, slot, move{base: base, home: burdockhome.Home{
+		Upstream:    next,
+		Incarnation: inc,
+		SinceMillis: burdockclock.Millis(offer.GetSinceMillis()),
+		From:        h.agent.incarnation,
+	}})
+}
+
+// settle writes a handover until its outcome is clear.
+//
+// While it is open the slot runs nothing: the write may yet take effect, and
+// the next home would not know of what ran here. The same write is tried
+// again over the same version, so that one of the tries decides.
+func (h *Homes) settle(ctx context.Context, service burdockid.Service, slot burdockledger.Slot, m move) {
+	switch h.write(ctx, service, slot, m) {
+	case writeDone:
+		delete(h.open, slot)
+	case writeLost:
+		delete(h.open, slot)
+		h.agent.endMove(slot)
+	case writeOpen:
+		h.open[slot] = m
+	}
+}
+
+// successor finds the first agent that a slot prefers and that takes its
+// memory. Unless this agent leaves, only those count that the slot prefers to
+// it.
+func (h *Homes) successor(ctx context.Context, service burdockid.Service, slot burdockledger.Slot, offer *burdockwire.TakeKeysRequest) (burdockid.Upstream, burdockid.Incarnation, bool) {
+	for _, next := range h.successors(service, slot) {
+		switch {
+		case next.Name != h.agent.cfg.Upstream:
+			if inc, taken := h.offer(ctx, next, offer); taken {
+				return next.Name, inc, true
+			}
+		case !h.agent.isDraining():
+			return "", "", false
+		}
+	}
+	return "", "", false
+}
+
+func (h *Homes) offer(ctx context.Context, next burdockmember.Upstream, offer *burdockwire.TakeKeysRequest) (burdockid.Incarnation, bool) {
+	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
+	defer cancel()
+	client := burdockwire.NewAgentServiceClient(h.peers.Client, h.peers.URL(next.Agent))
+	res, err := client.TakeKeys(ctx, connect.NewRequest(offer))
+	if err != nil || !res.Msg.GetTaken() {
+		return "", false
+	}
+	return burdockid.Incarnation(res.Msg.GetIncarnation()), true
+}
+
+// holdsIdle reports whether the agent holds a slot with nothing under way.
+func (a *Agent) holdsIdle(slot burdockledger.Slot) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.keyed.ledger.Holds(slot) && !a.keyed.moving[slot] && !a.busySlot(slot)
+}
+
+func (a *Agent) busySlot(slot burdockledger.Slot) bool {
+	for _, j := range a.jobs {
+		if j.slot == slot && j.keyed() && !j.hasEnded() {
+			return true
+		}
+	}
+	return false
+}
+
+// beginMove stops new runs in a slot, and returns its memory and the version
+// of its home.
+func (a *Agent) beginMove(slot burdockledger.Slot) (*burdockwire.TakeKeysRequest, burdockid.Version, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.keyed.ledger.Holds(slot) || a.busySlot(slot) {
+		return nil, 0, false
+	}
+	a.keyed.moving[slot] = true
+	offer := &burdockwire.TakeKeysRequest{
+		FromIncarnation: string(a.incarnation),
+		Slot:            int32(slot),
+		SinceMillis:     int64(a.keyed.ledger.Since(slot)),
+	}
+	for _, l := range a.keyed.ledger.Lines(slot) {
+		offer.Lines = append(offer.Lines, &burdockwire.KeyLine{
+			KeyHigh:     l.Key[0],
+			KeyLow:      l.Key[1],
+			RequestId:   string(l.Request),
+			Fingerprint: uint64(l.Fingerprint),
+			Fate:        uint32(l.Fate),
+			AtMillis:    int64(l.At),
+		})
+	}
+	return offer, a.keyed.homes[slot].Version, true
+}
+
+// endMove lets a slot whose handover came to nothing run keys again.
+func (a *Agent) endMove(slot burdockledger.Slot) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.keyed.moving, slot)
+}
+
+func (a *Agent) isDraining() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.draining
+}
--- a/internal/serve/burdockagent/job.go
+++ b/internal/serve/burdockagent/job.go
@@ -6,6 +6,7 @@
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/decide/burdockledger"
 	"burdockbend.example/burdockbend/internal/state/burdockcharts"
 	"burdockbend.example/burdockbend/internal/wire/burdockwire"
 )
@@ -30,6 +31,7 @@
 	deadline burdockclock.Millis // on the boot clock; 0 is none
 	arrived  burdockclock.Millis
 	clock    burdockclock.Clock
+	slot     burdockledger.Slot // of its key, if it has one
 
 	mu      sync.Mutex
 	room    *sync.Cond // signalled when a reader has taken bytes, and on each tick
@@ -87,6 +89,9 @@
 		readers:  map[*reader]struct{}{},
 		unread:   now,
 	}
+	if j.keyed() {
+		j.slot = burdockledger.SlotOf(askOf(req).Key)
+	}
 	j.room = sync.NewCond(&j.mu)
 	return j
 }
@@ -194,7 +199,7 @@
 func (j *job) orphanedFor(now burdockclock.Millis) burdockclock.Millis {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if j.unread == 0 || j.outcome != nil {
+	if j.unread == 0 || j.outcome != nil || j.begunWithKey() {
 		return 0
 	}
 	return now - j.unread
@@ -216,7 +221,54 @@
 func (j *job) forgettable(now burdockclock.Millis) bool {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	return j.outcome != nil && len(j.readers) == 0 && now-j.endedAt > keepEnded
+	keep := keepEnded
+	if _, whole := j.outcome.(ended); whole && j.keyed() {
+		keep = keepAnswers
+	}
+	return j.outcome != nil && len(j.readers) == 0 && now-j.endedAt > keep
+}
+
+// begunWithKey reports whether the request has a key and may have run. Its
+// answer is worth finishing for nobody: the caller can come back with the key,
+// and can't have the request run again. The lock is held.
+func (j *job) begunWithKey() bool {
+	switch j.machine.State() {
+	case burdockcharts.RequestHandedOver, burdockcharts.RequestAnswering:
+		return j.keyed()
+	default:
+		return false
+	}
+}
+
+// worthFinishing is begunWithKey for callers that don't hold the lock.
+func (j *job) worthFinishing() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.begunWithKey()
+}
+
+// keyed reports whether the request has an idempotency key.
+func (j *job) keyed() bool { return j.request.GetIdempotencyKey() != "" }
+
+// hasEnded reports whether the job has an outcome.
+func (j *job) hasEnded() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.outcome != nil
+}
+
+// isKept reports whether the job is held only for callers that ask again.
+func (j *job) isKept() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.keyed() && j.outcome != nil && len(j.readers) == 0
+}
+
+// bytes returns how much of the answer is held.
+func (j *job) bytes() int64 {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return int64(cap(j.kept))
 }
 
 // poke lets a runner that waits for room look at its deadline.
--- a/internal/serve/burdockagent/rpc.go
+++ b/internal/serve/burdockagent/rpc.go
@@ -8,6 +8,7 @@
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/decide/burdockqueue"
 	"burdockbend.example/burdockbend/internal/state/burdockcharts"
+	"burdockbend.example/burdockbend/internal/state/burdockconfig"
 	"burdockbend.example/burdockbend/internal/wire/burdockwire"
 	"connectrpc.com/connect"
 )
@@ -17,11 +18,12 @@
 
 // Run implements burdockwire.AgentServiceHandler.
 func (a *Agent) Run(ctx context.Context, req *connect.Request[burdockwire.RunRequest], stream *connect.ServerStream[burdockwire.RunEvent]) error {
+	a.deps.Heard(burdockconfig.Digest(req.Msg.GetConfigDigest()))
 	j, no := a.admit(req.Msg)
 	if no != nil {
 		return stream.Send(no)
 	}
-	return a.follow(ctx, j, 0, stream)
+	return a.follow(ctx, req.Msg.GetRequestId(), j, 0, stream)
 }
 
 // Attach implements burdockwire.AgentServiceHandler.
@@ -30,7 +32,7 @@
 	if no != nil {
 		return stream.Send(no)
 	}
-	return a.follow(ctx, j, req.Msg.GetOffset(), stream)
+	return a.follow(ctx, req.Msg.GetRequestId(), j, req.Msg.GetOffset(), stream)
 }
 
 // Cancel implements burdockwire.AgentServiceHandler.
@@ -41,7 +43,7 @@
 	id := burdockid.Request(req.Msg.GetRequestId())
 	if j, ok := a.jobs[id]; ok {
 		a.cancelJob(now, j, cancelCaller)
-	} else if a.memory.fate(id) == fateNone {
+	} else if _, repeats := a.aliases[id]; !repeats && a.memory.fate(id) == fateNone {
 		// The cancellation overtook the request. If it comes, it is refused.
 		a.memory.remember(now, id, fateWithdrawn)
 	}
@@ -66,10 +68,16 @@
 	now := a.deps.Clock.Boot()
 	id := burdockid.Request(req.GetRequestId())
 	a.counts.Offered++
+	a.followConfig(now)
 	if no := a.precheck(req, id); no != nil {
 		a.counts.Refused++
 		return nil, a.refusal(req.GetRequestId(), *no)
 	}
+	if req.GetIdempotencyKey() != "" {
+		if v := a.checkKey(req); v != (verdict{}) {
+			return a.repeat(now, req, v)
+		}
+	}
 	j := newJob(req, now, a.deps.Clock)
 	work := burdockqueue.Work{
 		ID:       id,
@@ -89,6 +97,7 @@
 	case burdockqueue.Refuse:
 		a.counts.Refused++
 		a.memory.remember(now, id, fateNotRun)
+		a.forgetKey(req)
 		no := refused{reason: reasonOf(d.Reason), retryAfter: d.RetryAfter, explanation: d.Reason.String()}
 		return nil, a.refusal(req.GetRequestId(), no)
 	}
@@ -96,13 +105,31 @@
 	return j, nil
 }
 
+// repeat answers a request whose key decides what becomes of it.
+func (a *Agent) repeat(now burdockclock.Millis, req *burdockwire.RunRequest, v verdict) (*job, *burdockwire.RunEvent) {
+	id := burdockid.Request(req.GetRequestId())
+	switch {
+	case v.job != nil:
+		a.counts.Repeated++
+		a.aliases[id] = v.job
+		return v.job, nil
+	case v.refused != nil:
+		a.counts.Refused++
+		a.memory.remember(now, id, fateNotRun)
+		return nil, a.refusal(req.GetRequestId(), *v.refused)
+	default:
+		a.counts.Cut++
+		return nil, cutEventOf(req.GetRequestId(), *v.cut, a.load())
+	}
+}
+
 // precheck refuses what must not reach the queue.
 func (a *Agent) precheck(req *burdockwire.RunRequest, id burdockid.Request) *refused {
 	switch {
 	case req.GetUpstream() != string(a.cfg.Upstream):
 		// The entry's address for that upstream now belongs to this one.
 		return &refused{reason: burdockwire.RefusedReason_REFUSED_REASON_WRONG_UPSTREAM, explanation: "this is upstream " + string(a.cfg.Upstream)}
-	case a.jobs[id] != nil || a.memory.fate(id) == fateWithdrawn || a.memory.fate(id) == fateMayHaveRun:
+	case a.jobs[id] != nil || a.aliases[id] != nil || a.memory.fate(id) == fateWithdrawn || a.memory.fate(id) == fateMayHaveRun:
 		// A message that came late or doubled. The entry was told that the
 		// request is withdrawn, or follows the first one; a second run would
 		// break both.
@@ -139,6 +166,16 @@
 	}}}
 }
 
+// held returns the job that a request's answer comes from: its own, or that of
+// the first request with its key.
+func (a *Agent) held(id burdockid.Request) (*job, bool) {
+	if j, ok := a.jobs[id]; ok {
+		return j, true
+	}
+	j, ok := a.aliases[id]
+	return j, ok
+}
+
 // find returns the job that an entry wants to go on with, or the event that
 // says what became of it.
 //
@@ -151,7 +188,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	id := burdockid.Request(req.GetRequestId())
-	if j, ok := a.jobs[id]; ok {
+	if j, ok := a.held(id); ok {
 		return j, nil
 	}
 	now := a.deps.Clock.Boot()
@@ -169,11 +206,12 @@
 	return nil, cutEventOf(req.GetRequestId(), c, a.load())
 }
 
-// follow sends a job's events from an offset on until its end.
-func (a *Agent) follow(ctx context.Context, j *job, offset int64, stream *connect.ServerStream[burdockwire.RunEvent]) error {
+// follow sends a job's events from an offset on until its end. The id is that
+// of the asking request: one that repeats a key gets another's answer.
+func (a *Agent) follow(ctx context.Context, id string, j *job, offset int64, stream *connect.ServerStream[burdockwire.RunEvent]) error {
 	r := j.join()
 	defer j.leave(r)
-	s := sender{agent: a, job: j, stream: stream, offset: offset}
+	s := sender{agent: a, id: id, job: j, stream: stream, offset: offset}
 	if err := s.admitted(); err != nil {
 		return err
 	}
--- a/internal/serve/burdockagent/sender.go
+++ b/internal/serve/burdockagent/sender.go
@@ -8,6 +8,7 @@
 // sender passes the events of one job on to one entry.
 type sender struct {
 	agent    *Agent
+	id       string
 	job      *job
 	stream   *connect.ServerStream[burdockwire.RunEvent]
 	offset   int64
@@ -16,7 +17,7 @@
 
 func (s *sender) admitted() error {
 	return s.stream.Send(&burdockwire.RunEvent{
-		RequestId: string(s.job.id),
+		RequestId: s.id,
 		Event: &burdockwire.RunEvent_Admitted{Admitted: &burdockwire.Admitted{
 			Load: s.agent.lockedLoad(),
 		}},
@@ -25,7 +26,7 @@
 
 func (s *sender) heartbeat() error {
 	return s.stream.Send(&burdockwire.RunEvent{
-		RequestId: string(s.job.id),
+		RequestId: s.id,
 		Event:     &burdockwire.RunEvent_Heartbeat{Heartbeat: &burdockwire.Heartbeat{}},
 	})
 }
@@ -36,7 +37,7 @@
 		p := s.job.since(s.offset, s.headSent)
 		if p.gone {
 			c := cut{reason: burdockwire.CutReason_CUT_REASON_OFFSET_GONE, explanation: "the bytes from there on are no longer kept"}
-			return true, s.stream.Send(cutEventOf(string(s.job.id), c, s.agent.lockedLoad()))
+			return true, s.stream.Send(cutEventOf(s.id, c, s.agent.lockedLoad()))
 		}
 		if err := s.sendHead(p); err != nil {
 			return false, err
@@ -58,7 +59,7 @@
 		return nil
 	}
 	s.headSent = true
-	return s.stream.Send(&burdockwire.RunEvent{RequestId: string(s.job.id), Event: &burdockwire.RunEvent_Head{Head: p.head}})
+	return s.stream.Send(&burdockwire.RunEvent{RequestId: s.id, Event: &burdockwire.RunEvent_Head{Head: p.head}})
 }
 
 func (s *sender) sendData(p progress) error {
@@ -66,7 +67,7 @@
 		return nil
 	}
 	err := s.stream.Send(&burdockwire.RunEvent{
-		RequestId: string(s.job.id),
+		RequestId: s.id,
 		Event:     &burdockwire.RunEvent_Chunk{Chunk: &burdockwire.Chunk{Offset: s.offset, Data: p.data}},
 	})
 	if err != nil {
@@ -87,7 +88,7 @@
 }
 
 func (s *sender) outcomeEvent(o outcome) *burdockwire.RunEvent {
-	id, load := string(s.job.id), s.agent.lockedLoad()
+	id, load := s.id, s.agent.lockedLoad()
 	switch o := o.(type) {
 	case ended:
 		end := &burdockwire.End{TotalBytes: o.total, Load: load, RanMillis: int64(s.job.ran()), ServedTokens: int64(s.job.served)}
--- a/internal/serve/burdockprocess/agent.go
+++ b/internal/serve/burdockprocess/agent.go
@@ -19,6 +19,7 @@
 type Agent struct {
 	*node
 	agent  *burdockagent.Agent
+	homes  *burdockagent.Homes
 	puller *burdocksync.Puller
 	reader *burdocksync.Fallback
 	grace  burdockclock.Millis
@@ -31,28 +32,32 @@
 		return nil, err
 	}
 	a := &Agent{node: n, grace: settings.DrainGraceMillis}
+	a.puller = burdocksync.NewPuller(n.view, n.source, n.peers, n.entryPeers, log)
 	a.agent = burdockagent.New(
-		burdockagent.Config{Upstream: settings.Upstream, Slots: settings.Slots},
+		burdockagent.Config{Upstream: settings.Upstream, VM: settings.VM, Slots: settings.Slots},
 		burdockagent.Deps{
-			Clock:   n.clock,
-			Engine:  burdockengine.NewHTTP(settings.EngineAddress),
-			Fleet:   n.fleet,
-			Log:     log,
-			Metrics: n.metrics,
-			Random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+			Clock:    n.clock,
+			Engine:   burdockengine.NewHTTP(settings.EngineAddress),
+			Fleet:    n.fleet,
+			Verified: n.source.Verified,
+			Heard:    a.puller.Heard,
+			Log:      log,
+			Metrics:  n.metrics,
+			Random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		},
 	)
 	mux := http.NewServeMux()
-	mux.Handle(burdockwire.NewPeerServiceHandler(burdocksync.NewHandler(n.view)))
+	mux.Handle(burdockwire.NewPeerServiceHandler(burdocksync.NewHandler(n.view, n.source)))
 	mux.Handle(burdockwire.NewAgentServiceHandler(a.agent))
 	if err := n.listen(mux, a); err != nil {
 		return nil, err
 	}
-	a.puller = burdocksync.NewPuller(n.view, n.source, n.peers, n.entryPeers, log)
+	a.homes = burdockagent.NewHomes(a.agent, burdocksync.NewWriter(n.store), n.view, n.peers)
 	a.reader = burdocksync.NewFallback(n.store, n.view, n.source, n.entryPeers, log)
 	a.agent.Start()
 	a.puller.Start()
 	a.reader.Start()
+	a.homes.Start()
 	return a, nil
 }
 
@@ -70,7 +75,8 @@
 	}
 	a.log.Info("stopping")
 	a.agent.Drain()
-	a.drain(a.agent.Idle, min(a.grace, a.agent.StopGrace()))
+	a.drain(a.agent.Released, min(a.grace, a.agent.StopGrace()))
+	a.homes.Close()
 	a.puller.Close()
 	a.reader.Close()
 	a.peer.Close(lateGrace.Duration())
--- a/internal/serve/burdockprocess/entry.go
+++ b/internal/serve/burdockprocess/entry.go
@@ -38,7 +38,7 @@
 		burdockentry.Deps{Clock: n.clock, Fleet: n.fleet, Peers: n.peers, Log: log, Metrics: n.metrics, Seed: rand.Uint64()},
 	)
 	mux := http.NewServeMux()
-	mux.Handle(burdockwire.NewPeerServiceHandler(burdocksync.NewHandler(n.view)))
+	mux.Handle(burdockwire.NewPeerServiceHandler(burdocksync.NewHandler(n.view, n.source)))
 	if err := n.listen(mux, e); err != nil {
 		return nil, err
 	}
--- a/internal/state/burdockfleet/fleet.go
+++ b/internal/state/burdockfleet/fleet.go
@@ -15,6 +15,7 @@
 	"burdockbend.example/burdockbend/internal/config/burdockmember"
 	"burdockbend.example/burdockbend/internal/config/burdockprofile"
 	"burdockbend.example/burdockbend/internal/state/burdockconfig"
+	"burdockbend.example/burdockbend/internal/state/burdockhome"
 )
 
 // Snapshot is the fleet at one digest of the configuration. It is never
@@ -26,6 +27,8 @@
 	Upstreams map[burdockid.Upstream]burdockmember.Upstream
 	Customers map[burdockid.Customer]burdockmember.Customer
 	Entries   map[burdockid.VM]burdockmember.Entry
+	// Homes are the homes of idempotency keys, by service.
+	Homes map[burdockid.Service]burdockhome.Homes
 	// ByModel finds the service behind a model's name.
 	ByModel map[string]burdockid.Service
 	// ByKeyHash finds the customer behind the hash of a key.
@@ -108,6 +111,7 @@
 		Upstreams: clone(s.Upstreams),
 		Customers: clone(s.Customers),
 		Entries:   clone(s.Entries),
+		Homes:     clone(s.Homes),
 	}
 }
 
@@ -133,11 +137,26 @@
 		return set(s.Customers, burdockid.Customer(name), e)
 	case burdockentity.EntryPrefix:
 		return set(s.Entries, burdockid.VM(name), e)
+	case burdockhome.Prefix:
+		return s.putHome(e)
 	default:
 		return nil // a kind for other readers
 	}
 }
 
+// putHome takes in the home of one slot. The map of a service is shared with
+// earlier snapshots, so it is copied.
+func (s *Snapshot) putHome(e burdockconfig.Entry) error {
+	service, slot, home, err := burdockhome.Parse(e)
+	if err != nil {
+		return err
+	}
+	homes := clone(s.Homes[service])
+	homes[slot] = home
+	s.Homes[service] = homes
+	return nil
+}
+
 func set[K comparable, V any](m map[K]V, name K, e burdockconfig.Entry) error {
 	if e.Deleted {
 		delete(m, name)
--- /dev/null
+++ b/internal/state/burdockhome/claim_test.go
@@ -0,0 +1,116 @@
+package burdockhome
+
+import (
+	"fmt"
+	"testing"
+
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/decide/burdockledger"
+	"burdockbend.example/burdockbend/internal/state/burdockconfig"
+)
+
+const service burdockid.Service = "llm-pool"
+
+var members = []burdockid.Upstream{"a", "b", "c"}
+
+func claimer(u burdockid.Upstream, inc burdockid.Incarnation) *Claimer {
+	return NewClaimer(Self{Service: service, Upstream: u, Incarnation: inc})
+}
+
+// claimAll lets a claimer write until it wants nothing more.
+func claimAll(c *Claimer, boot, wall burdockclock.Millis, homes Homes) int {
+	total := 0
+	for {
+		claims := c.Claims(boot, wall, homes, members)
+		if len(claims) == 0 {
+			return total
+		}
+		for _, claim := range claims {
+			homes[claim.Slot] = Versioned{Home: claim.Home, Version: claim.Base + 1}
+		}
+		total += len(claims)
+	}
+}
+
+func TestSlotsAreSharedEvenly(t *testing.T) {
+	homes := Homes{}
+	counts := map[burdockid.Upstream]int{}
+	for _, u := range members {
+		counts[u] = claimAll(claimer(u, "1"), 0, 0, homes)
+	}
+	if got, want := len(homes), burdockledger.Slots; got != want {
+		t.Fatalf("slots with a home: got %d, want %d", got, want)
+	}
+	for u, n := range counts {
+		if n < burdockledger.Slots/len(members)/2 {
+			t.Errorf("%s is the home of %d of %d slots, want a fair part", u, n, burdockledger.Slots)
+		}
+	}
+}
+
+// A caller's key stays with a home that is silent, for as long as it is: the
+// VM may be frozen and wake. Only the process that follows it on the same VM
+// takes its slots, and says that it has no memory from before.
+func TestSilentHomeKeepsItsSlots(t *testing.T) {
+	homes := Homes{}
+	claimAll(claimer("a", "1"), burdockclock.Hour, 0, homes)
+	b := claimer("b", "1")
+	for boot := burdockclock.Millis(0); boot < burdockclock.Hour; boot += burdockclock.Minute {
+		if got := claimAll(b, boot, boot, homes); got != 0 {
+			t.Fatalf("claims against a silent home: got %d, want 0", got)
+		}
+	}
+	before := homes[0]
+	claimAll(claimer("a", "2"), 0, 777, homes)
+	after := homes[0]
+	if before.Upstream != "a" || after.Incarnation != "2" || after.SinceMillis != 777 {
+		t.Errorf("home after the restart: got %+v, want incarnation 2 since 777", after)
+	}
+}
+
+// Operators take a home out of the fleet: its VM is gone. Its slots wait until
+// it must have stopped granting, should it still run, and then get new homes.
+func TestRemovedHomeIsReplacedAfterTheGrace(t *testing.T) {
+	homes := Homes{}
+	for slot := range burdockledger.Slot(burdockledger.Slots) {
+		homes[slot] = Versioned{Home: Home{Upstream: "removed", Incarnation: "1"}, Version: 4}
+	}
+	a := claimer("a", "1")
+	for _, boot := range []burdockclock.Millis{0, goneGrace - 1} {
+		if got := len(a.Claims(boot, boot, homes, members)); got != 0 {
+			t.Errorf("claims at %d: got %d, want 0", boot, got)
+		}
+	}
+	claims := a.Claims(goneGrace, 99, homes, members)
+	if len(claims) == 0 || claims[0].Base != 4 || claims[0].Home.SinceMillis != 99 {
+		t.Errorf("claims after the grace: got %+v, want some on version 4 since 99", claims)
+	}
+}
+
+func TestParseRoundTrip(t *testing.T) {
+	want := Home{Upstream: "a", Incarnation: "1", SinceMillis: 5, From: "0"}
+	value, err := Encode(want)
+	if err != nil {
+		t.Fatalf("Encode: %v", err)
+	}
+	svc, slot, got, err := Parse(burdockconfig.Entry{Key: Key(service, 17), Version: 3, Value: value})
+	if err != nil || svc != service || slot != 17 || got.Home != want || got.Version != 3 {
+		t.Errorf("Parse = %s %d %+v %v, want %s 17 %+v", svc, slot, got, err, service, want)
+	}
+	for _, key := range []string{"keyHome/x", "keyHome/x/-1", "keyHome/x/256", "keyHome/x/y"} {
+		if _, _, _, err := Parse(burdockconfig.Entry{Key: key, Value: value}); err == nil {
+			t.Errorf("Parse of key %q: got no error", key)
+		}
+	}
+}
+
+func ExampleRank() {
+	for _, u := range members {
+		fmt.Println(u, Rank(service, 0, members, u))
+	}
+	// Output:
+	// a 0
+	// b 1
+	// c 2
+}
--- /dev/null
+++ b/internal/state/burdockhome/home.go
@@ -0,0 +1,86 @@
+// Package burdockhome says which agent is the home of which idempotency keys.
+// Each slot of a service's keys has one home, which the configuration names;
+// only the home lets a request with such a key run.
+//
+// A home keeps its slots without a lease: while the store is out, requests
+// with keys go on. It loses them only by handing them over itself, to its own
+// successor on the same VM, or when operators take its upstream out of the
+// fleet, which says that the VM is gone.
+package burdockhome
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/decide/burdockledger"
+	"burdockbend.example/burdockbend/internal/state/burdockconfig"
+	"github.com/cespare/xxhash/v2"
+)
+
+// Prefix is where the homes lie in the configuration.
+const Prefix = "keyHome/"
+
+// Home is the home of one slot.
+type Home struct {
+	Upstream    burdockid.Upstream    `json:"upstream"`
+	Incarnation burdockid.Incarnation `json:"incarnation"`
+	// SinceMillis is the instant, on the wall clock, from which on the home's
+	// ledger holds every run of the slot's keys; 0 for the first home.
+	SinceMillis burdockclock.Millis `json:"sinceMillis"`
+	// From is the incarnation that handed its memory over; empty when the home
+	// took over without one.
+	From burdockid.Incarnation `json:"from,omitempty"`
+}
+
+// Versioned is a home with the version of its configuration entry.
+type Versioned struct {
+	Home
+	Version burdockid.Version
+}
+
+// Homes are the homes of one service's slots.
+type Homes map[burdockledger.Slot]Versioned
+
+// Key returns the configuration key of a slot's home.
+func Key(service burdockid.Service, slot burdockledger.Slot) string {
+	return fmt.Sprintf("%s%s/%d", Prefix, service, slot)
+}
+
+// Parse reads the home in a configuration entry.
+func Parse(e burdockconfig.Entry) (burdockid.Service, burdockledger.Slot, Versioned, error) {
+	service, number, ok := strings.Cut(strings.TrimPrefix(e.Key, Prefix), "/")
+	slot, err := strconv.Atoi(number)
+	if !ok || err != nil || slot < 0 || slot >= burdockledger.Slots {
+		return "", 0, Versioned{}, burdockconfig.ErrMalformed.New("no slot in key %q", e.Key)
+	}
+	home := Versioned{Version: e.Version}
+	if err := json.Unmarshal(e.Value, &home.Home); err != nil {
+		return "", 0, Versioned{}, burdockconfig.ErrMalformed.Wrap(err, "%s", e.Key)
+	}
+	return burdockid.Service(service), burdockledger.Slot(slot), home, nil
+}
+
+// Encode returns the value of a home's configuration entry.
+func Encode(h Home) ([]byte, error) { return json.Marshal(h) }
+
+// Rank returns the place of an upstream among the members in the order that a
+// slot prefers, from 0. Every process comes to the same order.
+func Rank(service burdockid.Service, slot burdockledger.Slot, members []burdockid.Upstream, u burdockid.Upstream) int {
+	own := weight(service, slot, u)
+	rank := 0
+	for _, m := range members {
+		w := weight(service, slot, m)
+		if w > own || (w == own && m < u) {
+			rank++
+		}
+	}
+	return rank
+}
+
+func weight(service burdockid.Service, slot burdockledger.Slot, u burdockid.Upstream) uint64 {
+	return xxhash.Sum64String(fmt.Sprintf("%s/%d/%s", service, slot, u))
+}
--- a/internal/state/burdocksync/handler.go
+++ b/internal/state/burdocksync/handler.go
@@ -13,14 +13,22 @@
 )
 
 // Handler answers other processes that ask for configuration.
-type Handler struct{ view *burdockconfig.View }
+type Handler struct {
+	view   *burdockconfig.View
+	source *Source
+}
 
 // NewHandler returns a burdockwire.PeerServiceHandler that passes view on.
-func NewHandler(view *burdockconfig.View) *Handler { return &Handler{view: view} }
+func NewHandler(view *burdockconfig.View, source *Source) *Handler {
+	return &Handler{view: view, source: source}
+}
 
 // Sync implements burdockwire.PeerServiceHandler.
 func (h *Handler) Sync(_ context.Context, req *connect.Request[burdockwire.SyncRequest]) (*connect.Response[burdockwire.SyncResponse], error) {
-	res := &burdockwire.SyncResponse{Digest: uint64(h.view.Digest())}
+	if req.Msg.GetVerified() {
+		h.source.verify()
+	}
+	res := &burdockwire.SyncResponse{Digest: uint64(h.view.Digest()), Verified: h.source.Verified()}
 	if buckets := req.Msg.GetBucketDigests(); len(buckets) > 0 {
 		res.Entries = toWire(h.view.Differing(digestsOf(buckets)))
 		return connect.NewResponse(res), nil
--- a/internal/state/burdocksync/puller.go
+++ b/internal/state/burdocksync/puller.go
@@ -20,6 +20,9 @@
 	// agents before 350 entries each entry is asked 5.4 times a second.
 	pullEvery   = 2 * burdockclock.Second
 	pullTimeout = 2 * time.Second
+	// nudgeEvery bounds how often traffic can lead to a pull: while an edit
+	// spreads, every message differs.
+	nudgeEvery = 200 * burdockclock.Millis(1)
 )
 
 // Puller asks other processes, one at a time and at random, for configuration
@@ -30,13 +33,14 @@
 	peers  *burdocktransport.Peers
 	whom   func() []string
 	log    *zap.Logger
+	nudge  chan struct{}
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 }
 
 // NewPuller returns a puller that asks the addresses that whom returns.
 func NewPuller(view *burdockconfig.View, source *Source, peers *burdocktransport.Peers, whom func() []string, log *zap.Logger) *Puller {
-	return &Puller{view: view, source: source, peers: peers, whom: whom, log: log}
+	return &Puller{view: view, source: source, peers: peers, whom: whom, log: log, nudge: make(chan struct{}, 1)}
 }
 
 // Start begins to pull.
@@ -57,7 +61,31 @@
 	defer p.done.Done()
 	for ctx.Err() == nil {
 		p.once(ctx)
-		sleep(ctx, pullEvery/2+rand.N(pullEvery))
+		p.wait(ctx)
+	}
+}
+
+// wait waits for the next pull, or for news that there is something to pull.
+func (p *Puller) wait(ctx context.Context) {
+	sleep(ctx, nudgeEvery)
+	timer := time.NewTimer((pullEvery/2 + rand.N(pullEvery) - nudgeEvery).Duration())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-p.nudge:
+	case <-ctx.Done():
+	}
+}
+
+// Heard takes in the digest that came with a message of another process. One
+// that differs leads to a pull soon, so that an edit spreads with the traffic.
+func (p *Puller) Heard(digest burdockconfig.Digest) {
+	if digest == p.view.Digest() {
+		return
+	}
+	select {
+	case p.nudge <- struct{}{}:
+	default: // it is on its way already
 	}
 }
 
@@ -77,7 +105,7 @@
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	client := burdockwire.NewPeerServiceClient(p.peers.Client, p.peers.URL(address))
-	res, err := client.Sync(ctx, connect.NewRequest(&burdockwire.SyncRequest{Digest: uint64(p.view.Digest())}))
+	res, err := client.Sync(ctx, connect.NewRequest(&burdockwire.SyncRequest{Digest: uint64(p.view.Digest()), Verified: p.source.Verified()}))
 	if err != nil {
 		return err
 	}
@@ -90,6 +118,9 @@
 	for _, e := range p.view.Merge(fromWire(res.Msg.GetEntries())) {
 		p.log.Info("configuration in force", zap.String("key", e.Key), zap.Uint64("version", uint64(e.Version)), zap.String("from", address))
 	}
+	if res.Msg.GetVerified() {
+		p.source.verify()
+	}
 	if p.view.Len() > 0 {
 		p.source.fire(burdockcharts.ConfigurationEventReadPeer)
 	}
--- a/internal/state/burdocksync/source.go
+++ b/internal/state/burdocksync/source.go
@@ -15,8 +15,15 @@
 	machine burdockcharts.ConfigurationMachine
 	storeAt burdockclock.Millis // last answer of the store, on the boot clock
 	peerAt  burdockclock.Millis
+	// verifiedAt is when this process last knew that it is not cut off.
+	verifiedAt burdockclock.Millis
 }
 
+// verifiedFor is how long a process relies on having heard from others. It is
+// several times the pull interval, and far shorter than the time that a duty
+// is left alone before another process takes it over.
+const verifiedFor = 10 * burdockclock.Second
+
 // NewSource returns a source that has heard of nothing yet.
 func NewSource(clock burdockclock.Clock) *Source {
 	return &Source{clock: clock, machine: burdockcharts.NewConfiguration()}
@@ -27,13 +34,19 @@
 	State          burdockcharts.ConfigurationState `json:"state"`
 	StoreAgoMillis burdockclock.Millis              `json:"storeAgoMillis"`
 	PeerAgoMillis  burdockclock.Millis              `json:"peerAgoMillis"`
+	Verified       bool                             `json:"verified"`
 }
 
 // State returns where the configuration is from. A span is -1 for never.
 func (s *Source) State() SourceState {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return SourceState{State: s.machine.State(), StoreAgoMillis: s.ago(s.storeAt), PeerAgoMillis: s.ago(s.peerAt)}
+	return SourceState{
+		State:          s.machine.State(),
+		StoreAgoMillis: s.ago(s.storeAt),
+		PeerAgoMillis:  s.ago(s.peerAt),
+		Verified:       s.verifiedAt > 0 && s.clock.Boot()-s.verifiedAt <= verifiedFor,
+	}
 }
 
 func (s *Source) ago(at burdockclock.Millis) burdockclock.Millis {
@@ -57,6 +70,27 @@
 	return s.machine.State() == burdockcharts.ConfigurationCurrent
 }
 
+// Verified reports whether the process has heard, within seconds, from the
+// store, or from a process that was itself verified.
+//
+// Failure: a process is frozen, or cut off, while others take over its duties;
+// then it wakes and believes it still holds them. Symptom: two homes of one
+// key. The time counts while a VM is suspended, so a process that wakes is not
+// verified, and those frozen with it can't verify it; it first has to hear of
+// what changed.
+func (s *Source) Verified() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.verifiedAt > 0 && s.clock.Boot()-s.verifiedAt <= verifiedFor
+}
+
+// verify records that a verified process, or the store, was heard from.
+func (s *Source) verify() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.verifiedAt = s.clock.Boot()
+}
+
 func (s *Source) fire(e burdockcharts.ConfigurationEvent) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/state/burdocksync/watcher.go
+++ b/internal/state/burdocksync/watcher.go
@@ -95,6 +95,7 @@
 
 func (w *Watcher) take(ctx context.Context, stored []burdockstore.Entry, revision burdockstore.Revision) {
 	w.revision = revision
+	w.source.verify()
 	var entries []burdockconfig.Entry
 	for _, s := range stored {
 		e, err := burdockconfig.Decode(s)
--- a/internal/wire/burdockwire/burdockwire.connect.go
+++ b/internal/wire/burdockwire/burdockwire.connect.go
@@ -45,6 +45,8 @@
 	AgentServiceCancelProcedure = "/burdock.wire.v1.AgentService/Cancel"
 	// AgentServiceDescribeProcedure is the fully-qualified name of the AgentService's Describe RPC.
 	AgentServiceDescribeProcedure = "/burdock.wire.v1.AgentService/Describe"
+	// AgentServiceTakeKeysProcedure is the fully-qualified name of the AgentService's TakeKeys RPC.
+	AgentServiceTakeKeysProcedure = "/burdock.wire.v1.AgentService/TakeKeys"
 	// PeerServiceSyncProcedure is the fully-qualified name of the PeerService's Sync RPC.
 	PeerServiceSyncProcedure = "/burdock.wire.v1.PeerService/Sync"
 )
@@ -61,6 +63,9 @@
 	// Describe says how the agent and its upstream are, without running
 	// anything. Entries ask when they have stopped sending work.
 	Describe(context.Context, *connect.Request[DescribeRequest]) (*connect.Response[DescribeResponse], error)
+	// TakeKeys hands over what a leaving agent remembers of idempotency keys.
+	// It takes effect when the configuration names the new home.
+	TakeKeys(context.Context, *connect.Request[TakeKeysRequest]) (*connect.Response[TakeKeysResponse], error)
 }
 
 // NewAgentServiceClient constructs a client for the burdock.wire.v1.AgentService service. By
@@ -98,6 +103,12 @@
 			connect.WithSchema(agentServiceMethods.ByName("Describe")),
 			connect.WithClientOptions(opts...),
 		),
+		takeKeys: connect.NewClient[TakeKeysRequest, TakeKeysResponse](
+			httpClient,
+			baseURL+AgentServiceTakeKeysProcedure,
+			connect.WithSchema(agentServiceMethods.ByName("TakeKeys")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -107,6 +118,7 @@
 	attach   *connect.Client[AttachRequest, RunEvent]
 	cancel   *connect.Client[CancelRequest, CancelResponse]
 	describe *connect.Client[DescribeRequest, DescribeResponse]
+	takeKeys *connect.Client[TakeKeysRequest, TakeKeysResponse]
 }
 
 // Run calls burdock.wire.v1.AgentService.Run.
@@ -129,6 +141,11 @@
 	return c.describe.CallUnary(ctx, req)
 }
 
+// TakeKeys calls burdock.wire.v1.AgentService.TakeKeys.
+func (c *agentServiceClient) TakeKeys(ctx context.Context, req *connect.Request[TakeKeysRequest]) (*connect.Response[TakeKeysResponse], error) {
+	return c.takeKeys.CallUnary(ctx, req)
+}
+
 // AgentServiceHandler is an implementation of the burdock.wire.v1.AgentService service.
 type AgentServiceHandler interface {
 	// Run offers a request. The first event says whether it was admitted.
@@ -141,6 +158,9 @@
 	// Describe says how the agent and its upstream are, without running
 	// anything. Entries ask when they have stopped sending work.
 	Describe(context.Context, *connect.Request[DescribeRequest]) (*connect.Response[DescribeResponse], error)
+	// TakeKeys hands over what a leaving agent remembers of idempotency keys.
+	// It takes effect when the configuration names the new home.
+	TakeKeys(context.Context, *connect.Request[TakeKeysRequest]) (*connect.Response[TakeKeysResponse], error)
 }
 
 // NewAgentServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -174,6 +194,12 @@
 		connect.WithSchema(agentServiceMethods.ByName("Describe")),
 		connect.WithHandlerOptions(opts...),
 	)
+	agentServiceTakeKeysHandler := connect.NewUnaryHandler(
+		AgentServiceTakeKeysProcedure,
+		svc.TakeKeys,
+		connect.WithSchema(agentServiceMethods.ByName("TakeKeys")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/burdock.wire.v1.AgentService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case AgentServiceRunProcedure:
@@ -184,6 +210,8 @@
 			agentServiceCancelHandler.ServeHTTP(w, r)
 		case AgentServiceDescribeProcedure:
 			agentServiceDescribeHandler.ServeHTTP(w, r)
+		case AgentServiceTakeKeysProcedure:
+			agentServiceTakeKeysHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -209,6 +237,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("burdock.wire.v1.AgentService.Describe is not implemented"))
 }
 
+func (UnimplementedAgentServiceHandler) TakeKeys(context.Context, *connect.Request[TakeKeysRequest]) (*connect.Response[TakeKeysResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("burdock.wire.v1.AgentService.TakeKeys is not implemented"))
+}
+
 // PeerServiceClient is a client for the burdock.wire.v1.PeerService service.
 type PeerServiceClient interface {
 	// Sync passes on configuration that the asking process lacks.
