Judge queued work again when half of its time has passed

Cause: in saturation and slow, letters that could no longer be served in time were told so only at their last instant, up to 116 s after their offer, and starts at the last instant often came too late. Change: work is judged again at half, three quarters and so on of its time, by what is before it now.

--- a/internal/decide/burdockqueue/admit.go
+++ b/internal/decide/burdockqueue/admit.go
@@ -114,20 +114,27 @@
 // expectedWait returns how long w would wait if it were queued now: for the
 // next slot to come free, and for the queued work ahead of it.
 func (q *Queue) expectedWait(w Work) burdockclock.Millis {
-	rate := q.classRate(w.Class)
+	if q.slotRate() <= 0 {
+		return 0
+	}
+	return q.running.nextEnd(q.now) + q.timeToServe(w.Class, q.aheadInClass(w))
+}
+
+// timeToServe returns how long the class waits for all queued work that is more
+// urgent and for a number of its own tokens; 0 while no rate is known.
+func (q *Queue) timeToServe(class Class, inClass float64) burdockclock.Millis {
+	rate := q.classRate(class)
 	if rate <= 0 {
 		return 0
 	}
-	ahead := q.aheadInClass(w)
-	for _, c := range q.classes[:w.Class] {
+	ahead := inClass
+	for _, c := range q.classes[:class] {
 		ahead += float64(c.queuedCost)
 	}
-	return q.running.nextEnd(q.now) + millisOf(ahead/rate)
+	return millisOf(ahead / rate)
 }
 
-// aheadInClass returns the tokens of the class that are served before w. While
-// virtual time moves to w's start tag, each backlogged customer is served its
-// weight times that span.
+// aheadInClass returns the tokens of the class that are served before w.
 func (q *Queue) aheadInClass(w Work) float64 {
 	c := q.classes[w.Class]
 	weight := q.cfg.share(w.Customer)
@@ -135,8 +142,7 @@
 	if f, ok := c.flows[w.Customer]; !ok || f.queued == 0 {
 		active += weight
 	}
-	span := max(c.startTag(w.Customer, weight)-c.virtual, 0)
-	return min(span*active, float64(c.queuedCost))
+	return c.tokensUntil(c.startTag(w.Customer, weight), active)
 }
 
 // classRate returns the tokens a millisecond that are left to a class: after
--- a/internal/decide/burdockqueue/fair.go
+++ b/internal/decide/burdockqueue/fair.go
@@ -219,6 +219,13 @@
 	return f.tail, true
 }
 
+// tokensUntil returns the queued tokens that are served before virtual time
+// reaches a tag: meanwhile each backlogged customer is served its weight times
+// the span.
+func (c *fairQueue) tokensUntil(tag, activeWeight float64) float64 {
+	return min(max(tag-c.virtual, 0)*activeWeight, float64(c.queuedCost))
+}
+
 // dueAt returns the instant at which the class must get a start.
 func (c *fairQueue) dueAt() burdockclock.Millis {
 	if c.queued == 0 || c.cfg.MaxStarvation <= 0 {
--- a/internal/decide/burdockqueue/flow.go
+++ b/internal/decide/burdockqueue/flow.go
@@ -15,6 +15,8 @@
 	queued     int
 	queuedCost burdockid.Tokens
 	running    int
+	// departed is the cost of all work that has left the flow's queue.
+	departed burdockid.Tokens
 
 	startIndex, tailIndex, idleIndex int
 }
@@ -45,6 +47,7 @@
 func charged(cost burdockid.Tokens) burdockid.Tokens { return max(cost, 1) }
 
 func (f *flow) append(it *item) {
+	it.ahead = f.departed + f.queuedCost
 	it.prev, it.next = f.tail, nil
 	if f.tail == nil {
 		f.head = it
@@ -70,4 +73,11 @@
 	it.prev, it.next = nil, nil
 	f.queued--
 	f.queuedCost -= charged(it.work.Cost)
+	f.departed += charged(it.work.Cost)
+}
+
+// startTag is the virtual time at which queued work starts, at the latest: work
+// behind it that was cancelled counts as if it had been before it.
+func (f *flow) startTag(it *item) float64 {
+	return f.virtual + f.inVirtual(max(it.ahead-f.departed, 0))
 }
--- a/internal/decide/burdockqueue/invariant.go
+++ b/internal/decide/burdockqueue/invariant.go
@@ -73,8 +73,8 @@
 	if class, ok := q.pickClass(); ok {
 		broken(InvariantIdle, "class %d has queued work and a free slot", class)
 	}
-	if it, ok := q.expiry.first(); ok && it.expires <= q.now {
-		broken(InvariantIdle, "%s expired at %d, now is %d", it.work.ID, it.expires, q.now)
+	if it, ok := q.expiry.first(); ok && it.judgeAt <= q.now {
+		broken(InvariantIdle, "%s was to be judged at %d, now is %d", it.work.ID, it.judgeAt, q.now)
 	}
 }
 
@@ -151,6 +151,9 @@
 			if it.expiryIndex == notInHeap || q.expiry.items[it.expiryIndex] != it {
 				broken(InvariantPlace, "%s is queued and never expires", it.work.ID)
 			}
+			if it.judgeAt > it.expires {
+				broken(InvariantPlace, "%s expires at %d and is judged only at %d", it.work.ID, it.expires, it.judgeAt)
+			}
 			inFlow++
 			cost += charged(it.work.Cost)
 		}
--- a/internal/decide/burdockqueue/invariant_test.go
+++ b/internal/decide/burdockqueue/invariant_test.go
@@ -25,6 +25,7 @@
 		{"two places", func(q *Queue) { q.items["w1"].place = placeRunning }, InvariantPlace},
 		{"other class", func(q *Queue) { q.items["w1"].work.Class = 0 }, InvariantPlace},
 		{"never expires", func(q *Queue) { q.items["w1"].expiryIndex = notInHeap }, InvariantPlace},
+		{"judged too late", func(q *Queue) { q.items["w1"].expires = 0 }, InvariantPlace},
 		{"running and expiring", func(q *Queue) { q.items["run"].expiryIndex = 0 }, InvariantPlace},
 		{"share", func(q *Queue) { q.items["w1"].flow.virtual += 1e6 }, InvariantShare},
 		{"free slot", func(q *Queue) { q.cfg.Slots++; q.checkNothingDue() }, InvariantIdle},
--- a/internal/decide/burdockqueue/queue.go
+++ b/internal/decide/burdockqueue/queue.go
@@ -34,7 +34,7 @@
 		cfg:   cfg.withDefaults(),
 		items: make(map[burdockid.Request]*item),
 		expiry: indexedHeap[*item]{
-			less:  func(a, b *item) bool { return a.expires < b.expires },
+			less:  func(a, b *item) bool { return a.judgeAt < b.judgeAt },
 			index: func(it *item) *int { return &it.expiryIndex },
 		},
 		running: newRunningSet(),
@@ -138,10 +138,10 @@
 		return q.now, true
 	}
 	it, ok := q.expiry.first()
-	if !ok || it.expires == never {
+	if !ok || it.judgeAt == never {
 		return 0, false
 	}
-	return it.expires, true
+	return it.judgeAt, true
 }
 
 // Drain refuses all new work from now on. Queued work keeps its place, so that
--- a/internal/decide/burdockqueue/transition.go
+++ b/internal/decide/burdockqueue/transition.go
@@ -14,6 +14,7 @@
 	q.queued++
 	q.queuedCost += charged(w.Cost)
 	it.expires, it.expiryReason = q.expiryOf(w)
+	it.judgeAt = q.nextLook(it)
 	q.expiry.add(it)
 }
 
@@ -71,14 +72,45 @@
 	return Dropped{ID: it.work.ID, Reason: reason, RetryAfter: after}
 }
 
+// expire drops what has waited too long, and what is bound to.
 func (q *Queue) expire(events []Event) []Event {
 	for {
 		it, ok := q.expiry.first()
-		if !ok || it.expires > q.now {
+		if !ok || it.judgeAt > q.now {
 			return events
 		}
-		events = append(events, q.drop(it, it.expiryReason))
+		if it.expires <= q.now || q.lateFor(it) {
+			events = append(events, q.drop(it, it.expiryReason))
+			continue
+		}
+		it.judgeAt = q.nextLook(it)
+		q.expiry.fix(it)
+	}
+}
+
+// leastLook is the time left below which work is not judged again before it
+// expires, which bounds the looks at one request to the logarithm of its wait.
+const leastLook = burdockclock.Second / 2
+
+// nextLook returns when queued work is judged again: when half of the time left
+// to it has passed.
+func (q *Queue) nextLook(it *item) burdockclock.Millis {
+	if it.expires == never || it.expires-q.now <= leastLook {
+		return it.expires
 	}
+	return q.now + (it.expires-q.now)/2
+}
+
+// lateFor reports whether queued work is not expected to start before it
+// expires.
+//
+// Load: an engine that became slower, or more urgent work that came later.
+// Harm prevented: the caller waits for the rest of its time for a refusal that
+// could be foreseen.
+func (q *Queue) lateFor(it *item) bool {
+	c := q.classes[it.work.Class]
+	inClass := c.tokensUntil(it.flow.startTag(it), c.activeWeight)
+	return q.now+q.timeToServe(it.work.Class, inClass) >= it.expires
 }
 
 // startOrDrop starts the work whose turn it is, unless its deadline can no
--- a/internal/decide/burdockqueue/work.go
+++ b/internal/decide/burdockqueue/work.go
@@ -39,12 +39,17 @@
 	flow    *flow
 	started burdockclock.Millis
 	ends    burdockclock.Millis // expected while running
-	// expires is the first instant at which queued work is dropped.
+	// judgeAt is the instant at which queued work is judged again, and expires
+	// the first at which it is dropped in any case.
+	judgeAt      burdockclock.Millis
 	expires      burdockclock.Millis
 	expiryReason Reason
 	expiryIndex  int
 	runningIndex int
-	prev, next   *item // neighbours in the flow while queued
+	// ahead is the cost that was before it in its flow when it came, counted
+	// from the flow's beginning.
+	ahead      burdockid.Tokens
+	prev, next *item // neighbours in the flow while queued
 }
 
 // maxCost bounds the tokens of one request, far beyond any context. An estimate
