Do not count work as ahead of itself when it is judged again

Cause: work that alone waits was dropped at its second look, since its own cost bounded the tokens before it. Change: only what the others have queued is the bound; the case is split in two, alone and behind another customer, and now tells work that has departed from work still ahead.

--- a/internal/decide/burdockqueue/admit.go
+++ b/internal/decide/burdockqueue/admit.go
@@ -142,7 +142,7 @@
 	if f, ok := c.flows[w.Customer]; !ok || f.queued == 0 {
 		active += weight
 	}
-	return c.tokensUntil(c.startTag(w.Customer, weight), active)
+	return c.tokensUntil(c.startTag(w.Customer, weight), active, c.queuedCost)
 }
 
 // classRate returns the tokens a millisecond that are left to a class: after
--- a/internal/decide/burdockqueue/fair.go
+++ b/internal/decide/burdockqueue/fair.go
@@ -221,9 +221,9 @@
 
 // tokensUntil returns the queued tokens that are served before virtual time
 // reaches a tag: meanwhile each backlogged customer is served its weight times
-// the span.
-func (c *fairQueue) tokensUntil(tag, activeWeight float64) float64 {
-	return min(max(tag-c.virtual, 0)*activeWeight, float64(c.queuedCost))
+// the span, and together no more than the others have queued.
+func (c *fairQueue) tokensUntil(tag, activeWeight float64, others burdockid.Tokens) float64 {
+	return min(max(tag-c.virtual, 0)*activeWeight, float64(others))
 }
 
 // dueAt returns the instant at which the class must get a start.
--- a/internal/decide/burdockqueue/transition.go
+++ b/internal/decide/burdockqueue/transition.go
@@ -109,7 +109,8 @@
 // could be foreseen.
 func (q *Queue) lateFor(it *item) bool {
 	c := q.classes[it.work.Class]
-	inClass := c.tokensUntil(it.flow.startTag(it), c.activeWeight)
+	others := c.queuedCost - charged(it.work.Cost)
+	inClass := c.tokensUntil(it.flow.startTag(it), c.activeWeight, others)
 	return q.now+q.timeToServe(it.work.Class, inClass) >= it.expires
 }
 
