--- a/internal/serve/burdockagent/agent.go
+++ b/internal/serve/burdockagent/agent.go
@@ -222,17 +222,5 @@
 	return true
 }
 
-// Released reports whether the agent is idle and the home of no key. An agent
-// that can't hand its keys over, since the store is out or no other is left,
-// stops at the end of the grace time all the same.
-func (a *Agent) Released() bool {
-	if !a.Idle() {
-		return false
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.keyed.ledger.Held() == 0
-}
-
 // Incarnation returns the id of this run of the process.
 func (a *Agent) Incarnation() burdockid.Incarnation { return a.incarnation }
--- a/internal/serve/burdockagent/handover.go
+++ b/internal/serve/burdockagent/handover.go
@@ -5,6 +5,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
@@ -43,9 +44,11 @@
 	peers   *burdocktransport.Peers
 	claimer *burdockhome.Claimer
 	// open holds handovers whose write had no clear outcome.
-	open   map[burdockledger.Slot]move
-	cancel context.CancelFunc
-	done   sync.WaitGroup
+	open map[burdockledger.Slot]move
+	// fruitless counts the rounds of a leaving agent in which nothing moved.
+	fruitless atomic.Int32
+	cancel    context.CancelFunc
+	done      sync.WaitGroup
 }
 
 // move is the write that hands one slot over.
@@ -111,13 +114,35 @@
 		h.settle(ctx, service, slot, m)
 	}
 	if draining {
-		h.handOver(ctx, service, burdockledger.Slots, func(burdockledger.Slot) bool { return true })
+		h.leave(ctx, service)
 		return
 	}
 	h.claim(ctx, service)
 	h.handOver(ctx, service, returnsAtOnce, func(slot burdockledger.Slot) bool { return h.elsewhere(service, slot) })
 }
 
+// fruitlessMost is how many rounds without any progress a leaving agent makes
+// before it stops with keys still its own: the store is out, or no other agent
+// is left to take them. Its successor on the VM then takes over without its
+// memory.
+const fruitlessMost = 4
+
+func (h *Homes) leave(ctx context.Context, service burdockid.Service) {
+	before := h.agent.heldSlots()
+	h.handOver(ctx, service, burdockledger.Slots, func(burdockledger.Slot) bool { return true })
+	if h.agent.heldSlots() < before || !h.agent.Idle() {
+		h.fruitless.Store(0)
+		return
+	}
+	h.fruitless.Add(1)
+}
+
+// Released reports whether a leaving agent is the home of no key any longer,
+// or can't change that.
+func (h *Homes) Released() bool {
+	return h.agent.heldSlots() == 0 || h.fruitless.Load() >= fruitlessMost
+}
+
 // claim writes this agent's name on slots without a home.
 func (h *Homes) claim(ctx context.Context, service burdockid.Service) {
 	a := h.agent
@@ -191,8 +216,8 @@
 // home has all of it.
 func (h *Homes) handOver(ctx context.Context, service burdockid.Service, most int, which func(burdockledger.Slot) bool) {
 	for slot := range burdockledger.Slot(burdockledger.Slots) {
-		if most == 0 || ctx.Err() != nil {
-			return
+		if most == 0 || ctx.Err() != nil || len(h.open) > 0 {
+			return // a store that leaves one write open will leave the next
 		}
 		if !h.agent.holdsIdle(slot) || !which(slot) {
 			continue
@@ -315,6 +340,14 @@
 	delete(a.keyed.moving, slot)
 }
 
+// heldSlots returns of how many slots the agent is the home.
+func (a *Agent) heldSlots() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.followConfig(a.deps.Clock.Boot())
+	return a.keyed.ledger.Held()
+}
+
 func (a *Agent) isDraining() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/serve/burdockapi/problem.go
+++ b/internal/serve/burdockapi/problem.go
@@ -32,6 +32,8 @@
 	CodeOutcomeUnknown   Code = "outcomeUnknown"
 	CodeAnswerCut        Code = "answerCut"
 	CodeKeyReused        Code = "idempotencyKeyReused"
+	CodeAnswerGone       Code = "answerGone"
+	CodeKeyHome          Code = "keyHomeMoving"
 	CodeNotReady         Code = "notReady"
 )
 
--- a/internal/serve/burdockentry/attempt.go
+++ b/internal/serve/burdockentry/attempt.go
@@ -217,6 +217,8 @@
 	return unknown{
 		reason:   c.GetExplanation(),
 		deadline: c.GetReason() == burdockwire.CutReason_CUT_REASON_DEADLINE,
+		ran:      c.GetReason() == burdockwire.CutReason_CUT_REASON_ANSWER_GONE,
+		byKey:    c.GetReason() == burdockwire.CutReason_CUT_REASON_ANSWER_GONE || c.GetReason() == burdockwire.CutReason_CUT_REASON_KEY_MAY_HAVE_RUN,
 	}
 }
 
--- a/internal/serve/burdockentry/offers.go
+++ b/internal/serve/burdockentry/offers.go
@@ -9,6 +9,7 @@
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/config/burdockmember"
 	"burdockbend.example/burdockbend/internal/decide/burdockeject"
+	"burdockbend.example/burdockbend/internal/decide/burdockledger"
 	"burdockbend.example/burdockbend/internal/decide/burdockplace"
 	"burdockbend.example/burdockbend/internal/decide/burdockretry"
 	"burdockbend.example/burdockbend/internal/serve/burdockapi"
@@ -30,8 +31,19 @@
 	// are asked again once no other is left.
 	overBoundAt map[burdockid.Upstream]bool
 	ending      ending
+	// homeTries counts how often the home of the request's key was not known or
+	// had just moved.
+	homeTries int
 }
 
+// A home of keys that is handed over is back within the time that an edit
+// takes to reach its agent. A caller waits that long at most; with a shorter
+// deadline, until that.
+const (
+	homePause    = 250 * burdockclock.Millis(1)
+	homeTriesMax = 20
+)
+
 // result is how one offer ended.
 type result interface{ isResult() }
 
@@ -51,6 +63,9 @@
 type unknown struct {
 	reason   string
 	deadline bool
+	ran      bool // it ran to its end; only the answer is lost
+	// byKey says that the key decided, which tells nothing of the upstream.
+	byKey bool
 }
 
 // broken: the answer broke off after part of it was passed on.
@@ -85,6 +100,12 @@
 func (o *offers) serve(ctx context.Context) {
 	for {
 		target, choice, ok := o.choose()
+		if !ok && o.req.key != "" {
+			if o.waitForHome(ctx) {
+				continue
+			}
+			return
+		}
 		if !ok {
 			o.giveUp(o.pool.noUpstream(o.now()), nil)
 			return
@@ -103,6 +124,9 @@
 // choose places the next offer. When all that is left refused only because of
 // the bound on its load, they are asked once more without one.
 func (o *offers) choose() (burdockmember.Upstream, burdockplace.Choice, bool) {
+	if o.req.key != "" {
+		return o.home()
+	}
 	target, choice, ok := o.pool.choose(o.now(), o)
 	if ok || len(o.overBoundAt) == 0 {
 		return target, choice, ok
@@ -113,6 +137,40 @@
 	return target, choice, ok
 }
 
+// home returns the one upstream that may run the request's key.
+func (o *offers) home() (burdockmember.Upstream, burdockplace.Choice, bool) {
+	fleet := o.entry.deps.Fleet.Now()
+	slot := burdockledger.SlotOf(burdockledger.KeyOf(o.req.customer, o.req.key))
+	home, ok := fleet.Homes[o.req.service][slot]
+	if !ok {
+		return burdockmember.Upstream{}, burdockplace.Choice{}, false
+	}
+	target, ok := fleet.Upstreams[home.Upstream]
+	if !ok {
+		return burdockmember.Upstream{}, burdockplace.Choice{}, false
+	}
+	choice := burdockplace.Choice{Upstream: target.Name, Reason: reasonKeyHome, Candidates: 1}
+	o.pool.sent(o.now(), o, choice)
+	return target, choice, true
+}
+
+// reasonKeyHome says that the request's key allows only this upstream.
+const reasonKeyHome burdockplace.Reason = "keyHome"
+
+// waitForHome waits for a home of the request's key. It reports false when the
+// request has been given up instead.
+func (o *offers) waitForHome(ctx context.Context) bool {
+	o.homeTries++
+	if o.homeTries > homeTriesMax || o.now()+homePause > o.req.deadline {
+		o.giveUp(o.pool.noUpstream(o.now()), notRun{refusal: &burdockwire.Refused{
+			Reason:      burdockwire.RefusedReason_REFUSED_REASON_KEY_NOT_HERE,
+			Explanation: "the key has no home that answers now",
+		}})
+		return false
+	}
+	return o.pause(ctx, homePause)
+}
+
 // observe tells what the offer showed of the upstream's health.
 func (o *offers) observe(target burdockmember.Upstream, res result) {
 	switch res := res.(type) {
@@ -126,7 +184,7 @@
 	case unreached:
 		o.pool.observe(o.now(), target.Name, burdockeject.Unreached{})
 	case unknown:
-		if !res.deadline {
+		if !res.deadline && !res.byKey {
 			o.pool.observe(o.now(), target.Name, burdockeject.Failed{})
 		}
 	case broken:
@@ -157,9 +215,15 @@
 			o.overBoundAt[target.Name] = true
 			return o.again(ctx, burdockretry.OverBound{}, res)
 		}
+		if o.req.key != "" {
+			return o.againAtHome(ctx, res)
+		}
 		o.refusedBy[target.Name] = true
 		return o.again(ctx, burdockretry.NotRun{RetryAfter: burdockclock.Millis(res.refusal.GetRetryAfterMillis())}, res)
 	case unreached:
+		if o.req.key != "" {
+			return !o.waitForHome(ctx)
+		}
 		o.refusedBy[target.Name] = true
 		return o.again(ctx, burdockretry.Unreached{}, res)
 	case unknown:
@@ -169,6 +233,22 @@
 	panic("burdockentry: unknown result")
 }
 
+// againAtHome decides about a request with a key that its home refused. No
+// other upstream may run it, so it is only worth another try when the home is
+// about to change.
+func (o *offers) againAtHome(ctx context.Context, res notRun) bool {
+	switch res.refusal.GetReason() {
+	case burdockwire.RefusedReason_REFUSED_REASON_KEY_NOT_HERE, burdockwire.RefusedReason_REFUSED_REASON_LEAVING:
+		return !o.waitForHome(ctx)
+	}
+	after := burdockclock.Millis(res.refusal.GetRetryAfterMillis())
+	o.giveUp(burdockretry.GiveUp{Reason: reasonHomeRefuses, RetryAfter: max(after, burdockclock.Second)}, res)
+	return true
+}
+
+// reasonHomeRefuses says that the only upstream that may run the key refused.
+const reasonHomeRefuses burdockretry.Reason = "homeRefuses"
+
 // again asks the budget whether the request may be offered again.
 func (o *offers) again(ctx context.Context, outcome burdockretry.Outcome, res result) bool {
 	d := o.pool.decide(o.now(), burdockretry.Attempt{
@@ -237,6 +317,9 @@
 }
 
 func unknownProblem(u unknown) *burdockapi.Problem {
+	if u.ran {
+		return &burdockapi.Problem{Status: http.StatusConflict, Code: burdockapi.CodeAnswerGone, Message: u.reason}
+	}
 	problem := &burdockapi.Problem{
 		Status: http.StatusBadGateway, Code: burdockapi.CodeOutcomeUnknown,
 		Message: "the outcome is unknown, the request may have run: " + u.reason,
@@ -259,5 +342,9 @@
 		problem.Code = burdockapi.CodeLeaving
 	case burdockwire.RefusedReason_REFUSED_REASON_UPSTREAM_DOWN:
 		problem.Code = burdockapi.CodeNoUpstream
+	case burdockwire.RefusedReason_REFUSED_REASON_KEY_NOT_HERE:
+		problem.Code = burdockapi.CodeKeyHome
+	case burdockwire.RefusedReason_REFUSED_REASON_KEY_REUSED:
+		problem.Status, problem.Code, problem.RetryAfter = http.StatusUnprocessableEntity, burdockapi.CodeKeyReused, 0
 	}
 }
--- a/internal/serve/burdockentry/pool.go
+++ b/internal/serve/burdockentry/pool.go
@@ -111,12 +111,23 @@
 	if !ok {
 		return burdockmember.Upstream{}, choice, false
 	}
+	p.begin(now, o, choice)
+	return p.members[choice.Upstream], choice, true
+}
+
+// sent records an offer that was not placed by choice.
+func (p *pool) sent(now burdockclock.Millis, o *offers, choice burdockplace.Choice) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.begin(now, o, choice)
+}
+
+func (p *pool) begin(now burdockclock.Millis, o *offers, choice burdockplace.Choice) {
 	p.placer.Sent(now, choice.Upstream, o.req.cost)
 	p.note(decision{
 		At: now, Request: o.req.id, Upstream: choice.Upstream,
 		Reason: string(choice.Reason), Candidates: choice.Candidates, Offer: o.made + 1,
 	})
-	return p.members[choice.Upstream], choice, true
 }
 
 func (p *pool) note(d decision) {
--- a/internal/serve/burdockentry/request.go
+++ b/internal/serve/burdockentry/request.go
@@ -164,6 +164,9 @@
 	}
 	rd.req.service = route.Service
 	rd.req.idempotent = route.Idempotent
+	if route.Idempotent {
+		rd.req.key = "" // may be repeated as it is, anywhere
+	}
 	rd.req.cost = burdockid.Tokens(len(rd.req.body)/bytesPerToken + 1)
 	rd.req.promptTokens = rd.req.cost
 	return rd.terms(route.Class)
--- a/internal/serve/burdockprocess/agent.go
+++ b/internal/serve/burdockprocess/agent.go
@@ -75,7 +75,7 @@
 	}
 	a.log.Info("stopping")
 	a.agent.Drain()
-	a.drain(a.agent.Released, min(a.grace, a.agent.StopGrace()))
+	a.drain(a.released, min(a.grace, a.agent.StopGrace()))
 	a.homes.Close()
 	a.puller.Close()
 	a.reader.Close()
@@ -86,6 +86,9 @@
 	a.log.Info("stopped")
 }
 
+// released reports whether nothing is left that a stop would cut off or lose.
+func (a *Agent) released() bool { return a.agent.Idle() && a.homes.Released() }
+
 // Dump implements burdockadmin.Process.
 func (a *Agent) Dump() any {
 	d := a.dump("agent")
