Give every policy the same turns, and start the lab in a steady state

Each turn of a conversation draws from a source of its own; before, the order of answers changed what was asked next. The run now begins with the further turns of conversations under way only; before, new conversations were counted twice in the first half minute, and the load overshot its 80%. Perfect knowledge finds the least loaded without a search.

--- a/internal/measure/burdockplacelab/lab.go
+++ b/internal/measure/burdockplacelab/lab.go
@@ -98,4 +98,7 @@
 	partWorkload uint64 = iota
 	partPolicy
 	partEntries // and one for each entry from here on
+	// partTurns has one for each turn of each conversation from here on.
+	partTurns uint64 = 1 << 32
+	turnBits         = 10
 )
--- a/internal/measure/burdockplacelab/policy.go
+++ b/internal/measure/burdockplacelab/policy.go
@@ -87,7 +87,7 @@
 		}
 		return a
 	case LeastStale:
-		return least(w.rnd, len(w.replicas), func(i int) int { return w.stale[i] })
+		return w.leastStale[w.rnd.IntN(len(w.leastStale))]
 	case Affinity:
 		return int(req.prefix[0] % uint64(len(w.replicas)))
 	case Perfect:
@@ -121,14 +121,10 @@
 }
 
 func (w *world) choosePerfect(req *request) int {
-	load := func(i int) int { return w.replicas[i].held() + w.replicas[i].coming }
-	lowest := load(least(w.rnd, len(w.replicas), load))
-	return least(w.rnd, len(w.replicas), func(i int) int {
-		if load(i) > lowest {
-			return 0
-		}
-		return -1 - int(w.replicas[i].cache.found(req))
-	})
+	lowest := w.levels.lowest()
+	return lowest[least(w.rnd, len(lowest), func(i int) int {
+		return -int(w.replicas[lowest[i]].cache.found(req))
+	})]
 }
 
 // least returns the index from 0 to n-1 of the lowest value, any of them where
--- a/internal/measure/burdockplacelab/replica.go
+++ b/internal/measure/burdockplacelab/replica.go
@@ -13,10 +13,7 @@
 	slots   int
 	running int
 	queue   []*request
-	// coming counts the offers that are on their way. Only the policy with
-	// perfect knowledge sees it.
-	coming int
-	cache  cache
+	cache   cache
 }
 
 func (r *replica) held() int { return r.running + len(r.queue) }
--- a/internal/measure/burdockplacelab/workload.go
+++ b/internal/measure/burdockplacelab/workload.go
@@ -70,23 +70,25 @@
 	return perMilli / meanTurns
 }
 
-// underWay returns the conversations that are under way when the run begins.
-// Without them the load would take minutes to rise. The number of turns still
-// to come does not depend on those that were, so any turn may be drawn first.
+// underWay returns the further turns of conversations that are under way when
+// the run begins. Without them the load would take minutes to rise. The number
+// of turns still to come does not depend on those that were, so any further
+// turn may be drawn first.
 func (l *workload) underWay() []*request {
 	const cycleMillis = outputTokens*paceMillis + thinkMillis
-	requests := make([]*request, int(l.newPerMilli()*meanTurns*cycleMillis))
+	requests := make([]*request, int(l.newPerMilli()*(meanTurns-1)*cycleMillis))
 	for i := range requests {
 		l.started++
 		r := &request{
 			system:       l.drawSystem(),
 			conversation: l.started,
+			turn:         1,
 			arrived:      burdockclock.Millis(l.rnd.Float64() * cycleMillis),
 		}
 		for l.rnd.Float64() >= 1.0/meanTurns {
 			r.turn++
 		}
-		l.draw(r)
+		l.draw(l.rnd, r)
 		requests[i] = r
 	}
 	return requests
@@ -106,31 +108,34 @@
 		conversation: l.started,
 		arrived:      burdockclock.Millis(l.nextNew),
 	}
-	l.draw(r)
+	l.draw(l.rnd, r)
 	return r
 }
 
 // following returns the turn that follows r once it is answered, or nil after
 // the last. The platform's balancer sends it to any entry.
 func (l *workload) following(r *request, answered burdockclock.Millis) *request {
-	if l.rnd.Float64() < 1.0/meanTurns {
+	// Each turn has a source of its own: the order in which answers end differs
+	// between policies, and must not change what is asked.
+	rnd := source(l.o, partTurns+r.conversation<<turnBits+uint64(r.turn))
+	if rnd.Float64() < 1.0/meanTurns {
 		return nil
 	}
 	next := &request{
 		system:       r.system,
 		conversation: r.conversation,
 		turn:         r.turn + 1,
-		arrived:      answered + burdockclock.Millis(l.rnd.ExpFloat64()*thinkMillis),
+		arrived:      answered + burdockclock.Millis(rnd.ExpFloat64()*thinkMillis),
 	}
-	l.draw(next)
+	l.draw(rnd, next)
 	return next
 }
 
-func (l *workload) draw(r *request) {
-	r.entry = l.rnd.IntN(l.o.Entries)
+func (l *workload) draw(rnd *rand.Rand, r *request) {
+	r.entry = rnd.IntN(l.o.Entries)
 	// The mean of a log-normal is exp(mu + sigma^2/2).
 	mu := math.Log(outputTokens) - outputSigma*outputSigma/2
-	r.output = burdockid.Tokens(math.Exp(mu+outputSigma*l.rnd.NormFloat64())) + 1
+	r.output = burdockid.Tokens(math.Exp(mu+outputSigma*rnd.NormFloat64())) + 1
 	r.prefix = r.blocks()
 }
 
--- a/internal/measure/burdockplacelab/world.go
+++ b/internal/measure/burdockplacelab/world.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
@@ -32,7 +33,12 @@
 	placers  []*burdockplace.Placer
 	turns    []int // of round robin, by entry
 	stale    []int // requests held, as of the last refreshing
-	tally    *tally
+	// leastStale holds the replicas that held the fewest then.
+	leastStale []int
+	// levels counts also the offers on their way. Only the policy with perfect
+	// knowledge sees it.
+	levels levels
+	tally  *tally
 }
 
 func newWorld(o Options, p Policy) *world {
@@ -46,6 +52,7 @@
 		indexOf:  make(map[burdockid.Upstream]int, o.Replicas),
 		turns:    make([]int, o.Entries),
 		stale:    make([]int, o.Replicas),
+		levels:   newLevels(o.Replicas),
 		tally:    newTally(),
 	}
 	for i := range w.replicas {
@@ -56,6 +63,7 @@
 	for i := range w.turns {
 		w.turns[i] = w.rnd.IntN(o.Replicas)
 	}
+	w.refresh()
 	if _, ok := p.(Ours); ok {
 		w.addPlacers()
 	}
@@ -139,24 +147,35 @@
 		w.tally.sample(w.replicas)
 		w.agenda.add(w.now+sampleMillis, e)
 	case refreshing:
-		for i := range w.replicas {
-			w.stale[i] = w.replicas[i].held()
-		}
+		w.refresh()
 		w.agenda.add(w.now+max(w.o.Lag, 1), e)
 	}
 }
 
+func (w *world) refresh() {
+	for i := range w.replicas {
+		w.stale[i] = w.replicas[i].held()
+	}
+	lowest := slices.Min(w.stale)
+	w.leastStale = w.leastStale[:0]
+	for i, held := range w.stale {
+		if held == lowest {
+			w.leastStale = append(w.leastStale, i)
+		}
+	}
+}
+
 func (w *world) offer(req *request) {
 	chosen := w.choose(req)
 	req.offers++
-	w.replicas[chosen].coming++
+	w.levels.change(chosen, 1)
 	w.agenda.add(w.now+w.way(req.entry, chosen), offer{req, chosen})
 }
 
 func (w *world) handleOffer(e offer) {
 	r := &w.replicas[e.replica]
-	r.coming--
 	if !r.takes(e.req) {
+		w.levels.change(e.replica, -1)
 		back := w.now + w.way(e.req.entry, e.replica)
 		w.agenda.add(back, refusal{e.req, e.replica, r.report()})
 		return
@@ -191,6 +210,7 @@
 func (w *world) handleFinish(e finish) {
 	r := &w.replicas[e.replica]
 	r.running--
+	w.levels.change(e.replica, -1)
 	if len(r.queue) > 0 {
 		next := r.queue[0]
 		r.queue = r.queue[1:]
