Keep the place of a conversation when the width of its prefix changes

Cause: the place within a hot prefix was a remainder by its width. Entries learn different widths, and a width fades all the time, so that the turns of one conversation hardly ever met the same cache. Change: jump consistent hashing gives two widths the same place for as many conversations as one width is of the other.

--- a/internal/decide/burdockplace/choose.go
+++ b/internal/decide/burdockplace/choose.go
@@ -47,10 +47,13 @@
 	req   *Request
 	bound float64
 	seen  candidates
-	// position is the next one in the order of members of key.
-	key      uint64
-	position int
-	probes   int
+	// key orders the members; the first width of that order are gone through
+	// from start on, round to start, and the others after them.
+	key    uint64
+	width  int
+	start  int
+	next   int
+	probes int
 }
 
 // Choose returns the upstream that the request should be offered to. It
@@ -90,41 +93,55 @@
 func (c *chooser) home() (Choice, bool) {
 	cfg := &c.p.cfg
 	if len(c.req.Prefix) == 0 {
-		c.key = c.p.rnd.Uint64()
+		c.order(c.p.rnd.Uint64(), 1, 0)
 		c.collect(cfg.Home)
 		return c.pick(0, ReasonNoPrefix)
 	}
-	c.key = affinityKey(c.req.Prefix)
+	key := affinityKey(c.req.Prefix)
 	if c.req.Attempt > 0 {
-		c.p.widths.widen(c.now, cfg.WidthHalfLife, c.key, cfg.Home)
+		c.p.widths.widen(c.now, cfg.WidthHalfLife, key, cfg.Home)
 	}
-	width := c.p.widths.get(c.now, cfg.WidthHalfLife, c.key, cfg.Home)
+	width := c.p.widths.get(c.now, cfg.WidthHalfLife, key, cfg.Home)
 	reason := ReasonAffinity
 	if width > cfg.Home {
 		reason = ReasonSpread
-		c.position = c.spread(width)
 	}
+	c.order(key, width, c.spread(width))
 	c.collect(cfg.Home)
 	return c.pick(0, reason)
 }
 
-// spread returns the first of the positions within the width of a hot prefix
-// that this request compares. What follows the prefix decides, so that the
+// order sets the order of members in which collect goes on.
+func (c *chooser) order(key uint64, width, start int) {
+	c.key, c.width, c.start, c.next = key, width, start, 0
+}
+
+// position returns the next position in the order of members.
+func (c *chooser) position() int {
+	i := c.next
+	c.next++
+	if i < c.width {
+		return (c.start + i) % c.width
+	}
+	return i
+}
+
+// spread returns the position within the width of the prefix that this request
+// looks at first. What follows the prefix decides, so that the
 // turns of one conversation still meet.
 func (c *chooser) spread(width int) int {
 	key, ok := spreadKey(c.req.Prefix)
 	if !ok {
 		return c.p.rnd.IntN(width)
 	}
-	return int(mix(key) % uint64(width))
+	return jump(mix(key), width)
 }
 
 // spill compares further upstreams, found at random so that what overflows
 // from a hot home does not overflow onto one other.
 func (c *chooser) spill() (Choice, bool) {
 	first := c.seen.n
-	c.key = c.p.rnd.Uint64()
-	c.position = 0
+	c.order(c.p.rnd.Uint64(), 1, 0)
 	c.collect(c.p.cfg.Spill)
 	reason := ReasonSpill
 	if len(c.req.Prefix) == 0 {
@@ -144,8 +161,7 @@
 // collect adds up to n candidates in the order of members of the key.
 func (c *chooser) collect(n int) {
 	for n > 0 && c.probes < maxProbes && c.seen.n < maxCandidates {
-		index := c.p.table.owner(c.key, c.position)
-		c.position++
+		index := c.p.table.owner(c.key, c.position())
 		c.probes++
 		if c.seen.has(index) || !c.eligible(index) {
 			continue
--- a/internal/decide/burdockplace/width.go
+++ b/internal/decide/burdockplace/width.go
@@ -54,3 +54,19 @@
 	age := float64(max(now-w.at, 0)) / float64(halfLife)
 	return float64(w.value) * math.Exp2(-age)
 }
+
+// jump spreads keys evenly over positions from 0 to n-1 (jump consistent
+// hashing, Lamping and Veach 2014). Entries learn different widths, and widths
+// change: of two widths, jump gives the same position to as large a share of
+// keys as the smaller width is of the larger. By a remainder hardly any key
+// would keep its position, and no conversation its cache.
+func jump(key uint64, n int) int {
+	position, next := 0, 0
+	for next < n {
+		position = next
+		key = key*2862933555777941757 + 1
+		const span = 1 << 31
+		next = int(float64(position+1) * (span / float64(key>>33+1)))
+	}
+	return position
+}
