Change a group's expert map in lock-step: rank and controller machines

All ranks load the next map, stop before a step set ahead, commit to the map, and run on once all have committed. Orders carry a fencing number, a count and the incarnation of the agent that the controller has read; a rank takes each once. A controller that takes over reads all ranks: one commit means forward, none means back.

Ruled out: a single "go" in place of commit and release. A rank that got it can run the step, be replaced, and leave no trace of it; the next controller then goes back on the others. The checker sees that split in the variant without the commit round.

--- /dev/null
+++ b/internal/group/burdockgroup/dump.go
@@ -0,0 +1,89 @@
+package burdockgroup
+
+import (
+	"cmp"
+	"slices"
+
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/state/burdockchart"
+)
+
+// RankState is a rank's part of the state dump.
+type RankState struct {
+	Rank        burdockid.Rank         `json:"rank"`
+	Incarnation burdockid.Incarnation  `json:"incarnation"`
+	Phase       RankPhase              `json:"phase"`
+	Since       burdockclock.Millis    `json:"since"`
+	Highest     Number                 `json:"highest"`
+	Engine      EngineStatus           `json:"engine"`
+	Kept        []burdockid.MapVersion `json:"kept"`
+	Events      []burdockchart.Entry   `json:"events"`
+}
+
+// State returns the rank's part of the state dump.
+func (r *Rank) State() RankState {
+	return RankState{
+		Rank:        r.cfg.Rank,
+		Incarnation: r.cfg.Incarnation,
+		Phase:       r.machine.State(),
+		Since:       r.since,
+		Highest:     r.highest,
+		Engine:      r.status,
+		Kept:        sortedKeys(r.kept),
+		Events:      r.journal.Entries(),
+	}
+}
+
+// ControllerState is a controller's part of the state dump.
+type ControllerState struct {
+	Phase  ControllerPhase      `json:"phase"`
+	Lease  Lease                `json:"lease"`
+	Seq    uint64               `json:"seq"`
+	Goal   Goal                 `json:"goal"`
+	Wanted burdockid.MapVersion `json:"wanted"`
+	Ranks  []MemberState        `json:"ranks"`
+	Events []burdockchart.Entry `json:"events"`
+}
+
+// MemberState is what a controller knows of one rank.
+type MemberState struct {
+	Rank        burdockid.Rank        `json:"rank"`
+	Incarnation burdockid.Incarnation `json:"incarnation"`
+	Fresh       bool                  `json:"fresh"`
+	Engine      EngineStatus          `json:"engine"`
+	Refusal     Refusal               `json:"refusal,omitempty"`
+	Waiting     uint64                `json:"waiting"` // number of the order that is not answered yet
+}
+
+// State returns the controller's part of the state dump.
+func (c *Controller) State() ControllerState {
+	state := ControllerState{
+		Phase:  c.machine.State(),
+		Lease:  c.lease,
+		Seq:    c.seq,
+		Goal:   c.goal,
+		Wanted: c.target,
+		Events: c.journal.Entries(),
+	}
+	for i, m := range c.members {
+		state.Ranks = append(state.Ranks, MemberState{
+			Rank:        burdockid.Rank(i),
+			Incarnation: m.incarnation,
+			Fresh:       m.fresh,
+			Engine:      m.status,
+			Refusal:     m.refusal,
+			Waiting:     m.waitingFor(),
+		})
+	}
+	return state
+}
+
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	keys := make([]K, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/internal/group/burdockgroup/engine.go
@@ -0,0 +1,81 @@
+package burdockgroup
+
+import "burdockbend.example/burdockbend/internal/base/burdockid"
+
+// Switch is an engine's change to another map. The zero value means none.
+type Switch struct {
+	Map burdockid.MapVersion `json:"map"`
+	At  burdockid.Step       `json:"at"`
+}
+
+// EngineStatus is what an engine says of itself. Version 0 means no map.
+type EngineStatus struct {
+	Next    burdockid.Step       `json:"next"`    // lowest step that it has not begun
+	Base    burdockid.MapVersion `json:"base"`    // used in steps before Switch.At
+	Switch  Switch               `json:"switch"`  // once Switch.At has begun, its map is Base and this is zero
+	Spare   burdockid.MapVersion `json:"spare"`   // loaded and not used; a new load takes its place
+	Loading burdockid.MapVersion `json:"loading"` // being loaded
+	Failed  burdockid.MapVersion `json:"failed"`  // last one that could not be loaded
+	Held    bool                 `json:"held"`    // stops before step HoldAt
+	HoldAt  burdockid.Step       `json:"holdAt"`
+	// Last step that was finished, and the map that it used.
+	LastStep burdockid.Step       `json:"lastStep"`
+	LastMap  burdockid.MapVersion `json:"lastMap"`
+}
+
+// has reports whether the engine has map v loaded.
+func (s EngineStatus) has(v burdockid.MapVersion) bool {
+	return v != 0 && (s.Base == v || s.Switch.Map == v || s.Spare == v)
+}
+
+// heldAt reports whether the engine stops before step at.
+func (s EngineStatus) heldAt(at burdockid.Step) bool { return s.Held && s.HoldAt == at }
+
+// mapAt returns the map that the engine uses in a step not yet run.
+func (s EngineStatus) mapAt(step burdockid.Step) burdockid.MapVersion {
+	if s.Switch.Map != 0 && step >= s.Switch.At {
+		return s.Switch.Map
+	}
+	return s.Base
+}
+
+// EngineOrder is one of ReadStatus, LoadMap, HoldAt, UseFrom, Resume and
+// BeginWith. Each is answered with the status after it. The orders of one
+// agent reach the engine in turn, so that ReadStatus sees the ones before it.
+type EngineOrder interface{ engineOrder() }
+
+// ReadStatus asks for the status. An engine that checks fencing numbers answers
+// it whatever the number: an agent that was replaced may know a lower one than
+// its engine, and has to see the status all the same.
+type ReadStatus struct{}
+
+// LoadMap starts to load a map in place of the spare one. The engine ignores
+// it for a map that it has.
+type LoadMap struct {
+	Map     burdockid.MapVersion
+	Content []byte
+}
+
+// HoldAt has the engine stop before a step, in place of an earlier hold. The
+// engine ignores it if it has begun the step.
+type HoldAt struct{ Step burdockid.Step }
+
+// UseFrom switches to a loaded map from a step on. The engine ignores it
+// unless it is held at that step.
+type UseFrom struct {
+	Map  burdockid.MapVersion
+	Step burdockid.Step
+}
+
+// Resume ends the hold.
+type Resume struct{}
+
+// BeginWith sets the base of an engine that has none to a loaded map.
+type BeginWith struct{ Map burdockid.MapVersion }
+
+func (ReadStatus) engineOrder() {}
+func (LoadMap) engineOrder()    {}
+func (HoldAt) engineOrder()     {}
+func (UseFrom) engineOrder()    {}
+func (Resume) engineOrder()     {}
+func (BeginWith) engineOrder()  {}
--- /dev/null
+++ b/internal/group/burdockgroup/machine_test.go
@@ -0,0 +1,207 @@
+package burdockgroup
+
+import (
+	"encoding/json"
+	"flag"
+	"os"
+	"testing"
+
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+)
+
+var update = flag.Bool("update", false, "write golden files anew")
+
+func newTestRank() *Rank {
+	return NewRank(RankConfig{Rank: 0, Ranks: 3, Incarnation: "a", Retry: 20, Patience: 40})
+}
+
+// answer gives the rank its engine's answer to the order in outs.
+func answer(r *Rank, outs []RankOutput, s EngineStatus) []RankOutput {
+	for _, out := range outs {
+		if order, ok := out.(OrderEngine); ok {
+			return r.Handle(2, EngineAnswered{Ticket: order.Ticket, Status: s})
+		}
+	}
+	return nil
+}
+
+func reportIn(t *testing.T, outs []RankOutput) Report {
+	t.Helper()
+	for _, out := range outs {
+		if sent, ok := out.(SendReport); ok {
+			return sent.Report
+		}
+	}
+	t.Fatalf("no report in %v", outs)
+	return Report{}
+}
+
+// A new agent hears only of an old controller from the one peer that answers
+// first. It must go on asking: the other peer may have seen a newer controller.
+// And peers that are as new as itself know nothing.
+func TestNewAgentHearsAllPeers(t *testing.T) {
+	r := newTestRank()
+	r.Handle(1, FenceTold{From: 1, Fence: 4, Known: true})
+	if got := r.State().Phase; got != RankLearning {
+		t.Errorf("after one peer of two: %s, want %s", got, RankLearning)
+	}
+	r.Handle(1, FenceTold{From: 2, Fence: 7, Known: true})
+	if got := r.State(); got.Phase != RankOrdering || got.Highest.Fence != 7 {
+		t.Errorf("after both: %s with fence %d, want %s with 7", got.Phase, got.Highest.Fence, RankOrdering)
+	}
+	r = newTestRank()
+	r.Handle(1, FenceTold{From: 1})
+	r.Handle(1, FenceTold{From: 2})
+	if got := r.State().Phase; got != RankLearning {
+		t.Errorf("after two peers that know nothing: %s, want %s", got, RankLearning)
+	}
+}
+
+// The report of an order is lost, so the controller sends the order again. The
+// rank must not carry it out twice: an arm after an abort would hold the group.
+func TestRepeatedOrderOnlyReports(t *testing.T) {
+	r := newTestRank()
+	running := EngineStatus{Next: 5, Base: 1, Spare: 2}
+	answer(r, r.Handle(1, FenceFromStore{Fence: 3}), running)
+	arm := Order{Number: Number{3, 1}, Incarnation: "a", Body: Arm{Map: 2, At: 9}}
+	answer(r, r.Handle(1, OrderReceived{arm}), running)
+	for _, out := range r.Handle(3, OrderReceived{arm}) {
+		if order, ok := out.(OrderEngine); ok && order.Order != (ReadStatus{}) {
+			t.Errorf("repeated arm orders the engine: %+v", order.Order)
+		}
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	cases := []struct {
+		name   string
+		status EngineStatus
+		order  Order
+		want   Refusal
+	}{
+		{"old fence", EngineStatus{Base: 1}, Order{Number: Number{2, 9}, Incarnation: "a", Body: Read{}}, RefusalOldNumber},
+		{"other incarnation", EngineStatus{Base: 1}, Order{Number: Number{3, 1}, Incarnation: "b", Body: Abort{}}, RefusalWrongIncarnation},
+		{"abort after commit", EngineStatus{Base: 1, Switch: Switch{2, 9}, Held: true, HoldAt: 9}, Order{Number: Number{3, 1}, Incarnation: "a", Body: Abort{}}, RefusalNotAllowed},
+		{"release before commit", EngineStatus{Base: 1, Spare: 2, Held: true, HoldAt: 9}, Order{Number: Number{3, 1}, Incarnation: "a", Body: Release{At: 9}}, RefusalNotAllowed},
+		{"arm without load", EngineStatus{Base: 1}, Order{Number: Number{3, 1}, Incarnation: "a", Body: Arm{Map: 2, At: 9}}, RefusalNotLoaded},
+		{"commit for another step", EngineStatus{Base: 1, Spare: 2, Held: true, HoldAt: 9}, Order{Number: Number{3, 1}, Incarnation: "a", Body: Commit{Map: 2, At: 8}}, RefusalNotArmed},
+		{"begin with a map", EngineStatus{Base: 1, Spare: 2, Held: true, HoldAt: 9}, Order{Number: Number{3, 1}, Incarnation: "a", Body: Begin{Map: 2}}, RefusalNotEmpty},
+	}
+	for _, c := range cases {
+		r := newTestRank()
+		if got := reportIn(t, r.Handle(1, OrderReceived{c.order})).Refusal; got != RefusalLearning {
+			t.Errorf("%s, while learning: got %q, want %q", c.name, got, RefusalLearning)
+		}
+		answer(r, r.Handle(1, FenceFromStore{Fence: 3}), c.status)
+		if got := reportIn(t, r.Handle(2, OrderReceived{c.order})).Refusal; got != c.want {
+			t.Errorf("%s: got %q, want %q", c.name, got, c.want)
+		}
+	}
+}
+
+// A controller's VM is suspended and wakes after its lease has lapsed. Another
+// one may hold the lease by now, so the first must send nothing, though no one
+// has told it: it looks at a clock that went on while it slept.
+func TestControllerWokenPastItsLeaseSendsNothing(t *testing.T) {
+	c := NewController(ControllerConfig{Ranks: 2, Retry: 20, Poll: 200})
+	if outs := c.Handle(1, LeaseHeld{Lease{Fence: 1, Until: 100}}); len(outs) != 2 {
+		t.Fatalf("got %d outputs, want a read for each rank", len(outs))
+	}
+	for _, out := range c.Handle(100, ControllerTick{}) {
+		if down, ok := out.(SteppedDown); !ok || down.Reason != StepDownLapsed {
+			t.Errorf("woken past the lease: got %+v, want only %s", out, StepDownLapsed)
+		}
+	}
+}
+
+// A controller hears from a rank that a newer controller exists. Its own lease
+// seems good, because the store gave it away while an answer was lost.
+func TestControllerStepsDownForANewerOne(t *testing.T) {
+	c := NewController(ControllerConfig{Ranks: 2, Retry: 20, Poll: 200})
+	c.Handle(1, LeaseHeld{Lease{Fence: 1, Until: 100}})
+	c.Handle(2, ReportReceived{Report{From: 0, Highest: 2, Refusal: RefusalOldNumber}})
+	if got := c.State().Phase; got != ControllerIdle {
+		t.Errorf("got %s, want %s", got, ControllerIdle)
+	}
+}
+
+func TestJudge(t *testing.T) {
+	const before, next burdockid.MapVersion = 1, 2
+	at := Switch{Map: next, At: 9}
+	running := EngineStatus{Next: 8, Base: before}
+	armed := EngineStatus{Next: 8, Base: before, Spare: next, Held: true, HoldAt: 9}
+	committed := EngineStatus{Next: 8, Base: before, Switch: at, Held: true, HoldAt: 9}
+	released := EngineStatus{Next: 9, Base: before, Switch: at}
+	passed := EngineStatus{Next: 10, Base: next}
+	late := EngineStatus{Next: 10, Base: before}
+	empty := EngineStatus{Next: 8}
+	cases := []struct {
+		name     string
+		statuses []EngineStatus
+		want     verdict
+	}{
+		{"at rest", []EngineStatus{running, running}, verdictSettled},
+		{"never ran", []EngineStatus{empty, empty}, verdictSettled},
+		{"some armed", []EngineStatus{running, armed}, verdictUndone},
+		{"one empty", []EngineStatus{running, empty}, verdictUndone},
+		{"one committed", []EngineStatus{armed, committed}, verdictDecided},
+		{"one committed, one empty", []EngineStatus{empty, committed}, verdictDecided},
+		{"some released", []EngineStatus{released, committed}, verdictDecided},
+		{"some passed", []EngineStatus{passed, committed}, verdictDecided},
+		{"all released or passed", []EngineStatus{released, passed}, verdictSettled},
+		{"all passed, one empty", []EngineStatus{passed, empty}, verdictUndone},
+		{"one ran on with the old map", []EngineStatus{late, committed}, verdictSplit},
+		{"two maps", []EngineStatus{late, passed}, verdictSplit},
+	}
+	for _, c := range cases {
+		if _, got := judge(c.statuses); got != c.want {
+			t.Errorf("%s: got %s, want %s", c.name, got, c.want)
+		}
+	}
+}
+
+func TestCheckerSeesASplit(t *testing.T) {
+	var c Checker
+	if split := c.Observe(0, 7, 1); split != nil {
+		t.Errorf("first rank: got %v", split)
+	}
+	if split := c.Observe(1, 7, 1); split != nil {
+		t.Errorf("same map: got %v", split)
+	}
+	const want = "step 7: rank 0 used map 1 and rank 2 used map 2"
+	if split := c.Observe(2, 7, 2); split == nil || split.Error() != want {
+		t.Errorf("other map: got %v, want %q", split, want)
+	}
+	if split := c.Observe(2, 7+checkerWindow, 2); split != nil {
+		t.Errorf("later step: got %v", split)
+	}
+	if split := c.Observe(0, 7, 3); split != nil {
+		t.Errorf("forgotten step: got %v", split)
+	}
+}
+
+func TestStateDump(t *testing.T) {
+	const golden = "testdata/state.golden"
+	r := newTestRank()
+	answer(r, r.Handle(1, FenceFromStore{Fence: 3}), EngineStatus{Next: 5, Base: 1})
+	r.Handle(3, OrderReceived{Order{Number: Number{3, 1}, Incarnation: "a", Body: Abort{}}})
+	c := NewController(ControllerConfig{Ranks: 1, Retry: 20, Poll: 200})
+	c.Handle(1, LeaseHeld{Lease{Fence: 1, Until: 100}})
+	got, err := json.MarshalIndent([]any{r.State(), c.State()}, "", "  ")
+	if err != nil {
+		t.Fatal(err)
+	}
+	got = append(got, '\n')
+	if *update {
+		if err := os.WriteFile(golden, got, 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(golden)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(got) != string(want) {
+		t.Errorf("state dump:\n%swant:\n%s", got, want)
+	}
+}
--- /dev/null
+++ b/internal/group/burdockgroup/variant_test.go
@@ -0,0 +1,100 @@
+package burdockgroup_test
+
+import (
+	"strings"
+	"testing"
+
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/group/burdockgroup"
+	"burdockbend.example/burdockbend/internal/measure/burdockgrouplab"
+)
+
+func withoutNumbers(cfg *burdockgrouplab.Config) {
+	cfg.Hooks.Order = func(rank *burdockgroup.Rank, o burdockgroup.Order) burdockgroup.Order {
+		rank.ForgetNumbers(o.Number)
+		o.Incarnation = rank.State().Incarnation
+		return o
+	}
+}
+
+func withoutCount(cfg *burdockgrouplab.Config) {
+	cfg.Hooks.Order = func(rank *burdockgroup.Rank, o burdockgroup.Order) burdockgroup.Order {
+		if o.Number.Fence == rank.State().Highest.Fence {
+			rank.ForgetNumbers(o.Number)
+		}
+		return o
+	}
+}
+
+func withoutHold(cfg *burdockgrouplab.Config) { cfg.EngineDeaf = true }
+
+// withoutCommitRound has every rank but the first say that it committed before
+// it did, and commit when it is told to run on: the protocol with one "go".
+func withoutCommitRound(cfg *burdockgrouplab.Config) {
+	claimed := map[burdockgroup.Number]burdockgroup.Commit{}
+	cfg.Hooks.Order = func(_ *burdockgroup.Rank, o burdockgroup.Order) burdockgroup.Order {
+		if commit, ok := o.Body.(burdockgroup.Commit); ok && o.To != 0 {
+			claimed[o.Number] = commit
+			o.Body = burdockgroup.Read{}
+		}
+		return o
+	}
+	cfg.Hooks.Report = func(r burdockgroup.Report) burdockgroup.Report {
+		if commit, ok := claimed[r.Number]; ok && r.Refusal == burdockgroup.RefusalNone {
+			r.Status.Switch = burdockgroup.Switch(commit)
+		}
+		return r
+	}
+}
+
+// withoutAllArmed has the last rank say that it is armed when it is not.
+func withoutAllArmed(cfg *burdockgrouplab.Config) {
+	last := burdockid.Rank(cfg.Ranks - 1)
+	claimed := map[burdockgroup.Number]burdockgroup.Arm{}
+	cfg.Hooks.Order = func(rank *burdockgroup.Rank, o burdockgroup.Order) burdockgroup.Order {
+		if arm, ok := o.Body.(burdockgroup.Arm); ok && o.To == last && rank.State().Engine.Base != 0 {
+			claimed[o.Number] = arm
+			o.Body = burdockgroup.Read{}
+		}
+		return o
+	}
+	cfg.Hooks.Report = func(r burdockgroup.Report) burdockgroup.Report {
+		if arm, ok := claimed[r.Number]; ok && r.Refusal == burdockgroup.RefusalNone {
+			r.Status.Held, r.Status.HoldAt = true, arm.At
+		}
+		return r
+	}
+}
+
+// Each variant lacks one safeguard. If the checker saw nothing in any of them,
+// the quiet of TestRandomSchedulesNeverSplitNorStick would prove nothing.
+func TestWithoutSafeguardTheCheckerSeesIt(t *testing.T) {
+	const inStep, anywhere = "used map", ""
+	const seeds = 3000
+	variants := []struct {
+		name  string
+		spoil func(*burdockgrouplab.Config)
+		want  string
+	}{
+		{"hold", withoutHold, inStep},
+		{"commit round", withoutCommitRound, inStep},
+		{"all armed", withoutAllArmed, inStep},
+		{"count of orders", withoutCount, anywhere},
+		{"numbers and incarnation", withoutNumbers, anywhere},
+	}
+	for _, v := range variants {
+		t.Run(v.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range seeds {
+				cfg := trialConfig(uint64(seed))
+				v.spoil(&cfg)
+				failures := burdockgrouplab.NewWorld(cfg).Trial()
+				if len(failures) > 0 && strings.Contains(failures[0], v.want) {
+					t.Logf("seed %d: %.120s", seed, failures[0])
+					return
+				}
+			}
+			t.Errorf("nothing was seen in %d seeds", seeds)
+		})
+	}
+}
--- /dev/null
+++ b/internal/measure/burdockgrouplab/command_test.go
@@ -0,0 +1,48 @@
+package burdockgrouplab
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+)
+
+func ExampleCommand() {
+	var table bytes.Buffer
+	args := []string{"--ranks", "4", "--load-millis", "50", "--changes", "5", "--seed", "1"}
+	if err := Command(&table).ParseAndRun(context.Background(), args); err != nil {
+		fmt.Println(err)
+	}
+	head, _, _ := strings.Cut(table.String(), "\n")
+	fmt.Println(strings.Join(strings.Fields(head), " "))
+	// Output: way lead steps lost, mean p50 p99 ms to force orders
+}
+
+func TestCommandReportsAllFindings(t *testing.T) {
+	err := Command(io.Discard).ParseAndRun(context.Background(), []string{"--ranks", "0", "--changes", "0"})
+	for _, want := range []string{"--ranks: is 0", "--changes: is 0"} {
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("got error %v, want it to have %q", err, want)
+		}
+	}
+}
+
+// A group whose change needs three rounds loses steps with a lead shorter than
+// these, and none with a longer one.
+func TestLeadBeyondTheRoundsLosesNoStep(t *testing.T) {
+	cfg := settings{ranks: 8, step: 4.5, delay: 1.5, tail: 0.3, load: 50, seed: 1}.config()
+	const changes, short, long = 20, 1, 8
+	near, err := MeasureArmAhead(cfg, changes, short)
+	if err != nil {
+		t.Fatal(err)
+	}
+	far, err := MeasureArmAhead(cfg, changes, long)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if near.Mean() <= 0 || far.Mean() != 0 {
+		t.Errorf("steps lost: %.2f with lead %d, %.2f with lead %d; want more than 0, and 0", near.Mean(), short, far.Mean(), long)
+	}
+}
--- /dev/null
+++ b/internal/measure/burdockgrouplab/engine.go
@@ -0,0 +1,106 @@
+package burdockgrouplab
+
+import (
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/group/burdockgroup"
+)
+
+// engine is a model of one rank's engine.
+type engine struct {
+	status  burdockgroup.EngineStatus
+	done    burdockid.Step // lowest step that it has not finished
+	busy    bool           // runs a step
+	checks  bool           // refuses orders with an old fencing number
+	deaf    bool           // says that it is held, and runs on
+	highest burdockid.Fence
+	life    int // counts replacements
+	loadEnd instant
+}
+
+// apply carries out an order and reports whether it was taken.
+func (e *engine) apply(fence burdockid.Fence, order burdockgroup.EngineOrder) bool {
+	_, reads := order.(burdockgroup.ReadStatus)
+	if e.checks && fence < e.highest && !reads {
+		return false
+	}
+	e.highest = max(e.highest, fence)
+	s := &e.status
+	switch order := order.(type) {
+	case burdockgroup.LoadMap:
+		if !e.has(order.Map) {
+			s.Loading, s.Spare = order.Map, 0
+		}
+	case burdockgroup.HoldAt:
+		if s.Next <= order.Step {
+			s.Held, s.HoldAt = true, order.Step
+		}
+	case burdockgroup.UseFrom:
+		if s.Held && s.HoldAt == order.Step && s.Spare == order.Map {
+			s.Switch = burdockgroup.Switch{Map: order.Map, At: order.Step}
+			s.Spare = 0
+		}
+	case burdockgroup.Resume:
+		s.Held, s.HoldAt = false, 0
+	case burdockgroup.BeginWith:
+		e.beginWith(order.Map)
+	}
+	return true
+}
+
+func (e *engine) beginWith(v burdockid.MapVersion) {
+	s := &e.status
+	if s.Base != 0 || !e.has(v) {
+		return
+	}
+	s.Base = v
+	if s.Spare == v {
+		s.Spare = 0
+	}
+}
+
+func (e *engine) has(v burdockid.MapVersion) bool {
+	s := e.status
+	return v != 0 && (s.Base == v || s.Switch.Map == v || s.Spare == v || s.Loading == v)
+}
+
+func (e *engine) loaded() {
+	e.status.Spare, e.status.Loading = e.status.Loading, 0
+}
+
+// held reports whether the engine may not begin its next step.
+func (e *engine) held() bool {
+	return e.status.Held && e.status.Next >= e.status.HoldAt && !e.deaf
+}
+
+// begin begins the next step and returns it and the map that it uses. It
+// reports false if there is no map for it.
+func (e *engine) begin() (burdockid.Step, burdockid.MapVersion, bool) {
+	s := &e.status
+	if s.Switch.Map != 0 && s.Next >= s.Switch.At {
+		s.Base, s.Switch = s.Switch.Map, burdockgroup.Switch{}
+	}
+	if s.Base == 0 {
+		return 0, 0, false
+	}
+	step := s.Next
+	s.Next++
+	e.busy = true
+	return step, s.Base, true
+}
+
+func (e *engine) finish() {
+	e.busy = false
+	e.done = e.status.Next
+	e.status.LastStep, e.status.LastMap = e.status.Next-1, e.status.Base
+}
+
+// replace makes the engine a new one that is empty and has the same step to run.
+func (e *engine) replace() {
+	*e = engine{
+		status: burdockgroup.EngineStatus{Next: e.done},
+		done:   e.done,
+		checks: e.checks,
+		deaf:   e.deaf,
+		life:   e.life + 1,
+	}
+}
--- /dev/null
+++ b/internal/measure/burdockgrouplab/measure.go
@@ -0,0 +1,112 @@
+package burdockgrouplab
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+)
+
+// Cost is what changes of the map cost a group.
+type Cost struct {
+	LostSteps []float64 // of each change, sorted
+	Millis    float64   // mean time from the wish until the map is in force
+	Orders    float64   // mean number of orders for a change
+}
+
+// Mean returns the mean number of steps lost.
+func (c Cost) Mean() float64 {
+	sum := 0.0
+	for _, lost := range c.LostSteps {
+		sum += lost
+	}
+	return sum / float64(len(c.LostSteps))
+}
+
+// Quantile returns a quantile of the steps lost.
+func (c Cost) Quantile(q float64) float64 {
+	return c.LostSteps[int(q*float64(len(c.LostSteps)-1))]
+}
+
+// MeasureArmAhead changes the map of a group without faults by the state
+// machines, with a fixed lead.
+func MeasureArmAhead(cfg Config, changes int, lead burdockid.Step) (Cost, error) {
+	cfg.Controllers, cfg.Lead, cfg.MaxLead = 1, lead, lead
+	w := NewWorld(cfg)
+	w.Want([]byte("first"))
+	if !w.Settle() {
+		return Cost{}, fmt.Errorf("%v", w.Failures())
+	}
+	var cost Cost
+	for i := range changes {
+		lost, orders, begun := w.lost, w.orders, w.now
+		w.Want(fmt.Appendf(nil, "map %d", i))
+		if !w.Settle() {
+			return Cost{}, fmt.Errorf("%v", w.Failures())
+		}
+		cost.LostSteps = append(cost.LostSteps, float64(w.lost-lost)/float64(cfg.StepMicros))
+		cost.Millis += float64(w.settleAt-begun) / float64(millisecond) / float64(changes)
+		cost.Orders += float64(w.orders-orders) / float64(changes)
+	}
+	slices.Sort(cost.LostSteps)
+	return cost, nil
+}
+
+// MeasurePausing samples what the plain way would cost: stop all ranks, have
+// all switch, let all go on, each in a round of its own. Loading is part of
+// the pause or goes before it.
+func MeasurePausing(cfg Config, changes int, loadFirst bool) Cost {
+	w := &World{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, 1))}
+	var cost Cost
+	for range changes {
+		stopped, stopAcked := w.round()
+		pauseBegins := stopped + instant(w.rng.Int64N(cfg.StepMicros+1)) // the step that runs is finished
+		now := stopAcked
+		load := w.slowestLoad()
+		if !loadFirst {
+			now += load
+		}
+		_, switched := w.round()
+		now += switched + w.lastArrival()
+		cost.LostSteps = append(cost.LostSteps, max(0, float64(now-pauseBegins))/float64(cfg.StepMicros))
+		if loadFirst {
+			now += load
+		}
+		cost.Millis += float64(now) / float64(millisecond) / float64(changes)
+	}
+	const orders = 4 // load, stop, switch, go on
+	cost.Orders = float64(orders * cfg.Ranks)
+	slices.Sort(cost.LostSteps)
+	return cost
+}
+
+// round returns when the first rank gets an order, and when the last answer
+// to it has come back.
+func (w *World) round() (first, last instant) {
+	for i := range w.cfg.Ranks {
+		arrives := w.delay()
+		if i == 0 || arrives < first {
+			first = arrives
+		}
+		last = max(last, arrives+2*agentTime+w.delay())
+	}
+	return first, last
+}
+
+func (w *World) lastArrival() instant {
+	var last instant
+	for range w.cfg.Ranks {
+		last = max(last, w.delay()+agentTime)
+	}
+	return last
+}
+
+func (w *World) slowestLoad() instant {
+	var last instant
+	for range w.cfg.Ranks {
+		took := instant(w.cfg.LoadMicros) + instant(w.rng.Int64N(w.cfg.LoadMicros+1))
+		last = max(last, w.delay()+took+w.delay())
+	}
+	return last
+}
