--- a/internal/tool/burdockcheck/check.go
+++ b/internal/tool/burdockcheck/check.go
@@ -43,7 +43,7 @@
 func Run(ctx context.Context, cmd *ffcli.Command, args []string, w io.Writer) int {
 	err := parseAndRun(ctx, cmd, args)
 	if err != nil && !errors.Is(err, flag.ErrHelp) {
-		fmt.Fprintln(w, message(err))
+		fmt.Fprintln(w, Message(err))
 	}
 	return Status(err)
 }
@@ -58,9 +58,8 @@
 	return cmd.Run(ctx)
 }
 
-// message leaves out the name of the error's type, which means nothing to an
-// operator.
-func message(err error) string {
+// Message returns an error for an operator, without the name of its type.
+func Message(err error) string {
 	if typed := errorx.Cast(err); typed != nil && typed.Cause() == nil {
 		return typed.Message()
 	}
--- a/internal/tool/burdockcli/fleet.go
+++ b/internal/tool/burdockcli/fleet.go
@@ -8,6 +8,7 @@
 	"burdockbend.example/burdockbend/internal/config/burdockentity"
 	"burdockbend.example/burdockbend/internal/config/burdockmember"
 	"burdockbend.example/burdockbend/internal/config/burdockprofile"
+	"burdockbend.example/burdockbend/internal/tool/burdockcheck"
 	"github.com/peterbourgon/ff/v3/ffcli"
 )
 
@@ -21,7 +22,7 @@
 }
 
 func (c *CLI) fleet() *ffcli.Command {
-	return c.group("fleet", "check, apply and list the fleet's membership", c.fleetApply(), c.fleetList())
+	return c.group("fleet", "check, apply and list the fleet's membership", burdockcheck.FleetCommand(c.stdout), c.fleetApply(), c.fleetList())
 }
 
 func (c *CLI) fleetApply() *ffcli.Command {
--- a/internal/tool/burdockcli/profile.go
+++ b/internal/tool/burdockcli/profile.go
@@ -11,11 +11,12 @@
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/config/burdockentity"
 	"burdockbend.example/burdockbend/internal/config/burdockprofile"
+	"burdockbend.example/burdockbend/internal/tool/burdockcheck"
 	"github.com/peterbourgon/ff/v3/ffcli"
 )
 
 func (c *CLI) profile() *ffcli.Command {
-	return c.group("profile", "check, apply and list profiles", c.profileApply(), c.profileList())
+	return c.group("profile", "check, apply and list profiles", burdockcheck.ProfileCommand(c.stdout), c.profileApply(), c.profileList())
 }
 
 func (c *CLI) profileApply() *ffcli.Command {
--- a/internal/tool/burdockcli/root.go
+++ b/internal/tool/burdockcli/root.go
@@ -8,6 +8,11 @@
 	"fmt"
 	"io"
 
+	"burdockbend.example/burdockbend/internal/measure/burdockexpertlab"
+	"burdockbend.example/burdockbend/internal/measure/burdockgrouplab"
+	"burdockbend.example/burdockbend/internal/measure/burdockplacelab"
+	"burdockbend.example/burdockbend/internal/measure/burdockqueuelab"
+	"burdockbend.example/burdockbend/internal/tool/burdockcheck"
 	"burdockbend.example/burdockbend/internal/tool/burdockmain"
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -24,17 +29,36 @@
 
 // Run carries one command out and returns the exit status.
 func (c *CLI) Run(ctx context.Context, args []string) int {
-	err := c.root().ParseAndRun(ctx, args)
+	root := c.root()
+	if err := root.Parse(args); err != nil {
+		return c.failedParse(err)
+	}
+	err := root.Run(ctx)
+	if err != nil && !errors.Is(err, flag.ErrHelp) {
+		_, _ = fmt.Fprintln(c.stderr, burdockcheck.Message(err))
+	}
+	return status(err)
+}
+
+// failedParse reports what is wrong with the command line. The flag package
+// has already printed it.
+func (c *CLI) failedParse(err error) int {
+	if errors.Is(err, flag.ErrHelp) {
+		return burdockmain.ExitOK
+	}
+	return burdockmain.ExitUsage
+}
+
+// status returns the exit status for the error of a command.
+func status(err error) int {
 	var usage usageError
 	switch {
 	case err == nil, errors.Is(err, flag.ErrHelp):
 		return burdockmain.ExitOK
 	case errors.As(err, &usage):
-		_, _ = fmt.Fprintln(c.stderr, usage.err)
 		return burdockmain.ExitUsage
 	default:
-		_, _ = fmt.Fprintln(c.stderr, err)
-		return burdockmain.ExitFailure
+		return burdockcheck.Status(err)
 	}
 }
 
@@ -48,11 +72,13 @@
 
 func (c *CLI) root() *ffcli.Command {
 	return &ffcli.Command{
-		Name:        "burdock",
-		ShortUsage:  "burdock COMMAND",
-		ShortHelp:   "operate a fleet of burdockbend",
-		FlagSet:     c.flags("burdock"),
-		Subcommands: []*ffcli.Command{c.profile(), c.fleet(), c.state(), c.try()},
+		Name:       "burdock",
+		ShortUsage: "burdock COMMAND",
+		ShortHelp:  "operate a fleet of burdockbend",
+		FlagSet:    c.flags("burdock"),
+		Subcommands: []*ffcli.Command{
+			c.profile(), c.fleet(), c.settings(), c.customer(), c.state(), c.measure(), c.try(),
+		},
 		Exec: func(_ context.Context, args []string) error {
 			if len(args) > 0 {
 				return usage("burdock: no command %q; see burdock -h", args[0])
@@ -62,6 +88,22 @@
 	}
 }
 
+func (c *CLI) settings() *ffcli.Command {
+	return c.group("settings", "check the settings of a process", burdockcheck.SettingsCommand(c.stdout))
+}
+
+func (c *CLI) customer() *ffcli.Command {
+	return c.group("customer", "make customers' keys", burdockcheck.KeyCommand(c.stdout))
+}
+
+func (c *CLI) measure() *ffcli.Command {
+	return c.group("measure", "measure the decisions against baselines",
+		burdockqueuelab.Command(c.stdout),
+		burdockplacelab.Command(c.stdout),
+		burdockexpertlab.Command(c.stdout),
+		burdockgrouplab.Command(c.stdout))
+}
+
 // flags returns an empty flag set that reports to the command line's errors.
 func (c *CLI) flags(name string) *flag.FlagSet {
 	flags := flag.NewFlagSet(name, flag.ContinueOnError)
