--- a/internal/proof/burdockpromise/answer_test.go
+++ b/internal/proof/burdockpromise/answer_test.go
@@ -11,6 +11,7 @@
 
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/proof/burdockprograms"
+	"burdockbend.example/burdockbend/internal/standin/burdockfakeengine"
 	"burdockbend.example/burdockbend/internal/standin/burdockstandin"
 )
 
@@ -191,6 +192,36 @@
 	}
 }
 
+// The caller of a stream is told that it was cut. The engine gives up in the
+// middle and ends its answer in good order, but for the end mark; to HTTP the
+// answer looks whole.
+func TestEngineEndsEarly(t *testing.T) {
+	f := burdockprograms.Start(t, burdockprograms.Config{Models: 1, Entries: 1, Slots: 4, Step: time.Millisecond})
+	got := f.Send(context.Background(), f.Entries[0], burdockprograms.Chat("half "+burdockfakeengine.EndsEarly, 20, true))
+	if events := burdockprograms.ReadStream(got.Body); got.Err == nil || events.Problem != "answerCut" || events.Done {
+		t.Errorf("got err %v, events %+v; want a cut connection after an answerCut event", got.Err, events)
+	}
+}
+
+// The caller is told that the outcome is unknown, and nothing runs twice. The
+// agent is killed while its engine runs the request, and a new process stands
+// in its place before the entry asks again. The new one never had the request,
+// but that doesn't make it "not run".
+func TestAgentReplacedWhileRunning(t *testing.T) {
+	f := burdockprograms.Start(t, burdockprograms.Config{Models: 2, Entries: 1, Slots: 4, Step: slowStep, Links: true})
+	s := send(context.Background(), t, f, burdockprograms.Chat("replaced", longAnswer, false))
+	a := running(t, f)
+	a.Kill()
+	f.StartAgent(t, a)
+	got := <-s.answer
+	if got.Status != http.StatusBadGateway || got.NotRun() {
+		t.Errorf("got %d not run %v %q, want 502 and not not-run", got.Status, got.NotRun(), got.Body)
+	}
+	if got, want := runsOf(f, got), 1; got != want {
+		t.Errorf("runs: got %d, want %d", got, want)
+	}
+}
+
 // A caller that goes away frees its slot of the engine, whether it is read
 // from or still waits for the first byte. Otherwise the engine would spend its
 // steps on answers that nobody reads.
--- a/internal/proof/burdockpromise/key_test.go
+++ b/internal/proof/burdockpromise/key_test.go
@@ -4,10 +4,15 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/decide/burdockledger"
 	"burdockbend.example/burdockbend/internal/proof/burdockprograms"
+	"burdockbend.example/burdockbend/internal/wire/burdockwire"
+	"connectrpc.com/connect"
 )
 
 // keyedChat is a letter that must not be written twice.
@@ -183,3 +188,91 @@
 		}
 	}
 }
+
+// A key runs once though its home was frozen past the point where others took
+// its keys, and wakes believing that it is the home. Operators took the frozen
+// home out of the fleet, since its VM seemed gone, and a new home answers for
+// its keys. The first thing the old one reads on waking is an entry's offer of
+// such a key. It must refuse before it has heard from anybody.
+func TestWokenHomeGrantsNothing(t *testing.T) {
+	f := keyFleet(t, time.Millisecond)
+	used, fresh := twoKeysOfOneSlot()
+	old := homeOf(t, f, used)
+	old.Freeze()
+	f.Agents = slices.DeleteFunc(f.Agents, func(a *burdockprograms.Agent) bool { return a == old })
+	f.Apply(t)
+	burdockprograms.Eventually(t, "a new home answers for the slot", func() bool {
+		got := f.Send(context.Background(), f.Entries[0], keyedChat(used, "is there a home?", 1, false))
+		return got.Status == http.StatusBadGateway // it can't know what ran before
+	})
+	o := newOffer(old, fresh)
+	go o.run()
+	time.Sleep(time.Second) // the offer waits in the frozen process's buffers
+	old.Thaw()
+	if got := <-o.answer; got.GetRefused() == nil {
+		t.Errorf("the woken home: got %v, want a refusal", got)
+	}
+	if got, want := old.Upstream.Runs().Started[o.id], 0; got != want {
+		t.Errorf("runs at the woken home: got %d, want %d", got, want)
+	}
+}
+
+// twoKeysOfOneSlot returns two keys that have the same home.
+func twoKeysOfOneSlot() (string, string) {
+	const first = "letter-6"
+	slot := burdockledger.SlotOf(burdockledger.KeyOf(burdockprograms.Customer, first))
+	for i := 0; ; i++ {
+		second := fmt.Sprint("letter-6-", i)
+		if burdockledger.SlotOf(burdockledger.KeyOf(burdockprograms.Customer, burdockid.IdempotencyKey(second))) == slot {
+			return first, second
+		}
+	}
+}
+
+// homeOf returns the agent that is the home of a new key.
+func homeOf(t *testing.T, f *burdockprograms.Fleet, key string) *burdockprograms.Agent {
+	t.Helper()
+	got := f.Send(context.Background(), f.Entries[0], keyedChat(key, "find the home", 1, false))
+	if !got.Whole() {
+		t.Fatalf("find the home: got status %d body %q", got.Status, got.Body)
+	}
+	for _, a := range f.Agents {
+		if a.Upstream.Runs().Started[burdockid.Request(got.Header.Get("Burdock-Request-Id"))] == 1 {
+			return a
+		}
+	}
+	t.Fatal("no agent ran the key")
+	return nil
+}
+
+// offer is what an entry with an old view would send to an agent.
+type offer struct {
+	agent  *burdockprograms.Agent
+	id     burdockid.Request
+	key    string
+	answer chan *burdockwire.RunEvent
+}
+
+func newOffer(a *burdockprograms.Agent, key string) *offer {
+	return &offer{agent: a, id: burdockid.NewRequest(), key: key, answer: make(chan *burdockwire.RunEvent, 1)}
+}
+
+// run passes on the first event, which says whether the offer was admitted.
+func (o *offer) run() {
+	client := burdockwire.NewAgentServiceClient(http.DefaultClient, "http://"+o.agent.Peer)
+	stream, err := client.Run(context.Background(), connect.NewRequest(&burdockwire.RunRequest{
+		RequestId:      string(o.id),
+		Upstream:       o.agent.Name,
+		Customer:       burdockprograms.Customer,
+		IdempotencyKey: o.key,
+		Method:         http.MethodPost,
+		Path:           "/v1/chat/completions",
+		Body:           []byte(burdockprograms.Chat("woken", 1, false).Body),
+	}))
+	if err != nil || !stream.Receive() {
+		o.answer <- nil
+		return
+	}
+	o.answer <- stream.Msg()
+	_ = stream.Close()
+}
--- a/internal/standin/burdockfakeengine/engine.go
+++ b/internal/standin/burdockfakeengine/engine.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -18,6 +19,10 @@
 // RequestIDHeader carries the request's id to the upstream.
 const RequestIDHeader = "Burdock-Request-Id"
 
+// EndsEarly in a prompt makes the stand-in end a streamed answer in good order
+// after half of it, without its end mark.
+const EndsEarly = "[ends early]"
+
 const (
 	defaultMaxTokens = 16
 	maxBodyBytes     = 16 << 20
@@ -141,6 +146,9 @@
 		req.MaxTokens = defaultMaxTokens
 	}
 	words := Words(string(req.Messages)+string(req.Prompt), req.MaxTokens)
+	if req.Stream && strings.Contains(string(req.Messages), EndsEarly) {
+		return s.streamEvents(w, r, sh, req.Model, words[:len(words)/2]) && false
+	}
 	if req.Stream {
 		return s.stream(w, r, sh, req.Model, words)
 	}
@@ -151,7 +159,16 @@
 	return true
 }
 
+// stream answers with events and the end mark.
 func (s *Server) stream(w http.ResponseWriter, r *http.Request, sh shape, model string, words []string) bool {
+	if !s.streamEvents(w, r, sh, model, words) {
+		return false
+	}
+	_, err := io.WriteString(w, "data: [DONE]\n\n")
+	return err == nil
+}
+
+func (s *Server) streamEvents(w http.ResponseWriter, r *http.Request, sh shape, model string, words []string) bool {
 	w.Header().Set("Content-Type", "text/event-stream")
 	flusher := http.NewResponseController(w)
 	if !s.pause(r, s.cfg.Prefill) {
@@ -171,8 +188,7 @@
 			return false
 		}
 	}
-	_, err := io.WriteString(w, "data: [DONE]\n\n")
-	return err == nil
+	return true
 }
 
 // pause waits, and reports false when the caller went away.
