--- a/internal/proof/burdockpromise/answer_test.go
+++ b/internal/proof/burdockpromise/answer_test.go
@@ -180,6 +180,22 @@
 	}
 }
 
+// The same for seven seconds, in which more than one connection on which the
+// entry asks goes silent as well.
+func TestAgentFrozenForLong(t *testing.T) {
+	f := burdockprograms.Start(t, burdockprograms.Config{Models: 2, Entries: 1, Slots: 4, Step: slowStep})
+	const prompt = "frozen for long"
+	s := send(context.Background(), t, f, burdockprograms.Chat(prompt, longAnswer, true))
+	a := running(t, f)
+	a.Freeze()
+	time.Sleep(7 * time.Second)
+	a.Thaw()
+	got := <-s.answer
+	if !got.WholeStream(prompt, longAnswer) {
+		t.Errorf("got status %d err %v stream %+v, want the whole answer", got.Status, got.Err, burdockprograms.ReadStream(got.Body))
+	}
+}
+
 // The caller of a stream is told that it was cut. The engine dies under it,
 // and its end of the connection is closed as if the answer were over.
 func TestEngineKilledMidStream(t *testing.T) {
--- a/internal/serve/burdockagent/agent_test.go
+++ b/internal/serve/burdockagent/agent_test.go
@@ -161,6 +161,7 @@
 func TestAttachAtEachOffset(t *testing.T) {
 	r := newRig(t, 0)
 	total := r.run(t, chat("resume")).GetEnd().GetTotalBytes()
+	time.Sleep(3 * tick) // the agent has had time to forget it
 	whole := r.bytesFrom(t, "resume", 0)
 	if got, want := int64(len(whole)), total; got != want {
 		t.Fatalf("bytes: got %d, want %d", got, want)
@@ -191,6 +192,22 @@
 	return b.String()
 }
 
+// A caller goes away and its entry says so. The engine's slot is free at once,
+// without waiting out the grace that an orphan gets.
+func TestCancelFreesItsSlot(t *testing.T) {
+	r := newRig(t, time.Hour)
+	stream, err := r.client.Run(context.Background(), connect.NewRequest(chat("cancelled")))
+	if err != nil {
+		t.Fatalf("Run: %v", err)
+	}
+	defer func() { _ = stream.Close() }()
+	waitFor(t, "the request runs", func() bool { return r.engine.Runs().Running == 1 })
+	if _, err := r.client.Cancel(context.Background(), connect.NewRequest(&burdockwire.CancelRequest{RequestId: "cancelled"})); err != nil {
+		t.Fatalf("Cancel: %v", err)
+	}
+	waitFor(t, "the engine is idle", func() bool { return r.engine.Runs().Running == 0 })
+}
+
 // Nobody comes back for an answer: its entry died. The engine's slot is free
 // after the grace, and not before, since an entry that lost only its
 // connection comes back within it.
--- a/internal/serve/burdockentry/attempt.go
+++ b/internal/serve/burdockentry/attempt.go
@@ -128,15 +128,28 @@
 	for stream.Receive() {
 		// The time that a slow caller takes to read is not the agent's silence.
 		watchdog.Stop()
-		if res := a.take(stream.Msg()); res != nil {
+		res := a.take(stream.Msg())
+		watchdog.Reset(silenceLimit)
+		if res != nil {
+			finish(stream, res)
 			return res, true
 		}
-		watchdog.Reset(silenceLimit)
 	}
 	a.note(ctx, stream.Err())
 	return nil, sent.Load()
 }
 
+// finish reads a stream to its end after the last event of the request, so
+// that its connection can be used again. One that ended in any other way is
+// never used again: bytes of this request may still be on it.
+func finish(stream *connect.ServerStreamForClient[burdockwire.RunEvent], res result) {
+	switch res.(type) {
+	case answered, notRun:
+		for stream.Receive() {
+		}
+	}
+}
+
 func (a *attempt) note(ctx context.Context, err error) {
 	a.last = err
 	if cause := context.Cause(ctx); errors.Is(cause, errSilent) {
--- a/internal/serve/burdockentry/entry_test.go
+++ b/internal/serve/burdockentry/entry_test.go
@@ -132,6 +132,9 @@
 		{"bytes twice", func(id string) []*burdockwire.RunEvent {
 			return []*burdockwire.RunEvent{admitted(id), head(id), chunk(id, 0, "ab"), chunk(id, 1, "bc"), end(id, 3)}
 		}, false},
+		{"bytes of another place", func(id string) []*burdockwire.RunEvent {
+			return []*burdockwire.RunEvent{admitted(id), head(id), chunk(id, 0, "ab"), chunk(id, 1, "c"), end(id, 3)}
+		}, false},
 		{"ends too early", func(id string) []*burdockwire.RunEvent {
 			return []*burdockwire.RunEvent{admitted(id), head(id), chunk(id, 0, "ab"), end(id, 3)}
 		}, false},
