Spill to the least loaded of the upstreams that reported lately

Cause: of 3,800 upstreams an entry knows the load of about a hundred at any time, and random spill candidates are nearly never among them. Change: an entry remembers the upstreams of its latest 32 reports and compares six of them with the random ones.

--- a/internal/decide/burdockplace/choose.go
+++ b/internal/decide/burdockplace/choose.go
@@ -143,11 +143,12 @@
 	first := c.seen.n
 	c.order(c.p.rnd.Uint64(), 1, 0)
 	c.collect(c.p.cfg.Spill)
+	c.collectRecent(c.p.cfg.Recent)
 	reason := ReasonSpill
 	if len(c.req.Prefix) == 0 {
 		reason = ReasonNoPrefix
 	}
-	if choice, ok := c.pick(first, reason); ok {
+	if choice, ok := c.lowest(first, reason); ok {
 		return choice, true
 	}
 	if c.seen.n == 0 {
@@ -218,6 +219,21 @@
 	return c.choice(c.lowerOfTwo(first, within), reason), true
 }
 
+// lowest takes the lowest candidate, from first on, that is within the bound.
+func (c *chooser) lowest(first int, reason Reason) (Choice, bool) {
+	best := -1
+	for i := first; i < c.seen.n; i++ {
+		one := &c.seen.list[i]
+		if !one.over && (best < 0 || one.score < c.seen.list[best].score) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return Choice{}, false
+	}
+	return c.choice(c.seen.list[best], reason), true
+}
+
 func (c *chooser) lowerOfTwo(first, end int) candidate {
 	list := &c.seen.list
 	n := end - first
--- a/internal/decide/burdockplace/config.go
+++ b/internal/decide/burdockplace/config.go
@@ -18,6 +18,9 @@
 	// loaded beyond the bound. Two random choices already take away most of
 	// the excess of one; more add little and cost time.
 	Spill int
+	// Recent is how many of the upstreams that reported lately are compared
+	// with them.
+	Recent int
 	// Offers is how many offers of one request carry a bound. The next one
 	// carries none, so that a request is never passed around without end.
 	Offers int
@@ -52,6 +55,7 @@
 const (
 	defaultHome           = 2
 	defaultSpill          = 2
+	defaultRecent         = 6
 	defaultOffers         = 3
 	defaultBoundRatio     = 1.05
 	defaultBoundSlack     = 1
@@ -65,6 +69,7 @@
 func (c Config) withDefaults() Config {
 	c.Home = cmp.Or(c.Home, defaultHome)
 	c.Spill = cmp.Or(c.Spill, defaultSpill)
+	c.Recent = cmp.Or(c.Recent, defaultRecent)
 	c.Offers = cmp.Or(c.Offers, defaultOffers)
 	c.BoundRatio = cmp.Or(c.BoundRatio, defaultBoundRatio)
 	c.BoundSlack = cmp.Or(c.BoundSlack, defaultBoundSlack)
--- a/internal/decide/burdockplace/member.go
+++ b/internal/decide/burdockplace/member.go
@@ -78,6 +78,7 @@
 	m.wait = int32(min(r.ExpectedWait, math.MaxInt32))
 	m.slots = int32(max(r.Slots, 1))
 	m.unreported = 0
+	p.recent.add(p.index[u])
 }
 
 // SetWeight changes the weight of one member, as ejection does by degrees. It
--- a/internal/decide/burdockplace/members.go
+++ b/internal/decide/burdockplace/members.go
@@ -50,4 +50,5 @@
 		p.index[names[i]] = int32(i)
 	}
 	p.table = newTable(names)
+	p.recent = recent{}
 }
--- a/internal/decide/burdockplace/place.go
+++ b/internal/decide/burdockplace/place.go
@@ -98,6 +98,7 @@
 	index   map[burdockid.Upstream]int32
 	table   table
 	fleet   fleetLoad
+	recent  recent
 	widths  widths
 }
 
--- a/internal/decide/burdockplace/place_test.go
+++ b/internal/decide/burdockplace/place_test.go
@@ -222,3 +222,25 @@
 		PrefixBlocks(prompt)
 	}
 }
+
+// The homes of a prefix refuse as full. The request spills; of the other
+// upstreams the entry knows only the few that reported in the last second.
+// The one of them with room must be found, since a blind choice would be
+// refused again as often as not.
+func TestSpillFindsWhatReportedLately(t *testing.T) {
+	p := testPlacer(3800, 10)
+	for i := range 31 {
+		p.Report(0, burdockid.Upstream(fmt.Sprintf("replica-%04d", i)), Report{Running: 16, Slots: 16})
+	}
+	p.Report(0, "replica-0031", Report{Running: 4, Slots: 16})
+	found := 0
+	for range 1000 {
+		choice, _ := p.Choose(0, Request{Attempt: defaultOffers})
+		if choice.Upstream == "replica-0031" {
+			found++
+		}
+	}
+	if got, want := found, 100; got < want {
+		t.Errorf("the one with room was found %d times of 1000, want at least %d", got, want)
+	}
+}
