Offer a request to homes only as often as there are homes

Cause: the third offer went to the position after both homes, an upstream as unknown as any and without the prefix, and was refused as often; the fourth then went unbounded to wherever it was sent. Change: after both homes the request spills to what reported lately.

--- a/internal/decide/burdockplace/choose.go
+++ b/internal/decide/burdockplace/choose.go
@@ -70,9 +70,11 @@
 		return Choice{}, false
 	}
 	c := chooser{p: p, now: now, req: &req, bound: p.bound()}
-	// The last offer carries no bound and so must not go to a home: all that
-	// overflows from a hot prefix would be queued there, without end.
-	if req.Attempt < p.cfg.Offers {
+	// A request is offered to homes only as often as there are homes. Positions
+	// after them keep nothing of the prefix, and an upstream that reported lately
+	// is the better choice. The last offer carries no bound and must not go to a
+	// home: all that overflows from a hot prefix would be queued there.
+	if req.Attempt < min(p.cfg.Home, p.cfg.Offers) {
 		if choice, ok := c.home(); ok {
 			return choice, true
 		}
