Send a conversation to one of the homes of its prefix

Cause: the lower of two homes by an old view sent the turns of one conversation now to one home, now to the other, and each computed what the other kept. Change: the place of the conversation decides between homes, as it does in the spread of a hot prefix.

--- a/internal/decide/burdockplace/choose.go
+++ b/internal/decide/burdockplace/choose.go
@@ -110,7 +110,19 @@
 	}
 	c.order(key, width, c.spread(width))
 	c.collect(cfg.Home)
-	return c.pick(0, reason)
+	return c.first(reason)
+}
+
+// first takes the first home within the bound. The lower of two would send
+// the turns of one conversation to different homes, and each would compute
+// what the other keeps.
+func (c *chooser) first(reason Reason) (Choice, bool) {
+	for _, home := range c.seen.list[:c.seen.n] {
+		if !home.over {
+			return c.choice(home, reason), true
+		}
+	}
+	return Choice{}, false
 }
 
 // order sets the order of members in which collect goes on.
