--- a/internal/measure/burdockplacelab/command.go
+++ b/internal/measure/burdockplacelab/command.go
@@ -29,6 +29,7 @@
 	flags.IntVar(&o.Prefixes, "prefixes", o.Prefixes, "system prompts for each replica")
 	flags.Float64Var(&o.Skew, "skew", o.Skew, "Zipf exponent of the system prompts; 0 is even")
 	flags.Int64Var((*int64)(&o.CacheTokens), "cache", int64(o.CacheTokens), "tokens that a replica caches")
+	flags.StringVar((*string)(&o.Scenario), "scenario", string(o.Scenario), "what goes wrong: steady, slow or lost")
 	only := flags.String("policies", "", "policies to run, separated by commas; empty runs all")
 	seconds := flags.Int64("seconds", int64(o.Measured/burdockclock.Second), "simulated seconds that are measured, after as many to warm up")
 	flags.IntVar(&o.Placing.Home, "home", 0, "upstreams that a prefix belongs to; 0 takes the default")
@@ -71,15 +72,15 @@
 }
 
 func print(w io.Writer, o Options, policies []Policy) error {
-	fmt.Fprintf(w, "%d replicas of %d slots, %d entries, %d data centres, %.0f%% filled, reports %d ms old, seed %d\n",
-		o.Replicas, o.Slots, o.Entries, o.DataCentres, 100*o.Utilisation, o.Lag, o.Seed)
+	fmt.Fprintf(w, "%d replicas of %d slots, %d entries, %d data centres, %.0f%% filled, reports %d ms old, %s, seed %d\n",
+		o.Replicas, o.Slots, o.Entries, o.DataCentres, 100*o.Utilisation, o.Lag, o.Scenario, o.Seed)
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(table, "policy\tload p50\tp99\tmost\tspread\twait p50\tp99 ms\thit rate\toffers\tremote\trequests\t")
+	fmt.Fprintln(table, "policy\tload p50\tp99\tmost\tspread\twait p50\tp99 ms\thit rate\toffers\tremote\ton slow\tcut\tgiven up\trequests\t")
 	for _, policy := range policies {
 		r := Run(o, policy)
-		fmt.Fprintf(table, "%s\t%.3f\t%.3f\t%.3f\t%.3f\t%d\t%d\t%.3f\t%.2f\t%.2f\t%d\t\n",
+		fmt.Fprintf(table, "%s\t%.3f\t%.3f\t%.3f\t%.3f\t%d\t%d\t%.3f\t%.2f\t%.2f\t%.4f\t%d\t%d\t%d\t\n",
 			r.Policy, r.LoadP50, r.LoadP99, r.LoadMost, r.Spread, r.WaitP50, r.WaitP99,
-			r.HitRate, r.Offers, r.Remote, r.Requests)
+			r.HitRate, r.Offers, r.Remote, r.OnSlow, r.Cut, r.GivenUp, r.Requests)
 	}
 	return table.Flush()
 }
@@ -91,6 +92,8 @@
 		return errBadOptions.New("replicas, entries, datacentres, slots and prefixes must be 1 or more")
 	case o.Utilisation <= 0 || o.Lag < 0 || o.CacheTokens < burdockid.Tokens(0) || o.Skew < 0:
 		return errBadOptions.New("utilisation must be above 0; lag, cache and skew must be 0 or more")
+	case o.Scenario != Steady && o.Scenario != Slow && o.Scenario != Lost:
+		return errBadOptions.New("scenario must be steady, slow or lost")
 	case o.Measured <= 0:
 		return errBadOptions.New("seconds must be 1 or more")
 	}
--- a/internal/measure/burdockplacelab/event.go
+++ b/internal/measure/burdockplacelab/event.go
@@ -4,7 +4,9 @@
 	"container/heap"
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/decide/burdockeject"
 	"burdockbend.example/burdockbend/internal/decide/burdockplace"
+	"burdockbend.example/burdockbend/internal/decide/burdockretry"
 )
 
 // event is something that happens at an instant: one of the types below.
@@ -28,12 +30,26 @@
 	req     *request
 	replica int
 	report  burdockplace.Report
+	outcome burdockretry.Outcome
 }
 
+// broken is a connection that breaks under a request.
+type broken struct {
+	req     *request
+	replica int
+}
+
+// losing and returning are the ends of a data centre's outage.
+type (
+	losing    struct{}
+	returning struct{}
+)
+
 // finish is the end of the work on a request at its replica.
 type finish struct {
 	req     *request
 	replica int
+	took    burdockclock.Millis
 }
 
 // hearing is a report that reaches an entry with an answer.
@@ -41,7 +57,9 @@
 	entry   int
 	replica int
 	report  burdockplace.Report
-	ended   bool // the answer has ended
+	// ended is what the entry may judge the replica by once the answer has
+	// ended, and nil before.
+	ended *burdockeject.Answered
 }
 
 // sampling is the time to look at all loads.
@@ -53,6 +71,9 @@
 func (arrival) event()    {}
 func (offer) event()      {}
 func (refusal) event()    {}
+func (broken) event()     {}
+func (losing) event()     {}
+func (returning) event()  {}
 func (finish) event()     {}
 func (hearing) event()    {}
 func (sampling) event()   {}
--- a/internal/measure/burdockplacelab/lab.go
+++ b/internal/measure/burdockplacelab/lab.go
@@ -27,6 +27,7 @@
 	Slots int
 	// Utilisation is the share of all slots that the requests fill on average.
 	Utilisation float64
+	Scenario    Scenario
 	// Prefixes is how many system prompts there are for each replica.
 	Prefixes int
 	// Skew is the exponent of the Zipf law by which requests choose a system
@@ -51,6 +52,7 @@
 		Seed:        1,
 		Slots:       32,
 		Utilisation: 0.8,
+		Scenario:    Steady,
 		Prefixes:    10,
 		Skew:        1,
 		CacheTokens: 200_000,
@@ -76,8 +78,14 @@
 	// Offers is the mean number of offers for each request.
 	Offers float64
 	// Remote is the share of requests that ran in another data centre.
-	Remote   float64
+	Remote float64
+	// OnSlow is the share of requests that ran on a slow replica.
+	OnSlow float64
+	// Requests counts those whose work began; Cut those that were cut off in
+	// their work or their queue; GivenUp those refused for good.
 	Requests int
+	Cut      int
+	GivenUp  int
 }
 
 // Run measures one policy.
@@ -100,5 +108,7 @@
 	partEntries // and one for each entry from here on
 	// partTurns has one for each turn of each conversation from here on.
 	partTurns uint64 = 1 << 32
-	turnBits         = 10
+	// partsOfEntry is how many an entry has.
+	partsOfEntry = 4
+	turnBits     = 10
 )
--- a/internal/measure/burdockplacelab/lab_test.go
+++ b/internal/measure/burdockplacelab/lab_test.go
@@ -39,3 +39,63 @@
 		}
 	}
 }
+
+func quick(replicas, entries int, s Scenario) Options {
+	o := DefaultOptions()
+	o.Replicas, o.Entries, o.Scenario = replicas, entries, s
+	return o
+}
+
+func TestLoadIsNearPerfectKnowledge(t *testing.T) {
+	for _, skew := range []float64{0, 1, 1.3} {
+		o := quick(64, 12, Steady)
+		o.Skew = skew
+		got, perfect := Run(o, Ours{}), Run(o, Perfect{})
+		if want := 1.1 * perfect.LoadP99; got.LoadP99 > want {
+			t.Errorf("skew %v: p99 of load = %v, want at most %v", skew, got.LoadP99, want)
+		}
+		if want := 1.2 * Run(o, TwoChoices{}).HitRate; got.HitRate < want {
+			t.Errorf("skew %v: hit rate = %v, want at least %v", skew, got.HitRate, want)
+		}
+	}
+}
+
+// Reports are five seconds old. Entries that all chose the least loaded by
+// such views would send everything to the same upstream until the next report.
+// The callers' wait must stay far below that of the least of all.
+func TestLaggingLoadDoesNotHerd(t *testing.T) {
+	o := quick(64, 12, Steady)
+	o.Lag = 5000
+	got, herding := Run(o, Ours{}), Run(o, LeastStale{})
+	if want := herding.WaitP99 / 10; got.WaitP99 > want {
+		t.Errorf("p99 of waits = %d ms, want at most %d ms", got.WaitP99, want)
+	}
+}
+
+// One replica works at a quarter of the pace of its peers. Requests that are
+// sent there take four times as long. Judged by its own answers, it must get
+// less than the third of its share that its occupied slots alone would leave.
+func TestSlowReplicaGetsLittle(t *testing.T) {
+	got := Run(quick(64, 6, Slow), Ours{})
+	if share := 1.0 / 64; got.OnSlow > share/3 {
+		t.Errorf("share of requests on the slow replica = %v, want at most %v", got.OnSlow, share/3)
+	}
+}
+
+// Demand is twice what the replicas can do, for two minutes. Queues fill, then
+// nearly all refuse. The work done must stay that of full replicas, and an
+// entry must stop offering one request around among upstreams that are full.
+func TestAllRefuse(t *testing.T) {
+	o := quick(16, 3, Steady)
+	o.Utilisation = 2
+	got := Run(o, Ours{})
+	if got.LoadP50 < 1 {
+		t.Errorf("p50 of load = %v, want every slot taken", got.LoadP50)
+	}
+	if got.GivenUp == 0 {
+		t.Error("nobody was given up, want about half of all")
+	}
+	if want := 4.0; got.Offers > want {
+		t.Errorf("offers a request = %v, want at most %v", got.Offers, want)
+	}
+}
--- a/internal/measure/burdockplacelab/policy.go
+++ b/internal/measure/burdockplacelab/policy.go
@@ -1,11 +1,6 @@
 package burdockplacelab
 
-import (
-	"math/rand/v2"
-
-	"burdockbend.example/burdockbend/internal/base/burdockid"
-	"burdockbend.example/burdockbend/internal/decide/burdockplace"
-)
+import "math/rand/v2"
 
 // Policy chooses the replica of a request: one of the types below.
 type Policy interface{ policy() }
@@ -70,11 +65,14 @@
 	}
 }
 
+// nowhere is the choice when there is none.
+const nowhere = -1
+
 // choose returns the replica that the request is offered to.
 func (w *world) choose(req *request) int {
 	switch w.policy.(type) {
 	case Ours:
-		return w.chooseOurs(req)
+		return w.entries[req.entry].choose(w, req)
 	case Random:
 		return w.rnd.IntN(len(w.replicas))
 	case RoundRobin:
@@ -97,29 +95,6 @@
 	}
 }
 
-func (w *world) chooseOurs(req *request) int {
-	choice, ok := w.placers[req.entry].Choose(w.now, burdockplace.Request{
-		Prefix:     req.prefix,
-		DataCentre: w.entryDataCentre(req.entry),
-		Cost:       req.promptTokens() + req.output,
-		Attempt:    req.offers,
-		Exclude: func(u burdockid.Upstream) bool {
-			for _, i := range req.refused {
-				if w.names[i] == u {
-					return true
-				}
-			}
-			return false
-		},
-	})
-	if !ok {
-		panic("burdockplacelab: no replica found")
-	}
-	req.maxLoad = choice.MaxLoad
-	w.placers[req.entry].Sent(w.now, choice.Upstream, req.output)
-	return w.indexOf[choice.Upstream]
-}
-
 func (w *world) choosePerfect(req *request) int {
 	lowest := w.levels.lowest()
 	return lowest[least(w.rnd, len(lowest), func(i int) int {
--- a/internal/measure/burdockplacelab/replica.go
+++ b/internal/measure/burdockplacelab/replica.go
@@ -10,13 +10,14 @@
 
 // replica is a queue in order of arrival, some slots and a cache.
 type replica struct {
-	slots   int
-	running int
-	queue   []*request
-	cache   cache
+	slots  int
+	down   bool
+	active []*request // in the slots
+	queue  []*request
+	cache  cache
 }
 
-func (r *replica) held() int { return r.running + len(r.queue) }
+func (r *replica) held() int { return len(r.active) + len(r.queue) }
 
 func (r *replica) load() float64 { return float64(r.held()) / float64(r.slots) }
 
@@ -25,10 +26,12 @@
 	return req.maxLoad == 0 || float64(r.held()+1)/float64(r.slots) <= req.maxLoad
 }
 
+func (r *replica) full() bool { return len(r.queue) >= queueSlots*r.slots }
+
 func (r *replica) report() burdockplace.Report {
 	service := outputTokens * paceMillis / r.slots
 	return burdockplace.Report{
-		Running:      r.running,
+		Running:      len(r.active),
 		Queued:       len(r.queue),
 		Slots:        r.slots,
 		ExpectedWait: burdockclock.Millis(len(r.queue) * service),
--- a/internal/measure/burdockplacelab/tally.go
+++ b/internal/measure/burdockplacelab/tally.go
@@ -28,6 +28,9 @@
 	requests int
 	remote   int
 	offers   int
+	onSlow   int
+	cut      int
+	givenUp  int
 	prompt   burdockid.Tokens
 	found    burdockid.Tokens
 }
@@ -63,6 +66,9 @@
 	if w.remote(req.entry, index) {
 		t.remote++
 	}
+	if w.slow(index) {
+		t.onSlow++
+	}
 	record(t.waits, int64(w.now-req.arrived), mostWait)
 }
 
@@ -87,6 +93,9 @@
 		HitRate:  float64(t.found) / float64(max(t.prompt, 1)),
 		Offers:   float64(t.offers) / n,
 		Remote:   float64(t.remote) / n,
+		OnSlow:   float64(t.onSlow) / n,
 		Requests: t.requests,
+		Cut:      t.cut,
+		GivenUp:  t.givenUp,
 	}
 }
--- a/internal/measure/burdockplacelab/workload.go
+++ b/internal/measure/burdockplacelab/workload.go
@@ -34,6 +34,7 @@
 	prefix       []uint64
 	arrived      burdockclock.Millis
 	offers       int
+	overBound    int // of the offers, those refused for their bound alone
 	maxLoad      float64
 	refused      []int // replicas
 }
--- a/internal/measure/burdockplacelab/world.go
+++ b/internal/measure/burdockplacelab/world.go
@@ -7,7 +7,9 @@
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/decide/burdockeject"
 	"burdockbend.example/burdockbend/internal/decide/burdockplace"
+	"burdockbend.example/burdockbend/internal/decide/burdockretry"
 )
 
 const (
@@ -30,9 +32,9 @@
 	replicas []replica
 	names    []burdockid.Upstream
 	indexOf  map[burdockid.Upstream]int
-	placers  []*burdockplace.Placer
-	turns    []int // of round robin, by entry
-	stale    []int // requests held, as of the last refreshing
+	entries  []*entry // of the project's own policy
+	turns    []int    // of round robin, by entry
+	stale    []int    // requests held, as of the last refreshing
 	// leastStale holds the replicas that held the fewest then.
 	leastStale []int
 	// levels counts also the offers on their way. Only the policy with perfect
@@ -65,12 +67,12 @@
 	}
 	w.refresh()
 	if _, ok := p.(Ours); ok {
-		w.addPlacers()
+		w.addEntries()
 	}
 	return w
 }
 
-func (w *world) addPlacers() {
+func (w *world) addEntries() {
 	members := make([]burdockplace.Member, len(w.replicas))
 	for i := range members {
 		members[i] = burdockplace.Member{
@@ -80,9 +82,7 @@
 		}
 	}
 	for i := range w.o.Entries {
-		placer := burdockplace.New(w.o.Placing, source(w.o, partEntries+uint64(i)))
-		placer.SetMembers(0, members)
-		w.placers = append(w.placers, placer)
+		w.entries = append(w.entries, newEntry(w.o, i, members))
 	}
 }
 
@@ -113,6 +113,7 @@
 	}
 	w.agenda.add(w.o.Warm, sampling{})
 	w.agenda.add(0, refreshing{})
+	w.scheduleFaults()
 	for {
 		next := w.agenda.next()
 		if next.at > end {
@@ -139,6 +140,12 @@
 		w.handleOffer(e)
 	case refusal:
 		w.handleRefusal(e)
+	case broken:
+		w.handleBroken(e)
+	case losing:
+		w.handleLosing()
+	case returning:
+		w.handleReturning()
 	case finish:
 		w.handleFinish(e)
 	case hearing:
@@ -167,6 +174,10 @@
 
 func (w *world) offer(req *request) {
 	chosen := w.choose(req)
+	if chosen == nowhere {
+		w.tally.givenUp++
+		return
+	}
 	req.offers++
 	w.levels.change(chosen, 1)
 	w.agenda.add(w.now+w.way(req.entry, chosen), offer{req, chosen})
@@ -174,73 +185,115 @@
 
 func (w *world) handleOffer(e offer) {
 	r := &w.replicas[e.replica]
-	if !r.takes(e.req) {
-		w.levels.change(e.replica, -1)
-		back := w.now + w.way(e.req.entry, e.replica)
-		w.agenda.add(back, refusal{e.req, e.replica, r.report()})
-		return
-	}
-	if r.running < r.slots {
+	switch {
+	case r.down:
+		w.refuse(e, burdockretry.Unreached{})
+	case !r.takes(e.req):
+		w.refuse(e, burdockretry.OverBound{})
+	case r.full():
+		w.refuse(e, burdockretry.NotRun{})
+	case len(r.active) < r.slots:
 		w.start(e.req, e.replica)
-		return
+	default:
+		r.queue = append(r.queue, e.req)
 	}
-	r.queue = append(r.queue, e.req)
+}
+
+func (w *world) refuse(e offer, outcome burdockretry.Outcome) {
+	w.levels.change(e.replica, -1)
+	back := w.now + w.way(e.req.entry, e.replica)
+	w.agenda.add(back, refusal{e.req, e.replica, w.replicas[e.replica].report(), outcome})
 }
 
 func (w *world) handleRefusal(e refusal) {
-	w.hear(hearing{entry: e.req.entry, replica: e.replica, report: e.report, ended: true})
 	e.req.refused = append(e.req.refused, e.replica)
-	w.offer(e.req)
+	if _, over := e.outcome.(burdockretry.OverBound); over {
+		e.req.overBound++
+	}
+	again := e.req.offers < naiveOffers
+	if len(w.entries) > 0 {
+		again = w.refusedOurs(e)
+	}
+	if again {
+		w.offer(e.req)
+		return
+	}
+	w.tally.givenUp++
+}
+
+func (w *world) refusedOurs(e refusal) bool {
+	entry, name := w.entries[e.req.entry], w.names[e.replica]
+	entry.placer.Done(w.now, name, 0)
+	if _, gone := e.outcome.(burdockretry.Unreached); gone {
+		entry.observe(w.now, name, burdockeject.Unreached{})
+	} else {
+		entry.placer.Report(w.now, name, e.report)
+	}
+	return entry.again(w.now, e.req, e.outcome)
+}
+
+// handleBroken ends a request whose outcome is unknown: the caller is told so.
+func (w *world) handleBroken(e broken) {
+	w.tally.cut++
+	if len(w.entries) == 0 {
+		return
+	}
+	entry, name := w.entries[e.req.entry], w.names[e.replica]
+	entry.placer.Done(w.now, name, 0)
+	entry.observe(w.now, name, burdockeject.Failed{})
 }
 
 func (w *world) start(req *request, index int) {
 	r := &w.replicas[index]
-	r.running++
+	r.active = append(r.active, req)
 	found := r.cache.found(req)
 	r.cache.keep(req)
 	computed := req.promptTokens() - found
 	took := burdockclock.Millis(computed/prefillPerMillis + req.output*paceMillis)
+	if w.slow(index) {
+		took *= slowFactor
+	}
 	if w.now >= w.o.Warm {
 		w.tally.started(w, req, index, found)
 	}
-	w.agenda.add(w.now+took, finish{req, index})
-	w.tell(req, index, false)
+	w.agenda.add(w.now+took, finish{req, index, took})
+	w.tell(req, index, nil)
 }
 
 func (w *world) handleFinish(e finish) {
 	r := &w.replicas[e.replica]
-	r.running--
+	place := slices.Index(r.active, e.req)
+	if place < 0 {
+		// It was cut off before.
+		return
+	}
+	r.active = slices.Delete(r.active, place, place+1)
 	w.levels.change(e.replica, -1)
 	if len(r.queue) > 0 {
 		next := r.queue[0]
 		r.queue = r.queue[1:]
 		w.start(next, e.replica)
 	}
-	w.tell(e.req, e.replica, true)
+	w.tell(e.req, e.replica, &burdockeject.Answered{Took: e.took, Work: e.req.output})
 	if next := w.workload.following(e.req, w.now); next != nil {
 		w.agenda.add(next.arrived, arrival{req: next})
 	}
 }
 
 // tell sends the load of a replica to the entry with an answer.
-func (w *world) tell(req *request, index int, ended bool) {
-	if len(w.placers) == 0 {
+func (w *world) tell(req *request, index int, ended *burdockeject.Answered) {
+	if len(w.entries) == 0 {
 		return
 	}
 	heard := hearing{entry: req.entry, replica: index, report: w.replicas[index].report(), ended: ended}
 	w.agenda.add(w.now+w.way(req.entry, index)+w.o.Lag, heard)
 }
 
-func (w *world) handleHearing(e hearing) { w.hear(e) }
-
-func (w *world) hear(e hearing) {
-	if len(w.placers) == 0 {
-		return
-	}
-	placer := w.placers[e.entry]
-	name := w.names[e.replica]
-	if e.ended {
-		placer.Done(w.now, name, 0)
+func (w *world) handleHearing(e hearing) {
+	entry, name := w.entries[e.entry], w.names[e.replica]
+	if e.ended != nil {
+		entry.placer.Done(w.now, name, 0)
+		entry.observe(w.now, name, *e.ended)
 	}
-	placer.Report(w.now, name, e.report)
+	entry.placer.Report(w.now, name, e.report)
 }
