Do not charge the retry budget for offers that were never sent

Cause: when a data centre is lost, each entry spent its budget on offers that found no connection, and gave up callers while the rest had room. The budget bounds what retries add to upstreams; these add nothing. Ruled out: a higher floor, which every other failure would use as well. Change: such offers are bounded by their number for one request, eight, and by the deadline.

--- a/internal/decide/burdockretry/config.go
+++ b/internal/decide/burdockretry/config.go
@@ -23,6 +23,10 @@
 	Floor float64
 	// Offers bounds the offers of one request that were refused or failed.
 	Offers int
+	// Unreached bounds the offers of one request when the latest was never
+	// sent. With a third of the upstreams gone and none ejected yet, four in a
+	// row are gone for one request in eighty, eight for one in six thousand.
+	Unreached int
 	// Enquiries bounds the offers of one request that ended in OverBound. The
 	// placer makes fewer; the bound is there for an upstream that answers so
 	// to an offer without a bound, which would otherwise never end.
@@ -50,6 +54,7 @@
 	defaultFraction   = 0.1
 	defaultFloor      = 3
 	defaultOffers     = 4
+	defaultUnreached  = 8
 	defaultEnquiries  = 8
 	defaultMostRefuse = 0.6
 	defaultEvidence   = 10
@@ -63,6 +68,7 @@
 	c.Fraction = cmp.Or(c.Fraction, defaultFraction)
 	c.Floor = cmp.Or(c.Floor, defaultFloor)
 	c.Offers = cmp.Or(c.Offers, defaultOffers)
+	c.Unreached = cmp.Or(c.Unreached, defaultUnreached)
 	c.Enquiries = cmp.Or(c.Enquiries, defaultEnquiries)
 	c.MostRefuse = cmp.Or(c.MostRefuse, defaultMostRefuse)
 	c.Evidence = cmp.Or(c.Evidence, defaultEvidence)
--- a/internal/decide/burdockretry/decide.go
+++ b/internal/decide/burdockretry/decide.go
@@ -27,8 +27,7 @@
 		b.refusals.add(now, b.cfg.Window)
 		return b.decideRetry(now, a, 0, outcome.RetryAfter)
 	case Unreached:
-		b.offers.add(now, b.cfg.Window)
-		return b.decideRetry(now, a, 0, 0)
+		return b.decideUnreached(now, a)
 	case Failed:
 		b.offers.add(now, b.cfg.Window)
 		// A broken connection never says "not run": the request may have run.
@@ -54,6 +53,20 @@
 	return Retry{}
 }
 
+// decideUnreached does not charge the budget. The budget bounds what retries
+// add to the load of upstreams, and an offer that was never sent adds none. A
+// charge would give up the callers of a lost data centre while the others
+// have room, until its upstreams are ejected.
+func (b *Budget) decideUnreached(now burdockclock.Millis, a Attempt) Decision {
+	switch {
+	case !b.inTime(now, a, 0):
+		return b.giveUp(now, ReasonDeadline, 0)
+	case a.Offers-a.OverBound >= b.cfg.Unreached:
+		return b.giveUp(now, ReasonOffers, 0)
+	}
+	return Retry{}
+}
+
 func (b *Budget) decideRetry(now burdockclock.Millis, a Attempt, after, told burdockclock.Millis) Decision {
 	switch {
 	case !b.inTime(now, a, after):
--- a/internal/decide/burdockretry/retry_test.go
+++ b/internal/decide/burdockretry/retry_test.go
@@ -39,6 +39,8 @@
 		{"over the bound without end", Attempt{Outcome: OverBound{}, Offers: 9, OverBound: 9}, ReasonOffers},
 		{"over the bound, too late", Attempt{Outcome: OverBound{}, Offers: 1, Deadline: 1000}, ReasonDeadline},
 		{"never sent", Attempt{Outcome: Unreached{}, Offers: 1}, ""},
+		{"never sent, often", Attempt{Outcome: Unreached{}, Offers: 8}, ReasonOffers},
+		{"never sent, too late", Attempt{Outcome: Unreached{}, Offers: 1, Deadline: 1000}, ReasonDeadline},
 		{"unknown, idempotent", Attempt{Outcome: Failed{}, Offers: 1, Idempotent: true}, ""},
 		{"unknown, not idempotent", Attempt{Outcome: Failed{}, Offers: 1}, ReasonUnknownOutcome},
 	}
--- a/internal/measure/burdockplacelab/lab_test.go
+++ b/internal/measure/burdockplacelab/lab_test.go
@@ -82,6 +82,22 @@
 	}
 }
 
+// A data centre of three is lost at once with all that runs there, and comes
+// back at once. What ran there is cut, and its callers are told. Everything
+// that arrives later must go to the rest; while the rest has room, no caller
+// may be given up.
+func TestDataCentreLostAndBack(t *testing.T) {
+	o := quick(63, 6, Lost)
+	o.Utilisation = 0.5
+	got := Run(o, Ours{})
+	if got.GivenUp > 0 {
+		t.Errorf("given up = %d of %d, want none while two thirds have room", got.GivenUp, got.Requests)
+	}
+	if got.Cut == 0 {
+		t.Error("nothing was cut, want the running requests of the lost third")
+	}
+}
+
 // Demand is twice what the replicas can do, for two minutes. Queues fill, then
 // nearly all refuse. The work done must stay that of full replicas, and an
 // entry must stop offering one request around among upstreams that are full.
