--- a/internal/decide/burdockplace/place.go
+++ b/internal/decide/burdockplace/place.go
@@ -35,7 +35,8 @@
 	DataCentre burdockid.DataCentre
 	// Cost is the work that the request is expected to bring.
 	Cost burdockid.Tokens
-	// Attempt counts the offers of this request that were already refused.
+	// Attempt counts the offers of this request that upstreams refused. Those
+	// that were never sent do not count: they say nothing of the load.
 	Attempt int
 	// Exclude reports the upstreams that must not be chosen, such as those
 	// that refused this request. It may be nil.
--- a/internal/measure/burdockplacelab/entry.go
+++ b/internal/measure/burdockplacelab/entry.go
@@ -42,7 +42,7 @@
 		Prefix:     req.prefix,
 		DataCentre: w.entryDataCentre(req.entry),
 		Cost:       req.promptTokens() + req.output,
-		Attempt:    req.offers,
+		Attempt:    req.offers - req.unreached,
 		Exclude: func(u burdockid.Upstream) bool {
 			for _, i := range req.refused {
 				if w.names[i] == u {
--- a/internal/measure/burdockplacelab/workload.go
+++ b/internal/measure/burdockplacelab/workload.go
@@ -34,6 +34,7 @@
 	prefix       []uint64
 	arrived      burdockclock.Millis
 	offers       int
+	unreached    int // of the offers, those never sent
 	overBound    int // of the offers, those refused for their bound alone
 	maxLoad      float64
 	refused      []int // replicas
--- a/internal/measure/burdockplacelab/world.go
+++ b/internal/measure/burdockplacelab/world.go
@@ -207,8 +207,11 @@
 
 func (w *world) handleRefusal(e refusal) {
 	e.req.refused = append(e.req.refused, e.replica)
-	if _, over := e.outcome.(burdockretry.OverBound); over {
+	switch e.outcome.(type) {
+	case burdockretry.OverBound:
 		e.req.overBound++
+	case burdockretry.Unreached:
+		e.req.unreached++
 	}
 	again := e.req.offers < naiveOffers
 	if len(w.entries) > 0 {
