Never queue for a slot while the fleet has free ones

Cause: near full load the bound of 1.05 times the mean and one request passes 1, so that one request in 32 queued while other replicas had slots. Change: the bound is at most 1 while the mean is below 1.

--- a/internal/decide/burdockplace/choose.go
+++ b/internal/decide/burdockplace/choose.go
@@ -85,10 +85,16 @@
 	return c.remaining()
 }
 
-// bound returns the load beyond which a request moves on.
+// bound returns the load beyond which a request moves on. While the fleet has
+// free slots it is at most 1: a request that queues for one slot while another
+// is free waits for nothing.
 func (p *Placer) bound() float64 {
 	slack := p.cfg.BoundSlack / max(p.fleet.slots, 1)
-	return max(p.cfg.BoundFloor, p.cfg.BoundRatio*p.fleet.mean+slack)
+	bound := max(p.cfg.BoundFloor, p.cfg.BoundRatio*p.fleet.mean+slack)
+	if p.fleet.mean < 1 {
+		return min(bound, 1)
+	}
+	return bound
 }
 
 // home compares the upstreams that the prefix belongs to.
