--- a/internal/measure/burdockplacelab/command.go
+++ b/internal/measure/burdockplacelab/command.go
@@ -75,12 +75,12 @@
 	fmt.Fprintf(w, "%d replicas of %d slots, %d entries, %d data centres, %.0f%% filled, reports %d ms old, %s, seed %d\n",
 		o.Replicas, o.Slots, o.Entries, o.DataCentres, 100*o.Utilisation, o.Lag, o.Scenario, o.Seed)
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(table, "policy\tload p50\tp99\tmost\tspread\twait p50\tp99 ms\thit rate\toffers\tremote\ton slow\tcut\tgiven up\trequests\t")
+	fmt.Fprintln(table, "policy\tload p50\tp99\tmost\tspread\twait p50\tp99 ms\thit rate\toffers\tremote\ton slow\tejected\tcut\tgiven up\trequests\t")
 	for _, policy := range policies {
 		r := Run(o, policy)
-		fmt.Fprintf(table, "%s\t%.3f\t%.3f\t%.3f\t%.3f\t%d\t%d\t%.3f\t%.2f\t%.2f\t%.4f\t%d\t%d\t%d\t\n",
+		fmt.Fprintf(table, "%s\t%.3f\t%.3f\t%.3f\t%.3f\t%d\t%d\t%.3f\t%.2f\t%.2f\t%.4f\t%.2f\t%d\t%d\t%d\t\n",
 			r.Policy, r.LoadP50, r.LoadP99, r.LoadMost, r.Spread, r.WaitP50, r.WaitP99,
-			r.HitRate, r.Offers, r.Remote, r.OnSlow, r.Cut, r.GivenUp, r.Requests)
+			r.HitRate, r.Offers, r.Remote, r.OnSlow, r.Ejected, r.Cut, r.GivenUp, r.Requests)
 	}
 	return table.Flush()
 }
--- a/internal/measure/burdockplacelab/entry.go
+++ b/internal/measure/burdockplacelab/entry.go
@@ -60,6 +60,16 @@
 	return w.indexOf[choice.Upstream]
 }
 
+// ejected returns the mean over entries of the work that they withhold.
+func (w *world) ejected() float64 {
+	sum := 0.0
+	for _, e := range w.entries {
+		state := e.tracker.State()
+		sum += state.LostSlow + state.LostFailing
+	}
+	return sum / float64(max(len(w.entries), 1))
+}
+
 func (e *entry) observe(now burdockclock.Millis, u burdockid.Upstream, o burdockeject.Observation) {
 	if change, ok := e.tracker.Observe(now, u, o); ok {
 		e.placer.SetWeight(u, change.Weight)
--- a/internal/measure/burdockplacelab/lab.go
+++ b/internal/measure/burdockplacelab/lab.go
@@ -81,6 +81,9 @@
 	Remote float64
 	// OnSlow is the share of requests that ran on a slow replica.
 	OnSlow float64
+	// Ejected is how many whole replicas' work an entry withholds at the end,
+	// averaged over entries.
+	Ejected float64
 	// Requests counts those whose work began; Cut those that were cut off in
 	// their work or their queue; GivenUp those refused for good.
 	Requests int
--- a/internal/measure/burdockplacelab/tally.go
+++ b/internal/measure/burdockplacelab/tally.go
@@ -94,6 +94,7 @@
 		Offers:   float64(t.offers) / n,
 		Remote:   float64(t.remote) / n,
 		OnSlow:   float64(t.onSlow) / n,
+		Ejected:  w.ejected(),
 		Requests: t.requests,
 		Cut:      t.cut,
 		GivenUp:  t.givenUp,
