Let an answer's beginning show that an upstream can be reached again

Cause: after an outage a probe told of success only when its answer ended, fifteen seconds later, and each step back took as long again. Ruled out: shorter waits between probes, which the answers' length hides. Change: an answer that begins is evidence against failing, half as much as one that ends, and none against being slow.

--- a/internal/decide/burdockeject/eject.go
+++ b/internal/decide/burdockeject/eject.go
@@ -13,11 +13,15 @@
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 )
 
-// Observation is what one offer tells of an upstream: Answered, Failed or
-// Unreached.
+// Observation is what one offer tells of an upstream: Began, Answered, Failed
+// or Unreached.
 // A refusal is neither; it is load, not health.
 type Observation interface{ observation() }
 
+// Began is an offer that was taken and whose answer has begun. It shows that
+// the upstream can be reached, long before the answer ends and shows its pace.
+type Began struct{}
+
 // Answered is work that an upstream completed.
 type Answered struct {
 	// Took is the time that the work took, without waiting in a queue.
@@ -36,6 +40,7 @@
 // Unreached is an offer that was never sent, since no connection could be made.
 type Unreached struct{}
 
+func (Began) observation()     {}
 func (Answered) observation()  {}
 func (Failed) observation()    {}
 func (Unreached) observation() {}
--- a/internal/decide/burdockeject/eject_test.go
+++ b/internal/decide/burdockeject/eject_test.go
@@ -175,6 +175,20 @@
 	}
 }
 
+// An upstream takes every request and cuts every answer. Each caller loses an
+// answer there; that the upstream can be reached must not keep it in use.
+func TestUpstreamThatCutsAnswersFalls(t *testing.T) {
+	tracker := testTracker(16, 8)
+	cut := 0
+	for ; tracker.Weight("replica-0001") > 0 && cut < 100; cut++ {
+		tracker.Observe(0, "replica-0001", Began{})
+		tracker.Observe(0, "replica-0001", Failed{})
+	}
+	if got, want := cut, 10; got > want {
+		t.Errorf("answers cut until out = %d, want at most %d", got, want)
+	}
+}
+
 func TestLeavingGetsNothingAndIsNotProbed(t *testing.T) {
 	tracker := testTracker(2, 6)
 	if change, ok := tracker.Leave(0, "replica-0000"); !ok || change.Weight != 0 {
--- a/internal/decide/burdockeject/judge.go
+++ b/internal/decide/burdockeject/judge.go
@@ -20,8 +20,11 @@
 // Made for: one upstream on a failing accelerator, or a data centre that is
 // lost at once. Each request sent there costs its caller the wait and a retry.
 func (t *Tracker) Observe(now burdockclock.Millis, u burdockid.Upstream, o Observation) (Change, bool) {
-	score, cause := t.score(o)
 	r := t.records[u]
+	if _, ok := o.(Began); ok && (r == nil || r.cause == CauseSlow) {
+		return Change{}, false
+	}
+	score, cause := t.score(o)
 	if r == nil {
 		if score <= 0 {
 			return Change{}, false
@@ -42,6 +45,10 @@
 // upstream.
 func (t *Tracker) score(o Observation) (float64, Cause) {
 	switch o := o.(type) {
+	case Began:
+		// It weighs less than an answer: one that begins may still be cut, and an
+		// upstream that cuts each answer must fall.
+		return -t.cfg.Tolerance / 2, CauseFailing
 	case Failed:
 		return failureScore, CauseFailing
 	case Unreached:
--- a/internal/measure/burdockplacelab/world.go
+++ b/internal/measure/burdockplacelab/world.go
@@ -297,6 +297,8 @@
 	if e.ended != nil {
 		entry.placer.Done(w.now, name, 0)
 		entry.observe(w.now, name, *e.ended)
+	} else {
+		entry.observe(w.now, name, burdockeject.Began{})
 	}
 	entry.placer.Report(w.now, name, e.report)
 }
