Keep a gap between the probes of one entry

With a data centre of 380 upstreams ejected, probes would take a good part of an entry's 18 requests a second, each a detour for its caller. Four a second are left.

--- a/internal/decide/burdockeject/config.go
+++ b/internal/decide/burdockeject/config.go
@@ -33,6 +33,10 @@
 	// all of it. Harm prevented: hundreds of entries probe at one instant.
 	ProbeAfter burdockclock.Millis
 	ProbeMost  burdockclock.Millis
+	// ProbeGap is the least time between two probes of any upstreams. With a
+	// data centre of 380 upstreams gone, their probes would otherwise take a
+	// good part of an entry's 18 requests a second.
+	ProbeGap burdockclock.Millis
 	// ProbeLost is when a probe that was never told of counts as failed.
 	ProbeLost burdockclock.Millis
 	// HalfLife is the time in which a score fades by half. It has to be longer
@@ -52,6 +56,7 @@
 	defaultSlowCap    = 0.2
 	defaultProbeAfter = 2 * burdockclock.Second
 	defaultProbeMost  = 2 * burdockclock.Minute
+	defaultProbeGap   = 250 * burdockclock.Millis(1)
 	defaultProbeLost  = 30 * burdockclock.Second
 	defaultHalfLife   = 10 * burdockclock.Minute
 	defaultRiseAfter  = 2 * burdockclock.Second
@@ -65,6 +70,7 @@
 	c.SlowCap = cmp.Or(c.SlowCap, defaultSlowCap)
 	c.ProbeAfter = cmp.Or(c.ProbeAfter, defaultProbeAfter)
 	c.ProbeMost = cmp.Or(c.ProbeMost, defaultProbeMost)
+	c.ProbeGap = cmp.Or(c.ProbeGap, defaultProbeGap)
 	c.ProbeLost = cmp.Or(c.ProbeLost, defaultProbeLost)
 	c.HalfLife = cmp.Or(c.HalfLife, defaultHalfLife)
 	c.RiseAfter = cmp.Or(c.RiseAfter, defaultRiseAfter)
--- a/internal/decide/burdockeject/eject.go
+++ b/internal/decide/burdockeject/eject.go
@@ -115,6 +115,7 @@
 	lostSlow    float64
 	lostFailing float64
 	probes      probeHeap
+	probedAt    burdockclock.Millis
 }
 
 // New returns a tracker without members. The source rnd must be used by
--- a/internal/decide/burdockeject/eject_test.go
+++ b/internal/decide/burdockeject/eject_test.go
@@ -189,6 +189,28 @@
 	}
 }
 
+// A data centre of 380 upstreams is gone for an hour, and all are ejected. The
+// entry has 18 requests a second; each probe costs a caller a detour. Probes
+// must take no more than their gap allows, however many are due.
+func TestProbesKeepTheirGap(t *testing.T) {
+	tracker := testTracker(3800, 9)
+	for _, u := range upstreams(380) {
+		for range 10 {
+			tracker.Observe(0, u, Unreached{})
+		}
+	}
+	probes := 0
+	for now := burdockclock.Millis(0); now < burdockclock.Minute; now += 55 {
+		if u, ok := tracker.Probe(now); ok {
+			tracker.Observe(now, u, Unreached{})
+			probes++
+		}
+	}
+	if got, want := probes, int(burdockclock.Minute/defaultProbeGap)+1; got > want {
+		t.Errorf("probes in a minute = %d, want at most %d", got, want)
+	}
+}
+
 func TestLeavingGetsNothingAndIsNotProbed(t *testing.T) {
 	tracker := testTracker(2, 6)
 	if change, ok := tracker.Leave(0, "replica-0000"); !ok || change.Weight != 0 {
--- a/internal/decide/burdockeject/members.go
+++ b/internal/decide/burdockeject/members.go
@@ -72,9 +72,10 @@
 // failure. No other is probed by the same call, and the same one not before
 // its answer.
 func (t *Tracker) Probe(now burdockclock.Millis) (burdockid.Upstream, bool) {
-	if len(t.probes) == 0 || t.probes[0].probeAt > now {
+	if len(t.probes) == 0 || t.probes[0].probeAt > now || t.probedAt+t.cfg.ProbeGap > now {
 		return "", false
 	}
+	t.probedAt = now
 	r := t.probes[0]
 	if r.probing {
 		// The last probe was never told of.
