Let the failure cap hold two regions of three

An entry whose region is cut off from the two others for an hour sees two thirds of all upstreams fail; half of them could not be ejected any more with a cap of 0.5, and each request sent there cost a detour. The cap is now 0.7.

--- a/internal/decide/burdockeject/config.go
+++ b/internal/decide/burdockeject/config.go
@@ -21,9 +21,10 @@
 	// ejects.
 	MostScore float64
 	// FailureCap is the share of all members whose work may be taken away
-	// because they fail. It has to hold a data centre of three. Harm
-	// prevented: the fault may lie in this entry's own network, and then all
-	// seem to fail; work that no one else can take must stay.
+	// because they fail. It has to hold two regions of three, which one cut off
+	// from them sees no more of. Harm prevented: the fault may lie in this
+	// entry's own network, and then all seem to fail; some must stay in use, so
+	// that the entry notices by itself when its network is back.
 	FailureCap float64
 	// SlowCap is the same for slow ones. It is smaller: a slow upstream still
 	// answers, and what it does not get makes the others slower.
@@ -52,7 +53,7 @@
 	defaultEvidence   = 3
 	defaultTolerance  = 0.5
 	defaultMostScore  = 2
-	defaultFailureCap = 0.5
+	defaultFailureCap = 0.7
 	defaultSlowCap    = 0.2
 	defaultProbeAfter = 2 * burdockclock.Second
 	defaultProbeMost  = 2 * burdockclock.Minute
