Let a caller that probes seldom take up to four probes at once

The gap between probes held also for a caller that looks for due probes once in a while and takes all; it then got one each time. The gap is now a mean with a burst of four. Say how MaxLoad is to be compared.

--- a/internal/decide/burdockeject/config.go
+++ b/internal/decide/burdockeject/config.go
@@ -34,8 +34,8 @@
 	// all of it. Harm prevented: hundreds of entries probe at one instant.
 	ProbeAfter burdockclock.Millis
 	ProbeMost  burdockclock.Millis
-	// ProbeGap is the least time between two probes of any upstreams. With a
-	// data centre of 380 upstreams gone, their probes would otherwise take a
+	// ProbeGap is the mean time between two probes of any upstreams, at least.
+	// With a data centre of 380 upstreams gone, their probes would otherwise take a
 	// good part of an entry's 18 requests a second.
 	ProbeGap burdockclock.Millis
 	// ProbeLost is when a probe that was never told of counts as failed.
--- a/internal/decide/burdockeject/members.go
+++ b/internal/decide/burdockeject/members.go
@@ -75,7 +75,8 @@
 	if len(t.probes) == 0 || t.probes[0].probeAt > now || t.probedAt+t.cfg.ProbeGap > now {
 		return "", false
 	}
-	t.probedAt = now
+	// A caller that asks seldom may take what it left, up to a few at a time.
+	t.probedAt = max(t.probedAt+t.cfg.ProbeGap, now-probeBurst*t.cfg.ProbeGap)
 	r := t.probes[0]
 	if r.probing {
 		// The last probe was never told of.
--- a/internal/decide/burdockeject/probe.go
+++ b/internal/decide/burdockeject/probe.go
@@ -45,6 +45,9 @@
 	return r
 }
 
+// probeBurst is how many probes a caller that asked for none can take at once.
+const probeBurst = 4
+
 // schedule sets when r is next probed.
 func (t *Tracker) schedule(r *record, at burdockclock.Millis) {
 	r.probeAt = at
--- a/internal/decide/burdockplace/place.go
+++ b/internal/decide/burdockplace/place.go
@@ -70,9 +70,10 @@
 	Reason   Reason
 	// Candidates is how many upstreams were compared.
 	Candidates int
-	// MaxLoad is the load, as Report.Load counts it, beyond which the upstream
-	// should refuse this offer at once so that it can go to a less loaded one.
-	// It is 0 when the upstream should apply no bound but its own.
+	// MaxLoad is the load, as Report.Load counts it, that the upstream may have
+	// with this request added; beyond it, it should refuse the offer at once, so
+	// that it can go to a less loaded one. It is 0 when the upstream should
+	// apply no bound but its own.
 	MaxLoad float64
 }
 
