--- a/internal/decide/burdockeject/members.go
+++ b/internal/decide/burdockeject/members.go
@@ -72,9 +72,11 @@
 // failure. No other is probed by the same call, and the same one not before
 // its answer.
 func (t *Tracker) Probe(now burdockclock.Millis) (burdockid.Upstream, bool) {
-	if len(t.probes) == 0 || t.probes[0].probeAt > now {
+	if len(t.probes) == 0 || t.probes[0].probeAt > now || t.probedAt+t.cfg.ProbeGap > now {
 		return "", false
 	}
+	// A caller that asks seldom may take what it left, up to a few at a time.
+	t.probedAt = max(t.probedAt+t.cfg.ProbeGap, now-probeBurst*t.cfg.ProbeGap)
 	r := t.probes[0]
 	if r.probing {
 		// The last probe was never told of.
--- a/internal/decide/burdockplace/choose.go
+++ b/internal/decide/burdockplace/choose.go
@@ -70,9 +70,11 @@
 		return Choice{}, false
 	}
 	c := chooser{p: p, now: now, req: &req, bound: p.bound()}
-	// The last offer carries no bound and so must not go to a home: all that
-	// overflows from a hot prefix would be queued there, without end.
-	if req.Attempt < p.cfg.Offers {
+	// A request is offered to homes only as often as there are homes. Positions
+	// after them keep nothing of the prefix, and an upstream that reported lately
+	// is the better choice. The last offer carries no bound and must not go to a
+	// home: all that overflows from a hot prefix would be queued there.
+	if req.Attempt < min(p.cfg.Home, p.cfg.Offers) {
 		if choice, ok := c.home(); ok {
 			return choice, true
 		}
@@ -83,10 +85,16 @@
 	return c.remaining()
 }
 
-// bound returns the load beyond which a request moves on.
+// bound returns the load beyond which a request moves on. While the fleet has
+// free slots it is at most 1: a request that queues for one slot while another
+// is free waits for nothing.
 func (p *Placer) bound() float64 {
 	slack := p.cfg.BoundSlack / max(p.fleet.slots, 1)
-	return max(p.cfg.BoundFloor, p.cfg.BoundRatio*p.fleet.mean+slack)
+	bound := max(p.cfg.BoundFloor, p.cfg.BoundRatio*p.fleet.mean+slack)
+	if p.fleet.mean < 1 {
+		return min(bound, 1)
+	}
+	return bound
 }
 
 // home compares the upstreams that the prefix belongs to.
@@ -108,7 +116,19 @@
 	}
 	c.order(key, width, c.spread(width))
 	c.collect(cfg.Home)
-	return c.pick(0, reason)
+	return c.first(reason)
+}
+
+// first takes the first home within the bound. The lower of two would send
+// the turns of one conversation to different homes, and each would compute
+// what the other keeps.
+func (c *chooser) first(reason Reason) (Choice, bool) {
+	for _, home := range c.seen.list[:c.seen.n] {
+		if !home.over {
+			return c.choice(home, reason), true
+		}
+	}
+	return Choice{}, false
 }
 
 // order sets the order of members in which collect goes on.
@@ -143,11 +163,12 @@
 	first := c.seen.n
 	c.order(c.p.rnd.Uint64(), 1, 0)
 	c.collect(c.p.cfg.Spill)
+	c.collectRecent(c.p.cfg.Recent)
 	reason := ReasonSpill
 	if len(c.req.Prefix) == 0 {
 		reason = ReasonNoPrefix
 	}
-	if choice, ok := c.pick(first, reason); ok {
+	if choice, ok := c.lowest(first, reason); ok {
 		return choice, true
 	}
 	if c.seen.n == 0 {
@@ -218,6 +239,21 @@
 	return c.choice(c.lowerOfTwo(first, within), reason), true
 }
 
+// lowest takes the lowest candidate, from first on, that is within the bound.
+func (c *chooser) lowest(first int, reason Reason) (Choice, bool) {
+	best := -1
+	for i := first; i < c.seen.n; i++ {
+		one := &c.seen.list[i]
+		if !one.over && (best < 0 || one.score < c.seen.list[best].score) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return Choice{}, false
+	}
+	return c.choice(c.seen.list[best], reason), true
+}
+
 func (c *chooser) lowerOfTwo(first, end int) candidate {
 	list := &c.seen.list
 	n := end - first
