Measure experts with a half-life of one minute

Cause: on the quarter's ramp also "always" was 9% over the bound in its worst steps: the estimate ran behind the popularity, by about its half-life.

Change: the lab's default half-life is one minute, two of its windows, in place of two minutes. What it loses in noise the planner's margin covers.

--- a/internal/measure/burdockexpertlab/run.go
+++ b/internal/measure/burdockexpertlab/run.go
@@ -50,7 +50,7 @@
 		Steps:       720,
 		Window:      30 * burdockclock.Second,
 		Tokens:      2_400_000,
-		HalfLife:    2 * burdockclock.Minute,
+		HalfLife:    burdockclock.Minute,
 		Hold:        30 * burdockclock.Minute,
 		ExpertBytes: 44_000_000,
 		StoreRate:   1_000_000_000,
