--- a/internal/decide/burdockexpert/popularity.go
+++ b/internal/decide/burdockexpert/popularity.go
@@ -26,8 +26,13 @@
 }
 
 // Observe adds the tokens that each expert of a layer was given since the
-// observation before. Counts beyond the number of experts are left out.
+// observation before. Counts beyond the number of experts, and those of a layer
+// that the model has not, are left out: an engine that reports for another
+// version of the model must not end the process.
 func (p *Popularity) Observe(now burdockclock.Millis, l burdockid.Layer, counts []burdockid.Tokens) {
+	if l < 0 || int(l) >= len(p.layers) {
+		return
+	}
 	c := &p.layers[l]
 	c.decay(now, p.halfLife)
 	if w := newWindow(counts, p.experts); w.total > 0 {
--- a/internal/decide/burdockexpert/popularity_test.go
+++ b/internal/decide/burdockexpert/popularity_test.go
@@ -12,7 +12,8 @@
 func TestPopularityDecays(t *testing.T) {
 	p := NewPopularity(1, 2, testHalf)
 	p.Observe(0, 0, []burdockid.Tokens{1000, 0})
-	p.Observe(testHalf, 0, []burdockid.Tokens{0, 500})
+	p.Observe(testHalf, 0, []burdockid.Tokens{0, 500, 9})
+	p.Observe(testHalf, 1, []burdockid.Tokens{9, 9})
 	if got, want := p.Snapshot().Share[0][0], 0.5; math.Abs(got-want) > 1e-9 {
 		t.Errorf("share after one half-life = %g, want %g", got, want)
 	}
--- a/internal/measure/burdockexpertlab/run.go
+++ b/internal/measure/burdockexpertlab/run.go
@@ -34,10 +34,11 @@
 }
 
 // DefaultConfig returns a group of the target's size, with few layers so that
-// a run takes seconds; layers are decided one by one, so their number changes
-// what a run costs rather than what it shows. A model's expert of 44 million
-// one-byte weights comes at a gigabyte a second. A window of 30 seconds routes
-// what 10,000 tokens a second to 8 experts each come to.
+// a run takes seconds. With more layers a move costs the same and evens out a
+// smaller part of the step, so it has to be measured with all of a model's
+// layers too. A model's expert of 44 million one-byte weights comes at a
+// gigabyte a second. A window of 30 seconds routes what 10,000 tokens a second
+// to 8 experts each come to.
 func DefaultConfig() Config {
 	return Config{
 		Drift:       Slow,
