--- a/internal/decide/burdockexpert/bench_test.go
+++ b/internal/decide/burdockexpert/bench_test.go
@@ -77,9 +77,13 @@
 	for _, c := range []struct {
 		name   string
 		before uint64 // seed of the popularity that the present map is for
-	}{{"swapped", 2}, {"settled", 1}} {
+		lost   bool   // whether a rank is gone too
+	}{{"swapped", 2, false}, {"swappedAndLost", 2, true}, {"settled", 1, false}} {
 		b.Run(c.name, func(b *testing.B) {
 			in := benchInput(c.before)
+			if c.lost {
+				in.Ranks[0] = Rank{Speed: 1, Empty: true}
+			}
 			b.ReportAllocs()
 			for b.Loop() {
 				// A planner that has changed a layer a moment ago would not
