--- a/internal/decide/burdockexpert/bench_test.go
+++ b/internal/decide/burdockexpert/bench_test.go
@@ -77,9 +77,13 @@
 	for _, c := range []struct {
 		name   string
 		before uint64 // seed of the popularity that the present map is for
-	}{{"swapped", 2}, {"settled", 1}} {
+		lost   bool   // whether a rank is gone too
+	}{{"swapped", 2, false}, {"swappedAndLost", 2, true}, {"settled", 1, false}} {
 		b.Run(c.name, func(b *testing.B) {
 			in := benchInput(c.before)
+			if c.lost {
+				in.Ranks[0] = Rank{Speed: 1, Empty: true}
+			}
 			b.ReportAllocs()
 			for b.Loop() {
 				// A planner that has changed a layer a moment ago would not
@@ -101,6 +105,16 @@
 	return testInput(snap(1), Solve(snap(before), ranks), ranks)
 }
 
+// BenchmarkPlanFirst is the decision on a group that has no map yet.
+func BenchmarkPlanFirst(b *testing.B) {
+	in := benchInput(1)
+	in.Present = nil
+	b.ReportAllocs()
+	for b.Loop() {
+		New(Config{}).Plan(0, in)
+	}
+}
+
 func BenchmarkSolve(b *testing.B) {
 	in := benchInput(1)
 	b.ReportAllocs()
