Order the engine only under conditions; fuzz the group's machines

An engine resumes only from the hold and switch that its agent names. A commit that a replaced agent left on its way, taken after the new agent read the status, was followed by an abort and split the group in the lab; with the condition the group holds instead, with a reason, until that engine is restarted. That window stands as a test.

Orders for another rank, loads without content and answers from strangers are refused.

--- /dev/null
+++ b/internal/group/burdockgroup/change.go
@@ -0,0 +1,174 @@
+package burdockgroup
+
+import (
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+)
+
+// noteLead doubles the lead if a rank already stands at the step of the
+// change while the others still commit: the group loses steps.
+func (c *Controller) noteLead(s EngineStatus) {
+	deciding := c.machine.State() == ControllerArming || c.machine.State() == ControllerCommitting
+	if deciding && s.Base != 0 && s.Held && s.Next == s.HoldAt && c.goal.At == s.HoldAt && !c.grown {
+		c.growLead()
+	}
+}
+
+// growLead doubles the lead, once for each change.
+func (c *Controller) growLead() {
+	c.lead = min(max(c.lead, 1)*2, c.cfg.MaxLead)
+	c.grown = true
+}
+
+func (c *Controller) enter(kind GoalKind, e controllerEvent) bool {
+	c.goal.Kind = kind
+	return c.fire(e, "")
+}
+
+func (c *Controller) rest() bool {
+	c.wantAnyMap()
+	if c.wanted != nil && !c.passing && c.baseKnown() {
+		c.noteInForce()
+		if c.wanted != nil {
+			c.startChange()
+			return c.fire(controllerMapWanted, "")
+		}
+	}
+	pause := c.cfg.Poll
+	if c.passing {
+		pause = c.cfg.Retry
+	}
+	if c.now-c.since < pause {
+		return false
+	}
+	c.surprise("time to read again")
+	return true
+}
+
+// baseKnown reports whether the content of the map in use is known, and asks
+// for it if not. A controller that ended the change of its predecessor wants
+// the same content, and would have every rank load it a second time.
+func (c *Controller) baseKnown() bool {
+	base := c.goal.Base
+	if base == 0 || c.contents[base] != nil || c.keeper(base) < 0 {
+		return true
+	}
+	c.fetch(base)
+	return false
+}
+
+// wantAnyMap gives a group that lost all its engines the map that it had. It
+// would stand still otherwise until its popularity calls for another one.
+func (c *Controller) wantAnyMap() {
+	if c.goal.Base != 0 || c.passing || c.wanted != nil {
+		return
+	}
+	if c.last != nil {
+		c.wanted = c.last
+		return
+	}
+	c.need(0)
+}
+
+// versionBits is the room for versions given out under one lease.
+const versionBits = 16
+
+// startChange gives the wanted map a version. The fencing number is part of
+// it: two controllers that each count up from the last version would give
+// two maps the same one, and a split could not be seen.
+func (c *Controller) startChange() {
+	if c.target == 0 {
+		c.maps++
+		c.target = burdockid.MapVersion(uint64(c.lease.Fence)<<versionBits | uint64(c.maps))
+		c.contents[c.target] = c.wanted
+	}
+	c.goal = Goal{Kind: GoalLoad, Base: c.goal.Base, Map: c.target}
+}
+
+// foundEmpty reads again if a rank's engine was replaced before all were armed.
+// Its predecessor may have begun the very step that the new engine is to run
+// next, with the old map, so the change may not be set at that step: the rank
+// has to be brought in with the old map first. Once all were armed, none had
+// begun the step of the change, and a replaced rank comes in as committed.
+func (c *Controller) foundEmpty() bool {
+	if c.goal.Base == 0 {
+		return false
+	}
+	for _, m := range c.members {
+		if m.status.Base == 0 {
+			c.surprise("a rank is empty")
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Controller) loadAll() bool {
+	if c.foundEmpty() {
+		return true
+	}
+	for i, m := range c.members {
+		if m.status.Failed == c.target && m.order == nil {
+			c.emit(MapRefused{Map: c.target, Rank: burdockid.Rank(i)})
+			c.wanted, c.target = nil, 0
+			return c.fire(controllerGiveUp, "a rank could not load it")
+		}
+	}
+	if !c.drive() || c.lease.Until-c.now < c.cfg.ArmBudget {
+		return false
+	}
+	if c.now-c.lastAnswer() > c.cfg.Retry {
+		// The ranks have run on since; the step would be set too early.
+		c.surprise("statuses are old")
+		return true
+	}
+	c.grown = false
+	c.goal.At = c.stepOfChange()
+	return c.enter(GoalArm, controllerAllLoaded)
+}
+
+func (c *Controller) lastAnswer() burdockclock.Millis {
+	var last burdockclock.Millis
+	for _, m := range c.members {
+		last = max(last, m.answeredAt)
+	}
+	return last
+}
+
+// stepOfChange returns the step from which the next map is used. A group that
+// has no map yet stands still, so the change is at the step that it is to run.
+func (c *Controller) stepOfChange() burdockid.Step {
+	first, last := c.members[0].status.Next, c.members[0].status.Next
+	for _, m := range c.members {
+		first, last = min(first, m.status.Next), max(last, m.status.Next)
+	}
+	if c.goal.Base == 0 {
+		return first
+	}
+	return last + max(c.lead, 1)
+}
+
+// armAll reads all ranks again if the step of the change came too early. The
+// reading voids the arms that are still on their way: one that took effect
+// after the others were taken back would hold the group.
+func (c *Controller) armAll() bool {
+	if c.foundEmpty() {
+		return true
+	}
+	for _, m := range c.members {
+		if m.status.Next > c.goal.At && !m.status.heldAt(c.goal.At) {
+			c.growLead()
+			c.forget()
+			return c.fire(controllerTooLate, "a rank has begun the step")
+		}
+	}
+	return c.drive() && c.enter(GoalCommit, controllerAllArmed)
+}
+
+func (c *Controller) releaseAll() bool {
+	if !c.drive() || !c.fire(controllerAllReleased, "") {
+		return false
+	}
+	c.forget()
+	return true
+}
--- a/internal/group/burdockgroup/engine.go
+++ b/internal/group/burdockgroup/engine.go
@@ -67,8 +67,14 @@
 	Step burdockid.Step
 }
 
-// Resume ends the hold.
-type Resume struct{}
+// Resume ends the hold before a step. The engine ignores it unless it is held
+// there with that switch. An agent that was replaced may have left an order on
+// its way; if its commit comes between the status that the new agent read and
+// an abort, the engine must not run on.
+type Resume struct {
+	Step   burdockid.Step
+	Switch Switch
+}
 
 // BeginWith sets the base of an engine that has none to a loaded map.
 type BeginWith struct{ Map burdockid.MapVersion }
--- a/internal/group/burdockgroup/fault_test.go
+++ b/internal/group/burdockgroup/fault_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
@@ -108,23 +109,20 @@
 // delay at most: never a step with two maps, never a group that stands still.
 func TestTwoFaultsAtEveryPoint(t *testing.T) {
 	reached := map[string]int{}
-	for _, firstKind := range everyOrder[:5] {
-		for _, first := range everyFault {
-			for _, secondKind := range everyOrder {
-				for _, second := range everyFault {
-					for _, after := range []bool{false, true} {
-						s1 := &strike{fault: first, kind: firstKind, rank: 1, after: after}
-						s2 := &strike{fault: second, kind: secondKind, rank: burdockid.Rank(len(second.name) % 3), after: !after}
-						w := newScripted(t, trialConfig(1), nil, s1, s2)
-						name := fmt.Sprintf("%s at %T, %s at %T, after %v", first.name, firstKind, second.name, secondKind, after)
-						if !w.change() {
-							t.Fatalf("%s: %v", name, w.Failures())
-						}
-						if s1.done && s2.done {
-							reached[fmt.Sprintf("%T", secondKind)]++
-						}
-					}
-				}
+	change, repair := everyOrder[:5], everyOrder[5:] // a repair is of the rank that was struck
+	seconds := append(everyStrike(change, 0), everyStrike(repair, 1)...)
+	for _, first := range everyStrike(change, 1) {
+		for _, second := range seconds {
+			if first.after == second.after {
+				continue
+			}
+			s1, s2 := first, second
+			w := newScripted(t, trialConfig(1), nil, &s1, &s2)
+			if !w.change() {
+				t.Fatalf("%v, then %v: %v", first, second, w.Failures())
+			}
+			if s1.done && s2.done {
+				reached[fmt.Sprintf("%T", second.kind)]++
 			}
 		}
 	}
@@ -135,6 +133,24 @@
 	}
 }
 
+// everyStrike returns each fault at each kind of order, before and after it.
+func everyStrike(kinds []burdockgroup.OrderBody, rank burdockid.Rank) []strike {
+	var strikes []strike
+	for _, kind := range kinds {
+		for _, fault := range everyFault {
+			for _, after := range []bool{false, true} {
+				strikes = append(strikes, strike{fault: fault, kind: kind, rank: rank, after: after})
+			}
+		}
+	}
+	return strikes
+}
+
+// String returns the strike for the report of a failed test.
+func (s strike) String() string {
+	return fmt.Sprintf("%s at %T of rank %d, after %v", s.fault.name, s.kind, s.rank, s.after)
+}
+
 // The controller dies when one rank has committed and may run on with the new
 // map soon. Its successor must not take the change back on the others: it reads
 // all ranks, finds the one commit, and ends the change of its predecessor.
@@ -237,6 +253,31 @@
 	}
 }
 
+// The window that is left: an agent hands a commit to its engine and is replaced;
+// the new agent reads that the engine is armed, reports it, and is sent an abort;
+// then the engine takes the old commit. The engine must refuse to run on, since
+// the other ranks go back: the group holds, with a reason, until that engine is
+// restarted. An engine that ignores what it is held for splits the group.
+func TestCommitOfADeadAgentHoldsTheGroup(t *testing.T) {
+	for _, rash := range []bool{false, true} {
+		killed := &strike{fault: everyFault[0], kind: burdockgroup.Arm{}, rank: 1, after: true}
+		late := &strike{kind: burdockgroup.Abort{}, rank: 1, fault: fault{"commit of a dead agent",
+			func(w *burdockgrouplab.World, o *burdockgroup.Order) {
+				s := w.RankState(o.To).Engine
+				w.OrderEngine(o.To, burdockgroup.UseFrom{Map: s.Spare, Step: s.HoldAt})
+			}}}
+		cfg := trialConfig(1)
+		cfg.EngineRash = rash
+		w := newScripted(t, cfg, nil, killed, late)
+		if w.change() || !late.done {
+			t.Fatalf("rash %v: the late commit had no effect", rash)
+		}
+		if got := strings.Contains(w.Failures()[0], "used map"); got != rash {
+			t.Errorf("rash %v: split %v, failures %.300v", rash, got, w.Failures())
+		}
+	}
+}
+
 // The store is out when an agent is replaced. The new agent must not wait for
 // the store to come back, else the group has a deaf rank for the whole outage:
 // its peers tell it the highest fencing number that any controller acted with.
--- a/internal/group/burdockgroup/machine_test.go
+++ b/internal/group/burdockgroup/machine_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"testing"
 
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 )
 
@@ -80,6 +81,7 @@
 		want   Refusal
 	}{
 		{"old fence", EngineStatus{Base: 1}, Order{Number: Number{2, 9}, Incarnation: "a", Body: Read{}}, RefusalOldNumber},
+		{"no content", EngineStatus{Base: 1}, Order{Number: Number{3, 1}, Incarnation: "a", Body: Load{Map: 2}}, RefusalNoMap},
 		{"other incarnation", EngineStatus{Base: 1}, Order{Number: Number{3, 1}, Incarnation: "b", Body: Abort{}}, RefusalWrongIncarnation},
 		{"abort after commit", EngineStatus{Base: 1, Switch: Switch{2, 9}, Held: true, HoldAt: 9}, Order{Number: Number{3, 1}, Incarnation: "a", Body: Abort{}}, RefusalNotAllowed},
 		{"release before commit", EngineStatus{Base: 1, Spare: 2, Held: true, HoldAt: 9}, Order{Number: Number{3, 1}, Incarnation: "a", Body: Release{At: 9}}, RefusalNotAllowed},
@@ -125,6 +127,87 @@
 	}
 }
 
+// garble makes inputs out of bytes, most of which no sound peer would send.
+type garble struct {
+	now     burdockclock.Millis
+	a, b, d byte
+}
+
+func (g garble) number() Number {
+	return Number{Fence: burdockid.Fence(g.a % 4), Seq: uint64(g.b)}
+}
+
+func (g garble) rank() burdockid.Rank { return burdockid.Rank(int8(g.a)) }
+
+func (g garble) status() EngineStatus {
+	return EngineStatus{
+		Next:   burdockid.Step(g.a),
+		Base:   burdockid.MapVersion(g.b % 3),
+		Spare:  burdockid.MapVersion(g.d % 3),
+		Held:   g.d%2 == 0,
+		HoldAt: burdockid.Step(g.b),
+		Switch: Switch{Map: burdockid.MapVersion(g.a % 3), At: 3},
+	}
+}
+
+func (g garble) body() OrderBody {
+	bodies := []OrderBody{
+		nil, Read{Want: 1}, Load{Map: 1, Content: []byte("x")}, Load{}, Arm{Map: 1, At: 3},
+		Commit{Map: 1, At: 3}, Release{At: 3}, Abort{}, Begin{Map: 1},
+	}
+	return bodies[int(g.d)%len(bodies)]
+}
+
+func (g garble) rankInput(kind byte) RankInput {
+	inputs := []RankInput{
+		nil,
+		RankTick{},
+		EngineLost{},
+		FenceFromStore{Fence: g.number().Fence},
+		FenceAsked{From: g.rank()},
+		FenceTold{From: g.rank(), Fence: g.number().Fence, Known: g.d%2 == 0},
+		StepFinished{Step: burdockid.Step(g.a), Map: burdockid.MapVersion(g.b)},
+		EngineAnswered{Ticket: uint64(g.a % 8), Status: g.status(), Failed: g.b > 250},
+		OrderReceived{Order{Number: g.number(), Incarnation: "a", Body: g.body()}},
+	}
+	return inputs[int(kind)%len(inputs)]
+}
+
+func (g garble) controllerInput(kind byte) ControllerInput {
+	inputs := []ControllerInput{
+		nil,
+		ControllerTick{},
+		LeaseHeld{Lease{Fence: g.number().Fence, Until: g.now + burdockclock.Millis(g.d)}},
+		LeaseLost{},
+		MapWanted{Content: []byte{g.a}},
+		MapFound{Map: 1},
+		RankWaiting{From: g.rank()},
+		ReportReceived{Report{Number: g.number(), From: burdockid.Rank(int8(g.d % 3)), Incarnation: "a", Highest: g.number().Fence, Status: g.status()}},
+	}
+	return inputs[int(kind)%len(inputs)]
+}
+
+// FuzzMachines gives both machines garbled inputs. They may refuse them, and must
+// neither panic nor order an engine before they know the highest fencing number.
+func FuzzMachines(f *testing.F) {
+	f.Add([]byte{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		const size = 4
+		r := newTestRank()
+		c := NewController(ControllerConfig{Ranks: 2, Retry: 1, Poll: 1, MaxLead: 4})
+		for i := 0; i+size <= len(data); i += size {
+			g := garble{now: burdockclock.Millis(i), a: data[i+1], b: data[i+2], d: data[i+3]}
+			learning := r.State().Phase == RankLearning
+			for _, out := range r.Handle(g.now, g.rankInput(data[i])) {
+				if order, ok := out.(OrderEngine); ok && learning && order.Order != (ReadStatus{}) {
+					t.Errorf("ordered the engine while learning: %+v", order)
+				}
+			}
+			c.Handle(g.now, g.controllerInput(data[i]))
+		}
+	})
+}
+
 func TestJudge(t *testing.T) {
 	const before, next burdockid.MapVersion = 1, 2
 	at := Switch{Map: next, At: 9}
--- a/internal/group/burdockgroup/message.go
+++ b/internal/group/burdockgroup/message.go
@@ -108,6 +108,8 @@
 	RefusalBusy             Refusal = "busy"             // the engine has not answered the last order
 	RefusalOldNumber        Refusal = "oldNumber"        // a higher number was seen
 	RefusalWrongIncarnation Refusal = "wrongIncarnation" // the agent was replaced since it was read
+	RefusalWrongRank        Refusal = "wrongRank"        // the order is for another rank
+	RefusalNoMap            Refusal = "noMap"            // load of version 0 or of no content
 	RefusalNotAllowed       Refusal = "notAllowed"       // rank.chart rejects it in this state
 	RefusalNotLoaded        Refusal = "notLoaded"        // arm or begin with a map that isn't loaded
 	RefusalNotArmed         Refusal = "notArmed"         // commit or release for another step than the held one
--- a/internal/group/burdockgroup/rank.go
+++ b/internal/group/burdockgroup/rank.go
@@ -122,7 +122,8 @@
 // that was out of reach of the newest controller doesn't decide alone; and one
 // at least must know, else only the store can tell.
 func (r *Rank) hearPeer(told FenceTold) {
-	if r.machine.State() != RankLearning {
+	stranger := told.From < 0 || int(told.From) >= r.cfg.Ranks || told.From == r.cfg.Rank
+	if stranger || r.machine.State() != RankLearning {
 		return
 	}
 	r.peers[told.From] = told
@@ -170,6 +171,8 @@
 func (r *Rank) admit(o Order) Refusal {
 	_, isRead := o.Body.(Read)
 	switch {
+	case o.To != r.cfg.Rank:
+		return RefusalWrongRank
 	case r.machine.State() == RankLearning:
 		return RefusalLearning
 	case o.Number.Less(r.highest):
@@ -199,9 +202,9 @@
 	case Commit:
 		return rankCommit, UseFrom{Map: body.Map, Step: body.At}, firstRefusal(r.needLoaded(body.Map), r.needHold(body.At))
 	case Release:
-		return rankRelease, Resume{}, r.needHold(body.At)
+		return rankRelease, Resume{Step: body.At, Switch: r.status.Switch}, r.needHold(body.At)
 	case Abort:
-		return rankAbort, Resume{}, RefusalNone
+		return rankAbort, Resume{Step: r.status.HoldAt}, RefusalNone
 	case Begin:
 		return rankBegin, BeginWith(body), r.needEmpty(body.Map)
 	default:
@@ -212,6 +215,9 @@
 // keep stores a map's content, so that a later controller can load it on a
 // rank that was replaced.
 func (r *Rank) keep(l Load) Refusal {
+	if l.Map == 0 || len(l.Content) == 0 {
+		return RefusalNoMap
+	}
 	if old, ok := r.kept[l.Map]; ok && !bytes.Equal(old, l.Content) {
 		return RefusalMapDiffers
 	}
--- a/internal/group/burdockgroup/schedule_test.go
+++ b/internal/group/burdockgroup/schedule_test.go
@@ -20,6 +20,7 @@
 		TailMicros:  700,
 		LoadMicros:  10_000,
 		EngineCheck: seed%2 == 0,
+		EngineLate:  seed%4 < 2,
 		Lead:        2,
 		MaxLead:     64,
 		LoadPoll:    20,
--- a/internal/measure/burdockgrouplab/engine.go
+++ b/internal/measure/burdockgrouplab/engine.go
@@ -12,6 +12,7 @@
 	busy    bool           // runs a step
 	checks  bool           // refuses orders with an old fencing number
 	deaf    bool           // says that it is held, and runs on
+	rash    bool           // resumes whatever it is held for
 	highest burdockid.Fence
 	life    int // counts replacements
 	loadEnd instant
@@ -40,7 +41,9 @@
 			s.Spare = 0
 		}
 	case burdockgroup.Resume:
-		s.Held, s.HoldAt = false, 0
+		if e.rash || s.Held && s.HoldAt == order.Step && s.Switch == order.Switch {
+			s.Held, s.HoldAt = false, 0
+		}
 	case burdockgroup.BeginWith:
 		e.beginWith(order.Map)
 	}
@@ -101,6 +104,7 @@
 		done:   e.done,
 		checks: e.checks,
 		deaf:   e.deaf,
+		rash:   e.rash,
 		life:   e.life + 1,
 	}
 }
--- a/internal/measure/burdockgrouplab/site.go
+++ b/internal/measure/burdockgrouplab/site.go
@@ -10,6 +10,7 @@
 
 func (w *World) startAgent(s *site) {
 	s.life++
+	s.arrived = 0
 	s.agent = burdockgroup.NewRank(burdockgroup.RankConfig{
 		Rank:        s.rank,
 		Ranks:       w.cfg.Ranks,
@@ -53,7 +54,7 @@
 		told := burdockgroup.FenceTold{From: s.rank, Fence: w.learned(out.Fence), Known: out.Known}
 		w.send(func() { w.toAgent(peer, peer.life, told) })
 	case burdockgroup.OrderEngine:
-		w.schedule(agentTime, func() { w.toEngine(s, life, out) })
+		w.schedule(w.engineDelay(s), func() { w.toEngine(s, life, out) })
 	case burdockgroup.SayWaiting:
 		w.send(func() {
 			for _, d := range w.duties {
@@ -65,6 +66,17 @@
 	}
 }
 
+// engineDelay returns how long an order takes to the engine. One agent's orders
+// arrive in turn; those of one that was replaced may come after its successor's.
+func (w *World) engineDelay(s *site) instant {
+	arrives := w.now + agentTime
+	if w.cfg.EngineLate && w.rng.Float64() < w.faults.late {
+		arrives += instant(w.rng.Int64N(int64(leaseTime)))
+	}
+	s.arrived = max(s.arrived, arrives)
+	return s.arrived - w.now
+}
+
 func (w *World) toEngine(s *site, life int, out burdockgroup.OrderEngine) {
 	if s.down {
 		return
@@ -106,6 +118,12 @@
 	return f
 }
 
+// OrderEngine has an engine take an order that its agent doesn't know of, as
+// one that an agent sent before it was replaced.
+func (w *World) OrderEngine(rank burdockid.Rank, order burdockgroup.EngineOrder) {
+	w.sites[rank].engine.apply(w.store.fence, order)
+}
+
 // ReplaceAgent ends an agent; a new one starts after a while.
 func (w *World) ReplaceAgent(rank burdockid.Rank, after burdockclock.Millis) {
 	s := w.sites[rank]
--- a/internal/measure/burdockgrouplab/world.go
+++ b/internal/measure/burdockgrouplab/world.go
@@ -22,6 +22,8 @@
 	TailMicros  int64 // mean of what a message takes longer, exponentially
 	LoadMicros  int64 // time to load a map; up to twice as long
 	EngineCheck bool  // engines refuse old fencing numbers
+	EngineLate  bool  // orders to an engine may outlive the agent that sent them
+	EngineRash  bool  // engines resume also when they are held for another switch
 	EngineDeaf  bool  // engines ignore a hold, and say that they keep it
 	Lead        burdockid.Step
 	MaxLead     burdockid.Step
@@ -62,6 +64,8 @@
 	life   int                // counts the agent's replacements
 	engine *engine
 	down   bool // the whole VM
+	// arrived is when the last order of this agent reaches the engine.
+	arrived instant
 }
 
 // World is a group in simulated time.
@@ -98,7 +102,7 @@
 		bytes: map[burdockid.MapVersion][]byte{},
 	}
 	for i := range cfg.Ranks {
-		s := &site{rank: burdockid.Rank(i), engine: &engine{checks: cfg.EngineCheck, deaf: cfg.EngineDeaf}}
+		s := &site{rank: burdockid.Rank(i), engine: &engine{checks: cfg.EngineCheck, deaf: cfg.EngineDeaf, rash: cfg.EngineRash}}
 		w.sites = append(w.sites, s)
 	}
 	for _, s := range w.sites {
