--- a/internal/measure/burdockgrouplab/command.go
+++ b/internal/measure/burdockgrouplab/command.go
@@ -14,9 +14,15 @@
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 )
 
-// leads are the values of lead that the command compares, in steps.
+// leads are the fixed values of lead that the command compares, in steps.
 var leads = []burdockid.Step{1, 2, 3, 4, 6, 8, 16}
 
+// Bounds of the lead that grows by itself.
+const (
+	leastLead burdockid.Step = 4
+	mostLead  burdockid.Step = 64
+)
+
 // loadPoll is the time between two questions whether a map is loaded.
 const loadPoll burdockclock.Millis = 250
 
@@ -98,11 +104,16 @@
 	row("pause, then load", "-", MeasurePausing(cfg, s.changes, false))
 	row("load, then pause", "-", MeasurePausing(cfg, s.changes, true))
 	for _, lead := range leads {
-		cost, err := MeasureArmAhead(cfg, s.changes, lead)
+		cost, err := MeasureArmAhead(cfg, s.changes, lead, lead)
 		if err != nil {
 			return err
 		}
 		row("arm ahead", fmt.Sprint(lead), cost)
 	}
+	cost, err := MeasureArmAhead(cfg, s.changes, leastLead, mostLead)
+	if err != nil {
+		return err
+	}
+	row("arm ahead, growing", fmt.Sprintf("%d to %d", leastLead, mostLead), cost)
 	return table.Flush()
 }
--- a/internal/measure/burdockgrouplab/command_test.go
+++ b/internal/measure/burdockgrouplab/command_test.go
@@ -34,11 +34,11 @@
 func TestLeadBeyondTheRoundsLosesNoStep(t *testing.T) {
 	cfg := settings{ranks: 8, step: 4.5, delay: 1.5, tail: 0.3, load: 50, seed: 1}.config()
 	const changes, short, long = 20, 1, 8
-	near, err := MeasureArmAhead(cfg, changes, short)
+	near, err := MeasureArmAhead(cfg, changes, short, short)
 	if err != nil {
 		t.Fatal(err)
 	}
-	far, err := MeasureArmAhead(cfg, changes, long)
+	far, err := MeasureArmAhead(cfg, changes, long, long)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/measure/burdockgrouplab/measure.go
+++ b/internal/measure/burdockgrouplab/measure.go
@@ -30,9 +30,9 @@
 }
 
 // MeasureArmAhead changes the map of a group without faults by the state
-// machines, with a fixed lead.
-func MeasureArmAhead(cfg Config, changes int, lead burdockid.Step) (Cost, error) {
-	cfg.Controllers, cfg.Lead, cfg.MaxLead = 1, lead, lead
+// machines, with a lead that may grow from lead to maxLead.
+func MeasureArmAhead(cfg Config, changes int, lead, maxLead burdockid.Step) (Cost, error) {
+	cfg.Controllers, cfg.Lead, cfg.MaxLead = 1, lead, maxLead
 	w := NewWorld(cfg)
 	w.Want([]byte("first"))
 	if !w.Settle() {
--- a/internal/state/burdockcharts/charts_test.go
+++ b/internal/state/burdockcharts/charts_test.go
@@ -82,3 +82,18 @@
 	fmt.Println(m.State(), errorx.IsOfType(err, burdockchart.NotAllowed))
 	// Output: handedOver true
 }
+
+func BenchmarkRequest(b *testing.B) {
+	b.ReportAllocs()
+	path := []RequestEvent{
+		RequestEventEnqueue, RequestEventStart, RequestEventHandOver, RequestEventAnswerBegins, RequestEventAnswerEnds,
+	}
+	for b.Loop() {
+		m := NewRequest()
+		for _, event := range path {
+			if _, err := m.Fire(event); err != nil {
+				b.Fatal(err)
+			}
+		}
+	}
+}
