--- a/internal/group/burdockgroup/schedule_test.go
+++ b/internal/group/burdockgroup/schedule_test.go
@@ -1,6 +1,7 @@
 package burdockgroup_test
 
 import (
+	"flag"
 	"fmt"
 	"sync"
 	"testing"
@@ -9,6 +10,13 @@
 	"burdockbend.example/burdockbend/internal/measure/burdockgrouplab"
 )
 
+// A longer run of the random schedules, with other seeds:
+// go test -run RandomSchedules ./internal/group/burdockgroup -seeds 100000 -firstSeed 1000000
+var (
+	seeds     = flag.Int("seeds", 3000, "random schedules to run")
+	firstSeed = flag.Uint64("firstSeed", 0, "seed of the first random schedule")
+)
+
 // trialConfig is a small group with short steps and quick loads.
 func trialConfig(seed uint64) burdockgrouplab.Config {
 	return burdockgrouplab.Config{
@@ -27,6 +35,23 @@
 	}
 }
 
+// wideConfig varies the group's size, its controllers and the network.
+func wideConfig(seed uint64) burdockgrouplab.Config {
+	cfg := trialConfig(seed)
+	cfg.Ranks = 1 + int(seed%6)
+	cfg.Controllers = 1 + int(seed/7%3)
+	cfg.EngineCheck = seed/2%2 == 0
+	cfg.EngineLate = seed%2 == 0
+	cfg.Lead = 1
+	if seed%5 == 0 {
+		cfg.TailMicros = 5000
+	}
+	if seed%3 == 0 {
+		cfg.LoadMicros = 60_000
+	}
+	return cfg
+}
+
 // count has the hooks of a world count what its schedule reaches.
 func count(cfg *burdockgrouplab.Config, reached map[string]int) {
 	cfg.Hooks.Order = func(_ *burdockgroup.Rank, o burdockgroup.Order) burdockgroup.Order {
@@ -56,7 +81,7 @@
 // frozen and woken past their lease, agents and engines are replaced, the store
 // goes out, and messages come late, twice, crossed or never, at random points.
 func TestRandomSchedulesNeverSplitNorStick(t *testing.T) {
-	const seeds, shards = 3000, 4
+	const shards = 4
 	var mu sync.Mutex
 	all := map[string]int{}
 	t.Run("seeds", func(t *testing.T) {
@@ -64,8 +89,9 @@
 			t.Run(fmt.Sprint(shard), func(t *testing.T) {
 				t.Parallel()
 				reached := map[string]int{}
-				for seed := shard; seed < seeds; seed += shards {
-					cfg := trialConfig(uint64(seed))
+				for i := shard; i < *seeds; i += shards {
+					seed := *firstSeed + uint64(i)
+					cfg := wideConfig(seed)
 					count(&cfg, reached)
 					if failures := burdockgrouplab.NewWorld(cfg).Trial(); len(failures) > 0 {
 						t.Errorf("seed %d: %v", seed, failures)
