Refuse a table of more than a thousand keys before it is decoded

A file of 4 MB with a key on each line kept a check busy for 329 s: the library compares each key of a table with all others (10,000 keys 0.25 s, 20,000 0.86 s, 40,000 2.6 s), while indexing the lines took 3 to 11 ms. A file built of nested tables that each stay below the bound can still take more than a minute; none is written like that by accident.

--- a/internal/config/burdocktoml/document_test.go
+++ b/internal/config/burdocktoml/document_test.go
@@ -1,6 +1,7 @@
 package burdocktoml
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -118,6 +119,21 @@
 	}
 }
 
+// A table with a key on each line of a long file kept the check busy for
+// minutes, as the library's time grows with the square of the keys.
+func TestCrowdedTableIsRefused(t *testing.T) {
+	var file strings.Builder
+	file.WriteString("[inner]\n")
+	for i := range maxKeys + 1 {
+		fmt.Fprintf(&file, "key%d = 1\n", i)
+	}
+	var s sample
+	doc := Decode("f", []byte(file.String()), &s)
+	if got, want := doc.Err().Error(), "f:1: inner: a table of more than 1000 keys; want a file of this program's"; got != want {
+		t.Errorf("Err() = %q, want %q", got, want)
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	f.Add([]byte(sampleFile))
 	f.Add([]byte("a.\"b.c\".d = [[{x = 1}], []]\r\n[a]\n[[a]]\n"))
--- a/internal/config/burdocktoml/syntax.go
+++ b/internal/config/burdocktoml/syntax.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"regexp"
 	"strings"
 
@@ -13,6 +14,11 @@
 // that many mistakes will run the check again.
 const maxSyntaxFindings = 20
 
+// maxKeys bounds the keys of one table; none of ours has a twentieth of it.
+// The library compares each key with all others of its table, so that a file
+// of a few megabytes with one key a line would keep a check busy for minutes.
+const maxKeys = 1000
+
 // recoverable matches a line that holds one whole "key = value". Without it
 // the lines around it still mean the same. A header, or a value that goes on
 // over several lines, can't be left out like that.
@@ -25,10 +31,13 @@
 	data = bytes.Clone(data)
 	last := 0
 	for range maxSyntaxFindings {
+		d.lines = index(data)
+		if d.isCrowded() {
+			return nil
+		}
 		tree := map[string]any{}
 		err := toml.Unmarshal(data, &tree)
 		if err == nil {
-			d.lines = index(data)
 			return tree
 		}
 		d.broken = true
@@ -43,6 +52,24 @@
 	return nil
 }
 
+// isCrowded reports, also as a finding, whether a table has too many keys.
+func (d *Document) isCrowded() bool {
+	keys := map[string]int{}
+	for path := range d.lines {
+		if strings.HasSuffix(path, "]") {
+			continue // an element of an array, not a key
+		}
+		table := parent(path)
+		keys[table]++
+		if keys[table] > maxKeys {
+			d.broken = true
+			d.add(table, fmt.Sprintf("a table of more than %d keys", maxKeys), "a file of this program's")
+			return true
+		}
+	}
+	return false
+}
+
 // syntaxError records err and returns its line; 0 when it has none.
 func (d *Document) syntaxError(err error) int {
 	what := "not TOML: " + strings.TrimPrefix(err.Error(), "toml: ")
