--- a/internal/standin/burdockfakeengine/engine.go
+++ b/internal/standin/burdockfakeengine/engine.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"strings"
 	"sync"
@@ -40,10 +41,12 @@
 
 // Runs is what the stand-in counted, for comparison with what callers saw.
 type Runs struct {
-	Started   map[burdockid.Request]int `json:"started"`
-	Finished  int                       `json:"finished"`
-	Abandoned int                       `json:"abandoned"`
-	Running   int                       `json:"running"`
+	Started map[burdockid.Request]int `json:"started"`
+	// ByKey counts runs by idempotency key, for requests that have one.
+	ByKey     map[burdockid.IdempotencyKey]int `json:"byKey"`
+	Finished  int                              `json:"finished"`
+	Abandoned int                              `json:"abandoned"`
+	Running   int                              `json:"running"`
 }
 
 // Server is one stand-in engine.
@@ -57,7 +60,9 @@
 
 // New returns a stand-in engine.
 func New(cfg Config) *Server {
-	s := &Server{cfg: cfg, mux: http.NewServeMux(), runs: Runs{Started: map[burdockid.Request]int{}}}
+	s := &Server{cfg: cfg, mux: http.NewServeMux(), runs: Runs{
+		Started: map[burdockid.Request]int{}, ByKey: map[burdockid.IdempotencyKey]int{},
+	}}
 	s.mux.HandleFunc("POST /v1/chat/completions", s.counted(s.chat))
 	s.mux.HandleFunc("POST /v1/completions", s.counted(s.completion))
 	s.mux.HandleFunc("GET /v1/models", s.models)
@@ -74,10 +79,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	copied := s.runs
-	copied.Started = make(map[burdockid.Request]int, len(s.runs.Started))
-	for id, n := range s.runs.Started {
-		copied.Started[id] = n
-	}
+	copied.Started = maps.Clone(s.runs.Started)
+	copied.ByKey = maps.Clone(s.runs.ByKey)
 	return copied
 }
 
@@ -91,6 +94,9 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		s.runs.Started[burdockid.Request(r.Header.Get(RequestIDHeader))]++
+		if key := r.Header.Get("Idempotency-Key"); key != "" {
+			s.runs.ByKey[burdockid.IdempotencyKey(key)]++
+		}
 		s.runs.Running++
 		s.mu.Unlock()
 		whole := serve(w, r)
