Lengthen the backoff of an upstream that is ejected again after its return

Cause: an upstream that is slow only under load passes every probe that asks it how it is; its backoff began anew at each return. Change: the backoff is reset once all the work is back. Reached is what a probe without a request tells, apart from Began.

--- a/internal/decide/burdockeject/eject.go
+++ b/internal/decide/burdockeject/eject.go
@@ -14,7 +14,7 @@
 )
 
 // Observation is what one offer tells of an upstream: Began, Answered, Failed
-// or Unreached.
+// or Unreached; or Reached, what a probe without an offer does.
 // A refusal is neither; it is load, not health.
 type Observation interface{ observation() }
 
@@ -22,6 +22,10 @@
 // the upstream can be reached, long before the answer ends and shows its pace.
 type Began struct{}
 
+// Reached is a probe without a request: the upstream was asked how it is, and
+// answered.
+type Reached struct{}
+
 // Answered is work that an upstream completed.
 type Answered struct {
 	// Took is the time that the work took, without waiting in a queue.
@@ -41,6 +45,7 @@
 type Unreached struct{}
 
 func (Began) observation()     {}
+func (Reached) observation()   {}
 func (Answered) observation()  {}
 func (Failed) observation()    {}
 func (Unreached) observation() {}
--- a/internal/decide/burdockeject/eject_test.go
+++ b/internal/decide/burdockeject/eject_test.go
@@ -196,6 +196,29 @@
 	}
 }
 
+// An upstream answers every probe and then works at a quarter of the pace. Each
+// return costs callers slow answers, so returns must become rare.
+func TestSlowUnderLoadReturnsMoreAndMoreSeldom(t *testing.T) {
+	tracker := testTracker(16, 10)
+	rnd := rand.New(rand.NewPCG(10, 2))
+	all := upstreams(16)
+	returns := 0
+	for now := burdockclock.Millis(0); now < 10*burdockclock.Minute; now += 50 {
+		if u, ok := tracker.Probe(now); ok {
+			if _, back := tracker.Observe(now, u, Reached{}); back {
+				returns++
+			}
+		}
+		tracker.Observe(now, all[1+rnd.IntN(15)], answer(rnd, 1))
+		if tracker.Weight(all[0]) > 0 {
+			tracker.Observe(now, all[0], answer(rnd, 4))
+		}
+	}
+	if returns < 1 || returns > 20 {
+		t.Errorf("returns in ten minutes = %d, want 1 to 20", returns)
+	}
+}
+
 // A data centre of 380 upstreams is gone for an hour, and all are ejected. The
 // entry has 18 requests a second; each probe costs a caller a detour. Probes
 // must take no more than their gap allows, however many are due.
@@ -255,6 +278,8 @@
 			},
 			"fail":   func(t *rapid.T) { tracker.Observe(now, any(t), Failed{}) },
 			"miss":   func(t *rapid.T) { tracker.Observe(now, any(t), Unreached{}) },
+			"begin":  func(t *rapid.T) { tracker.Observe(now, any(t), Began{}) },
+			"reach":  func(t *rapid.T) { tracker.Observe(now, any(t), Reached{}) },
 			"leave":  func(t *rapid.T) { tracker.Leave(now, any(t)) },
 			"return": func(t *rapid.T) { tracker.Return(now, any(t)) },
 			"probe":  func(*rapid.T) { tracker.Probe(now) },
--- a/internal/decide/burdockeject/judge.go
+++ b/internal/decide/burdockeject/judge.go
@@ -21,7 +21,7 @@
 // lost at once. Each request sent there costs its caller the wait and a retry.
 func (t *Tracker) Observe(now burdockclock.Millis, u burdockid.Upstream, o Observation) (Change, bool) {
 	r := t.records[u]
-	if _, ok := o.(Began); ok && (r == nil || r.cause == CauseSlow) {
+	if !concerns(o, r) {
 		return Change{}, false
 	}
 	score, cause := t.score(o)
@@ -41,11 +41,24 @@
 	return t.observeIn(now, r, score, cause)
 }
 
+// concerns reports whether o tells anything of r. That an upstream can be
+// reached tells nothing of its pace; but when asked alone it can show no more,
+// so one that is out for being slow then gets a quarter of its work on trial.
+func concerns(o Observation, r *record) bool {
+	switch o.(type) {
+	case Began:
+		return r != nil && r.cause != CauseSlow
+	case Reached:
+		return r != nil && (r.cause != CauseSlow || r.level == LevelOut)
+	}
+	return true
+}
+
 // score returns the evidence in o; it is positive where o speaks against the
 // upstream.
 func (t *Tracker) score(o Observation) (float64, Cause) {
 	switch o := o.(type) {
-	case Began:
+	case Began, Reached:
 		// It weighs less than an answer: one that begins may still be cut, and an
 		// upstream that cuts each answer must fall.
 		return -t.cfg.Tolerance / 2, CauseFailing
@@ -104,11 +117,11 @@
 	}
 	r.probing = false
 	if score > 0 {
-		r.failedProbes++
 		t.account(r, -1)
 		r.cause = cause
 		t.account(r, 1)
-		t.schedule(r, now+t.backoff(r.failedProbes))
+		t.schedule(r, now+t.backoff(r.failures))
+		r.failures++
 		return Change{}, false
 	}
 	r.score = 0
@@ -166,10 +179,14 @@
 	r.cause = kept
 	t.account(r, 1)
 	r.changedAt = now
-	if level == LevelOut {
-		r.failedProbes = 0
-		t.schedule(r, now+t.backoff(0))
-	} else {
+	switch level {
+	case LevelOut:
+		t.schedule(r, now+t.backoff(r.failures))
+		r.failures++
+	case LevelFull:
+		r.failures = 0
+		t.unschedule(r)
+	default:
 		t.unschedule(r)
 	}
 	t.verify(r)
--- a/internal/decide/burdockeject/members.go
+++ b/internal/decide/burdockeject/members.go
@@ -66,10 +66,10 @@
 	return r.level.Weight()
 }
 
-// Probe returns an ejected upstream that is due to be probed by one request,
-// which the caller offers to it in place of the upstream that its placer
-// would choose. The request must be one that may be offered again after a
-// failure. No other is probed by the same call, and the same one not before
+// Probe returns an ejected upstream that is due to be probed: by one request,
+// which the caller offers to it in place of the upstream that its placer would
+// choose and which may be offered again after a failure; or by asking it how
+// it is, which ends in Reached or Unreached. No other is probed by the same call, and the same one not before
 // its answer.
 func (t *Tracker) Probe(now burdockclock.Millis) (burdockid.Upstream, bool) {
 	if len(t.probes) == 0 || t.probes[0].probeAt > now || t.probedAt+t.cfg.ProbeGap > now {
@@ -80,10 +80,10 @@
 	r := t.probes[0]
 	if r.probing {
 		// The last probe was never told of.
-		r.failedProbes++
+		r.failures++
 	}
 	r.probing = true
-	t.schedule(r, now+max(t.cfg.ProbeLost, t.backoff(r.failedProbes)))
+	t.schedule(r, now+max(t.cfg.ProbeLost, t.backoff(r.failures)))
 	t.verify(r)
 	return r.upstream, true
 }
--- a/internal/decide/burdockeject/record.go
+++ b/internal/decide/burdockeject/record.go
@@ -21,12 +21,16 @@
 	// cumulative sum that never falls below 0, as in a CUSUM test: it finds a
 	// lasting change with the fewest samples, and forgets an old good record,
 	// which would otherwise outvote the new failures.
-	score        float64
-	scoredAt     burdockclock.Millis
-	changedAt    burdockclock.Millis
-	probeAt      burdockclock.Millis
-	failedProbes int
-	place        int // in the heap of probes, or noPlace
+	score     float64
+	scoredAt  burdockclock.Millis
+	changedAt burdockclock.Millis
+	probeAt   burdockclock.Millis
+	// failures counts the probes that failed and the trials after which it was
+	// ejected again, since it last had all its work. They lengthen the backoff:
+	// an upstream that is slow only under load passes every probe, and would
+	// otherwise be back on trial every other second.
+	failures int
+	place    int // in the heap of probes, or noPlace
 }
 
 func (r *record) fade(now, halfLife burdockclock.Millis) {
--- a/internal/decide/burdockeject/state.go
+++ b/internal/decide/burdockeject/state.go
@@ -18,14 +18,14 @@
 
 // RecordState is what a dump shows of one upstream with evidence against it.
 type RecordState struct {
-	Upstream     burdockid.Upstream  `json:"upstream"`
-	Level        string              `json:"level"`
-	Cause        Cause               `json:"cause"`
-	Leaving      bool                `json:"leaving"`
-	Probing      bool                `json:"probing"`
-	Score        float64             `json:"score"`
-	ProbeAt      burdockclock.Millis `json:"probeAt"`
-	FailedProbes int                 `json:"failedProbes"`
+	Upstream burdockid.Upstream  `json:"upstream"`
+	Level    string              `json:"level"`
+	Cause    Cause               `json:"cause"`
+	Leaving  bool                `json:"leaving"`
+	Probing  bool                `json:"probing"`
+	Score    float64             `json:"score"`
+	ProbeAt  burdockclock.Millis `json:"probeAt"`
+	Failures int                 `json:"failures"`
 }
 
 // State returns a copy of what the tracker knows, ordered by upstream.
@@ -47,13 +47,13 @@
 
 func (r *record) state() RecordState {
 	return RecordState{
-		Upstream:     r.upstream,
-		Level:        r.level.String(),
-		Cause:        r.cause,
-		Leaving:      r.leaving,
-		Probing:      r.probing,
-		Score:        r.score,
-		ProbeAt:      r.probeAt,
-		FailedProbes: r.failedProbes,
+		Upstream: r.upstream,
+		Level:    r.level.String(),
+		Cause:    r.cause,
+		Leaving:  r.leaving,
+		Probing:  r.probing,
+		Score:    r.score,
+		ProbeAt:  r.probeAt,
+		Failures: r.failures,
 	}
 }
