--- a/internal/serve/burdockagent/policy.go
+++ b/internal/serve/burdockagent/policy.go
@@ -19,6 +19,11 @@
 	usual   burdockqueue.Class // for a request that names none
 }
 
+// slotsPerKept is how many slots there are for each one that is kept for the
+// most urgent class. One in eight lets a burst of urgent work start at once;
+// docs/design/queue.md has what other numbers do.
+const slotsPerKept = 8
+
 func policyOf(cfg Config, fleet *burdockfleet.Snapshot) policy {
 	service := cfg.Service
 	if u, ok := fleet.Upstreams[cfg.Upstream]; ok {
@@ -45,6 +50,9 @@
 			MaxWait:       class.MaxWaitMillis,
 		})
 	}
+	if len(p.queue.Classes) > 1 {
+		p.queue.Classes[0].KeptSlots = cfg.Slots / slotsPerKept
+	}
 	for _, share := range profile.Shares {
 		p.queue.Shares[share.Customer] = share.Share
 	}
--- a/internal/serve/burdockagent/rpc.go
+++ b/internal/serve/burdockagent/rpc.go
@@ -140,9 +140,12 @@
 	return nil
 }
 
+// busy reports whether the agent, with one request more, would be loaded beyond
+// the bound of an offer.
 func (a *Agent) busy(bound float64) bool {
 	l := a.queue.Load()
-	return float64(l.Running+l.Queued) >= bound*float64(max(l.Slots, 1))
+	withThis := l.Running + l.Queued + 1
+	return float64(withThis) > bound*float64(max(l.Slots, 1))
 }
 
 func (a *Agent) refusal(id string, no refused) *burdockwire.RunEvent {
--- a/internal/serve/burdockentry/attempt.go
+++ b/internal/serve/burdockentry/attempt.go
@@ -10,6 +10,7 @@
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/config/burdockmember"
+	"burdockbend.example/burdockbend/internal/decide/burdockeject"
 	"burdockbend.example/burdockbend/internal/wire/burdockwire"
 	"connectrpc.com/connect"
 )
@@ -39,6 +40,7 @@
 	offset  int64
 	tries   int
 	last    error
+	ended   bool // the placer was told that the offer ended
 }
 
 // follow offers the request and follows it to its end.
@@ -167,6 +169,7 @@
 	case *burdockwire.RunEvent_Admitted:
 		a.report(ev.Admitted.GetLoad())
 	case *burdockwire.RunEvent_Refused:
+		a.end()
 		a.report(ev.Refused.GetLoad())
 		return notRun{refusal: ev.Refused}
 	case *burdockwire.RunEvent_Head:
@@ -174,9 +177,11 @@
 	case *burdockwire.RunEvent_Chunk:
 		return a.takeChunk(ev.Chunk)
 	case *burdockwire.RunEvent_End:
+		a.end()
 		a.report(ev.End.GetLoad())
 		return a.takeEnd(ev.End)
 	case *burdockwire.RunEvent_Cut:
+		a.end()
 		a.report(ev.Cut.GetLoad())
 		return a.takeCut(ev.Cut)
 	}
@@ -191,6 +196,15 @@
 	return unknown{reason: reason}
 }
 
+// end tells the placer that the offer ended. It comes before the report that
+// ends the offer, which no longer counts it.
+func (a *attempt) end() {
+	if !a.ended {
+		a.ended = true
+		a.offers.pool.done(a.offers.now(), a.target.Name, a.offers.req.cost)
+	}
+}
+
 func (a *attempt) report(load *burdockwire.Load) {
 	a.offers.pool.report(a.offers.now(), a.target.Name, load)
 }
@@ -201,6 +215,7 @@
 	}
 	if a.offset == 0 {
 		a.offers.ending.firstByte = a.offers.now() - a.offers.req.arrived
+		a.offers.pool.observe(a.offers.now(), a.target.Name, burdockeject.Began{})
 	}
 	if err := a.offers.caller.write(chunk.GetData()); err != nil {
 		return callerGone{}
--- a/internal/serve/burdockentry/offers.go
+++ b/internal/serve/burdockentry/offers.go
@@ -112,8 +112,9 @@
 		}
 		o.made++
 		o.ending.upstream, o.ending.offers = target.Name, o.made
-		res := (&attempt{offers: o, target: target, maxLoad: choice.MaxLoad, began: o.now()}).follow(ctx)
-		o.pool.done(o.now(), target.Name, o.req.cost)
+		a := &attempt{offers: o, target: target, maxLoad: choice.MaxLoad, began: o.now()}
+		res := a.follow(ctx)
+		a.end()
 		o.observe(target, res)
 		if o.settle(ctx, target, res) {
 			return
--- a/internal/serve/burdockentry/probe.go
+++ b/internal/serve/burdockentry/probe.go
@@ -35,7 +35,7 @@
 	}
 	p.pool.report(now, p.target.Name, res.Msg.GetLoad())
 	if !res.Msg.GetLoad().GetLeaving() {
-		p.pool.observe(now, p.target.Name, burdockeject.Answered{})
+		p.pool.observe(now, p.target.Name, burdockeject.Reached{})
 	}
 }
 
