--- a/internal/serve/burdockentry/entry.go
+++ b/internal/serve/burdockentry/entry.go
@@ -13,6 +13,7 @@
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/config/burdocksettings"
+	"burdockbend.example/burdockbend/internal/platform/burdocklist"
 	"burdockbend.example/burdockbend/internal/state/burdockfleet"
 	"burdockbend.example/burdockbend/internal/wire/burdocktransport"
 	"github.com/VictoriaMetrics/metrics"
@@ -34,7 +35,9 @@
 	Clock burdockclock.Clock
 	Fleet *burdockfleet.Fleet
 	Peers *burdocktransport.Peers
-	Log   *zap.Logger
+	// List is the platform's membership list; nil when there is none.
+	List burdocklist.List
+	Log  *zap.Logger
 	// Metrics takes the entry's metrics.
 	Metrics *metrics.Set
 	// Seed is what all random choices of the entry follow from.
@@ -70,6 +73,10 @@
 func (e *Entry) Start() {
 	e.done.Add(1)
 	go e.loop()
+	if e.deps.List != nil {
+		e.done.Add(1)
+		go (&listing{entry: e, states: map[burdockid.VM]burdocklist.State{}}).loop()
+	}
 }
 
 // Close ends the entry's own work.
--- a/internal/serve/burdockentry/pool.go
+++ b/internal/serve/burdockentry/pool.go
@@ -37,8 +37,9 @@
 	ratio   float64
 	random  *rand.Rand
 	members map[burdockid.Upstream]burdockmember.Upstream
-	// leaving holds the upstreams that said themselves that they stop, by the
-	// incarnation that said it.
+	// incarnations holds which run of its agent each upstream was last heard of.
+	incarnations map[burdockid.Upstream]burdockid.Incarnation
+	// leaving holds the upstreams that stop, by the incarnation that does.
 	leaving      map[burdockid.Upstream]burdockid.Incarnation
 	askedLeaving burdockclock.Millis
 	last         []decision
@@ -64,6 +65,8 @@
 		tracker:    burdockeject.New(burdockeject.Config{}, derive(random)),
 		budget:     burdockretry.New(burdockretry.Config{}, derive(random)),
 		leaving:    map[burdockid.Upstream]burdockid.Incarnation{},
+
+		incarnations: map[burdockid.Upstream]burdockid.Incarnation{},
 	}
 }
 
@@ -174,6 +177,7 @@
 // The agent is the authority: the platform's membership list shows a stop up
 // to half a minute late.
 func (p *pool) presence(now burdockclock.Millis, u burdockid.Upstream, inc burdockid.Incarnation, leaving bool) {
+	p.incarnations[u] = inc
 	last, left := p.leaving[u]
 	switch {
 	case leaving && !left:
@@ -185,6 +189,24 @@
 	}
 }
 
+// listedLeaving takes in that the platform's list has come to show the VM of an
+// upstream as leaving or gone.
+//
+// Load: a VM is taken away while its agent is frozen or cut off and can't say
+// so itself. The list lags, so it may speak of a run that is over; a run that
+// is heard of later is not bound by it.
+func (p *pool) listedLeaving(now burdockclock.Millis, u burdockid.Upstream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, left := p.leaving[u]; left {
+		return
+	}
+	if _, member := p.members[u]; member {
+		p.leaving[u] = p.incarnations[u]
+		p.change(p.tracker.Leave(now, u))
+	}
+}
+
 func (p *pool) change(c burdockeject.Change, changed bool) {
 	if changed {
 		p.placer.SetWeight(c.Upstream, c.Weight)
--- a/internal/serve/burdockprocess/entry.go
+++ b/internal/serve/burdockprocess/entry.go
@@ -6,6 +6,7 @@
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/config/burdocksettings"
+	"burdockbend.example/burdockbend/internal/platform/burdocklist"
 	"burdockbend.example/burdockbend/internal/serve/burdockadmin"
 	"burdockbend.example/burdockbend/internal/serve/burdockentry"
 	"burdockbend.example/burdockbend/internal/serve/burdockserver"
@@ -35,7 +36,15 @@
 	e := &Entry{node: n, grace: settings.DrainGraceMillis}
 	e.entry = burdockentry.New(
 		burdockentry.Config{VM: settings.VM, DataCentre: settings.DataCentre, Limits: settings.Limits},
-		burdockentry.Deps{Clock: n.clock, Fleet: n.fleet, Peers: n.peers, Log: log, Metrics: n.metrics, Seed: rand.Uint64()},
+		burdockentry.Deps{
+			Clock:   n.clock,
+			Fleet:   n.fleet,
+			Peers:   n.peers,
+			List:    burdocklist.NewHTTP("http://" + settings.MembershipAddress),
+			Log:     log,
+			Metrics: n.metrics,
+			Seed:    rand.Uint64(),
+		},
 	)
 	mux := http.NewServeMux()
 	mux.Handle(burdockwire.NewPeerServiceHandler(burdocksync.NewHandler(n.view, n.source)))
