--- a/internal/decide/burdockexpert/work.go
+++ b/internal/decide/burdockexpert/work.go
@@ -108,7 +108,6 @@
 		tried += w.search(l, limit, noise, &best, evictable)
 	}
 	if best > 0 {
-		w.trim(l)
 		w.saved += (w.before[l] - w.after[l] - noise) * w.unit(l)
 		w.improved[l] = true
 	}
@@ -145,34 +144,6 @@
 	return tried + 1
 }
 
-// trim drops replicas that were to be fetched but save less than their fetch:
-// the search adds each for the sum of all ranks' times, and later changes
-// leave some without effect on the largest.
-func (w *work) trim(l int) {
-	st := w.state
-	st.reset(w.in.Popularity.Share[l], w.next.layer(l))
-	st.startFrom(w.held.layer(l))
-	best := w.value(l, st.loads)
-	for r := range st.held {
-		for _, held := range w.next.layer(l)[r] {
-			e := int(held)
-			if st.price(r, e) == 0 || len(st.holders[e]) == 1 {
-				continue
-			}
-			st.drop(r, e)
-			st.retime()
-			if value := w.value(l, st.loads); value > best {
-				best = value
-				continue
-			}
-			st.add(r, e)
-			st.retime()
-		}
-	}
-	w.after[l] = st.largest()
-	st.copyHeld(w.next.layer(l))
-}
-
 // value weighs the state of a layer against what it was, at so many fetches.
 // Evenness beyond what noise leaves is worth nothing: it is evenness on the
 // estimate alone, and the search would spend fetches on it.
