--- a/internal/standin/burdockfakestore/store.go
+++ b/internal/standin/burdockfakestore/store.go
@@ -29,6 +29,8 @@
 	revision burdockstore.Revision
 	entries  map[string]burdockstore.Entry
 	leases   map[string]lease
+	kept     state         // what Snapshot kept
+	restarts chan struct{} // closed and replaced on each Restore
 }
 
 type lease struct {
@@ -40,11 +42,12 @@
 // New returns an empty store.
 func New(clock burdockclock.Clock) *Server {
 	s := &Server{
-		clock:   clock,
-		mux:     http.NewServeMux(),
-		changed: make(chan struct{}),
-		entries: map[string]burdockstore.Entry{},
-		leases:  map[string]lease{},
+		clock:    clock,
+		mux:      http.NewServeMux(),
+		changed:  make(chan struct{}),
+		entries:  map[string]burdockstore.Entry{},
+		leases:   map[string]lease{},
+		restarts: make(chan struct{}),
 	}
 	s.mux.HandleFunc("GET /v1/key", s.get)
 	s.mux.HandleFunc("PUT /v1/key", s.put)
@@ -52,6 +55,8 @@
 	s.mux.HandleFunc("GET /v1/watch", s.watch)
 	s.mux.HandleFunc("POST /v1/lease", s.acquire)
 	s.mux.HandleFunc("DELETE /v1/lease", s.release)
+	s.mux.HandleFunc("POST "+PathSnapshot, func(http.ResponseWriter, *http.Request) { s.Snapshot() })
+	s.mux.HandleFunc("POST "+PathRestore, func(http.ResponseWriter, *http.Request) { s.Restore() })
 	return s
 }
 
@@ -125,6 +130,7 @@
 	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	wait, _ := strconv.ParseInt(r.URL.Query().Get("waitMillis"), 10, 64)
 	timeout := time.After(burdockclock.Millis(wait).Duration())
+	restarted := s.restarted()
 	for {
 		listing, changed := s.after(r.URL.Query().Get("prefix"), burdockstore.Revision(after))
 		if len(listing.Entries) > 0 {
@@ -136,6 +142,8 @@
 		case <-timeout:
 			reply(w, listing)
 			return
+		case <-restarted:
+			panic(http.ErrAbortHandler)
 		case <-r.Context().Done():
 			return
 		}
--- a/internal/standin/burdockfault/fault.go
+++ b/internal/standin/burdockfault/fault.go
@@ -3,7 +3,10 @@
 package burdockfault
 
 import (
+	"bytes"
+	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -22,6 +25,9 @@
 	Down Mode = "down"
 	// LostAnswer carries each call out, then cuts the connection.
 	LostAnswer Mode = "lostAnswer"
+	// LateEffect cuts each connection without an answer, and carries the call
+	// out DelayMillis later.
+	LateEffect Mode = "lateEffect"
 	// Silent takes each call and never answers.
 	Silent Mode = "silent"
 )
@@ -93,6 +99,9 @@
 	if s.Only != "" && s.Only != r.Method {
 		s = Setting{}
 	}
+	if s.Mode == LateEffect {
+		i.serveLate(r, s.DelayMillis)
+	}
 	if s.DelayMillis > 0 {
 		select {
 		case <-time.After(s.DelayMillis.Duration()):
@@ -113,6 +122,17 @@
 	}
 }
 
+// serveLate carries a call out later than its caller has given it up.
+func (i *Injector) serveLate(r *http.Request, delay burdockclock.Millis) {
+	body, err := io.ReadAll(r.Body)
+	if err == nil {
+		late := r.Clone(context.WithoutCancel(r.Context()))
+		late.Body = io.NopCloser(bytes.NewReader(body))
+		time.AfterFunc(delay.Duration(), func() { i.next.ServeHTTP(discard{header: http.Header{}}, late) })
+	}
+	panic(http.ErrAbortHandler)
+}
+
 func (i *Injector) begin(r *http.Request) Setting {
 	i.mu.Lock()
 	defer i.mu.Unlock()
