Write back keys that the store lost whole, and settle one version accepted twice

Cause: a watcher compared only the keys that a listing still holds, so a key added after the state that the store restarted from was never written again, and a process that starts from then on lacks it. And when the store lost version 2 and accepted another version 2, processes that hold the lost one kept it if its mark was the greater, although the second operator had been told that the edit is applied. Ruled out: the view's rule. It never went back, and deleted keys were written again already. Change: a whole listing is compared both ways; the accepted edit of the same version becomes the next version, under its own mark. The first pause after an outage is 1 s (was 0.5 s). Before: TestLostKeysAreWrittenAgain found the added key at version 0, TestSameVersionAcceptedTwice found the lost edit in force for one order of the marks. After: both pass. The dump of a process shows deleted keys and marks as well.

--- a/internal/serve/burdockprocess/node.go
+++ b/internal/serve/burdockprocess/node.go
@@ -186,6 +186,7 @@
 // versionDump is one key of the configuration.
 type versionDump struct {
 	Version uint64 `json:"version"`
+	Mark    string `json:"mark"`
 	Deleted bool   `json:"deleted,omitempty"`
 }
 
@@ -199,8 +200,8 @@
 		Source:   n.source.State(),
 		Findings: []string{},
 	}
-	for _, e := range n.view.Under("") {
-		d.Versions[e.Key] = versionDump{Version: uint64(e.Version), Deleted: e.Deleted}
+	for _, e := range n.view.All() {
+		d.Versions[e.Key] = versionDump{Version: uint64(e.Version), Mark: e.Mark, Deleted: e.Deleted}
 	}
 	for _, f := range n.fleet.Findings() {
 		d.Findings = append(d.Findings, f.String())
--- a/internal/state/burdockconfig/view.go
+++ b/internal/state/burdockconfig/view.go
@@ -207,6 +207,18 @@
 	return entries
 }
 
+// All returns every entry by key, deleted ones included.
+func (v *View) All() []Entry {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	entries := make([]Entry, 0, len(v.entries))
+	for _, e := range v.entries {
+		entries = append(entries, e)
+	}
+	sort.Slice(entries, func(i, j int) bool { return entries[i].Key < entries[j].Key })
+	return entries
+}
+
 // Len returns the number of keys, deleted ones included.
 func (v *View) Len() int {
 	v.mu.Lock()
--- a/internal/state/burdocksync/fallback.go
+++ b/internal/state/burdocksync/fallback.go
@@ -65,15 +65,27 @@
 			continue
 		}
 		f.watcher.listedAt = 0 // read all of it
-		if err := f.watcher.once(ctx); err != nil && ctx.Err() == nil {
+		err := f.watcher.once(ctx)
+		if err == nil {
+			f.watcher.failures = 0
+		} else if ctx.Err() == nil {
 			f.watcher.failed(ctx, err)
-			continue
-		}
-		f.watcher.failures = 0
-		if f.source.Ready() && len(f.whom()) > 0 {
-			sleep(ctx, fallbackAfter+rand.N(fallbackAfter))
 		}
+		sleep(ctx, f.rest(err))
+	}
+}
+
+// rest returns how long to leave the store alone after it was asked.
+//
+// Load: 3,800 agents lose all entries and the store at once. Harm: each asks
+// the silent store every 5 to 10 s, over 500 times a second in all, and the
+// returning store is met by as many listings. A process that has a
+// configuration can wait.
+func (f *Fallback) rest(err error) burdockclock.Millis {
+	if f.source.Ready() && (err != nil || len(f.whom()) > 0) {
+		return fallbackAfter + rand.N(fallbackAfter)
 	}
+	return 0
 }
 
 // needed reports whether no peer can be relied on.
--- a/internal/state/burdocksync/watcher.go
+++ b/internal/state/burdocksync/watcher.go
@@ -20,8 +20,10 @@
 	watchWait = 10 * burdockclock.Second
 	// relistEvery bounds how long a fault of the store's watch can hide an edit.
 	relistEvery = 5 * burdockclock.Minute
-	retryFirst  = 500 * burdockclock.Millis(1)
-	retryMost   = 10 * burdockclock.Second
+	// retryFirst spreads the first tries after a short outage: with 350 watchers
+	// the store gets 700 listings a second for half a second.
+	retryFirst = burdockclock.Second
+	retryMost  = 10 * burdockclock.Second
 )
 
 // Watcher follows the store for this process and all that ask it.
@@ -31,6 +33,7 @@
 	source *Source
 	log    *zap.Logger
 	clock  burdockclock.Clock
+	spread burdockclock.Millis // restoreSpread, but in tests
 
 	cancel context.CancelFunc
 	done   sync.WaitGroup
@@ -42,7 +45,7 @@
 
 // NewWatcher returns a watcher that is not yet running.
 func NewWatcher(store burdockstore.Store, view *burdockconfig.View, source *Source, clock burdockclock.Clock, log *zap.Logger) *Watcher {
-	return &Watcher{store: store, view: view, source: source, clock: clock, log: log}
+	return &Watcher{store: store, view: view, source: source, clock: clock, log: log, spread: restoreSpread}
 }
 
 // Start begins to watch.
@@ -74,27 +77,45 @@
 func (w *Watcher) once(ctx context.Context) error {
 	due := w.listedAt == 0 || w.failures > 0 || w.clock.Boot()-w.listedAt > relistEvery
 	if due {
-		entries, revision, err := w.store.List(ctx, burdockconfig.StorePrefix)
-		if err != nil {
-			return err
-		}
-		w.listedAt = w.clock.Boot()
-		w.take(ctx, entries, revision)
-		return nil
+		return w.list(ctx)
 	}
-	entries, revision, err := w.store.Watch(ctx, burdockconfig.StorePrefix, w.revision, watchWait)
+	stored, revision, err := w.store.Watch(ctx, burdockconfig.StorePrefix, w.revision, watchWait)
 	if err != nil {
 		return err
 	}
-	if revision < w.revision {
+	w.take(stored)
+	if revision < w.revision || len(lostOf(w.view, stored)) > 0 {
 		w.listedAt = 0 // the store went back to an older state: read all of it
 	}
-	w.take(ctx, entries, revision)
+	w.revision = revision
+	return nil
+}
+
+// list reads the whole configuration.
+func (w *Watcher) list(ctx context.Context) error {
+	stored, err := w.read(ctx)
+	if err != nil {
+		return err
+	}
+	if len(lostOf(w.view, stored))+len(missingFrom(w.view, stored)) > 0 {
+		return w.restore(ctx)
+	}
 	return nil
 }
 
-func (w *Watcher) take(ctx context.Context, stored []burdockstore.Entry, revision burdockstore.Revision) {
+// read takes in all that the store holds.
+func (w *Watcher) read(ctx context.Context) ([]burdockstore.Entry, error) {
+	stored, revision, err := w.store.List(ctx, burdockconfig.StorePrefix)
+	if err != nil {
+		return nil, err
+	}
+	w.listedAt = w.clock.Boot()
 	w.revision = revision
+	w.take(stored)
+	return stored, nil
+}
+
+func (w *Watcher) take(stored []burdockstore.Entry) {
 	w.source.verify()
 	var entries []burdockconfig.Entry
 	for _, s := range stored {
@@ -104,7 +125,6 @@
 			continue
 		}
 		entries = append(entries, e)
-		w.restore(ctx, s, e)
 	}
 	for _, e := range w.view.Merge(entries) {
 		w.log.Info("configuration in force", zap.String("key", e.Key), zap.Uint64("version", uint64(e.Version)))
@@ -114,27 +134,6 @@
 	}
 }
 
-// restore writes back an entry that the store has lost.
-//
-// Failure: the store restarts from an older state, after an edit was accepted
-// and passed on. Symptom: processes that start from then on would take up what
-// was in force before the edit. Each watcher holds the newer entry and puts it
-// back; compare-and-swap makes sure that no later edit is overwritten.
-func (w *Watcher) restore(ctx context.Context, stored burdockstore.Entry, e burdockconfig.Entry) {
-	own, ok := w.view.Get(e.Key)
-	if !ok || own.Version <= e.Version {
-		return
-	}
-	value, err := burdockconfig.Encode(own)
-	if err != nil {
-		return // an entry that was decoded can be encoded
-	}
-	_, err = w.store.CompareAndSwap(ctx, stored.Key, stored.Revision, value)
-	w.log.Warn("store went back, newer entry written again",
-		zap.String("key", e.Key), zap.Uint64("storeVersion", uint64(e.Version)),
-		zap.Uint64("ownVersion", uint64(own.Version)), zap.Error(err))
-}
-
 // failed waits before the next try.
 //
 // Load: every watcher of the fleet loses the store at one moment and finds it
--- /dev/null
+++ b/internal/state/burdocksync/watcher_test.go
@@ -0,0 +1,134 @@
+package burdocksync
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/platform/burdockstore"
+	"burdockbend.example/burdockbend/internal/standin/burdockfakestore"
+	"burdockbend.example/burdockbend/internal/state/burdockconfig"
+	"go.uber.org/zap"
+)
+
+// oldStore is a store that can be restarted from an older state, and a watcher
+// that is driven step by step.
+type oldStore struct {
+	server  *burdockfakestore.Server
+	store   burdockstore.Store
+	view    *burdockconfig.View
+	watcher *Watcher
+}
+
+func newOldStore(t *testing.T) *oldStore {
+	t.Helper()
+	clock := burdockclock.System()
+	o := &oldStore{server: burdockfakestore.New(clock), view: burdockconfig.NewView()}
+	web := httptest.NewServer(o.server)
+	t.Cleanup(web.Close)
+	o.store = burdockstore.NewHTTP([]string{strings.TrimPrefix(web.URL, "http://")})
+	o.watcher = NewWatcher(o.store, o.view, NewSource(clock), clock, zap.NewNop())
+	o.watcher.spread = 1
+	return o
+}
+
+// list lets the watcher read the whole store once.
+func (o *oldStore) list(t *testing.T) {
+	t.Helper()
+	o.watcher.listedAt = 0
+	if err := o.watcher.once(context.Background()); err != nil {
+		t.Fatalf("read the store: %v", err)
+	}
+}
+
+func (o *oldStore) write(t *testing.T, key, value, mark string) {
+	t.Helper()
+	w := NewWriter(o.store)
+	w.mark = func() string { return mark }
+	if _, err := w.Write(context.Background(), Edit{Key: key, Value: []byte(value), AnyBase: true}); err != nil {
+		t.Fatalf("write %s: %v", key, err)
+	}
+}
+
+func (o *oldStore) stored(t *testing.T, key string) burdockconfig.Entry {
+	t.Helper()
+	e, _, err := NewWriter(o.store).read(context.Background(), key)
+	if err != nil {
+		t.Fatalf("read %s: %v", key, err)
+	}
+	return e
+}
+
+// An operator adds a key and deletes another, and both are in force. The store
+// restarts from before that. Each process goes on with what was accepted, but
+// one that starts from then on would not: the store lacks the added key and
+// shows the deleted one again.
+func TestLostKeysAreWrittenAgain(t *testing.T) {
+	o := newOldStore(t)
+	o.write(t, "upstream/old", "1", "a")
+	o.server.Snapshot()
+	o.write(t, "upstream/new", "1", "b")
+	if _, err := NewWriter(o.store).Write(context.Background(), Edit{Key: "upstream/old", Deleted: true, AnyBase: true}); err != nil {
+		t.Fatal(err)
+	}
+	o.list(t)
+	o.server.Restore()
+	o.list(t)
+	if got := o.stored(t, "upstream/new"); got.Version != 1 || got.Mark != "b" {
+		t.Errorf("added key in the store: got version %d mark %q, want 1 %q", got.Version, got.Mark, "b")
+	}
+	if got := o.stored(t, "upstream/old"); got.Version != 2 || !got.Deleted {
+		t.Errorf("deleted key in the store: got version %d deleted %v, want 2 deleted", got.Version, got.Deleted)
+	}
+}
+
+// The store loses version 2, and accepts another version 2 before anyone has
+// noticed. Its operator is told that it is applied, so it must win everywhere,
+// whichever mark is the greater one: no process may hold on to the lost one.
+func TestSameVersionAcceptedTwice(t *testing.T) {
+	for _, marks := range [][2]string{{"a", "b"}, {"b", "a"}} {
+		o := newOldStore(t)
+		o.write(t, "profile/bench", "1", "first")
+		o.server.Snapshot()
+		o.write(t, "profile/bench", "lost", marks[0])
+		o.list(t)
+		o.server.Restore()
+		o.write(t, "profile/bench", "accepted", marks[1])
+		o.list(t)
+		o.list(t) // takes in what the first may have written
+		got, _ := o.view.Get("profile/bench")
+		if string(got.Value) != "accepted" || got.Version < 2 {
+			t.Errorf("marks %v: in force got version %d %q, want %q", marks, got.Version, got.Value, "accepted")
+		}
+		if stored := o.stored(t, "profile/bench"); string(stored.Value) != "accepted" || stored.Version != got.Version {
+			t.Errorf("marks %v: in the store got version %d %q, want version %d %q", marks, stored.Version, stored.Value, got.Version, "accepted")
+		}
+	}
+}
+
+// A watch answers with an older entry after the store went back. The process
+// keeps what it has, reads all of the store, and puts the newer entry back.
+func TestOlderWatchAnswerIsNotTaken(t *testing.T) {
+	o := newOldStore(t)
+	o.write(t, "profile/bench", "1", "a")
+	o.server.Snapshot()
+	o.write(t, "profile/bench", "2", "b")
+	o.list(t)
+	o.server.Restore()
+	o.watcher.revision = 0 // as after an older answer
+	if err := o.watcher.once(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if err := o.watcher.once(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if got, _ := o.view.Get("profile/bench"); got.Version != burdockid.Version(2) {
+		t.Errorf("in force: got version %d, want 2", got.Version)
+	}
+	if got := o.stored(t, "profile/bench"); got.Version != 2 {
+		t.Errorf("in the store: got version %d, want 2", got.Version)
+	}
+}
--- a/internal/state/burdocksync/writer.go
+++ b/internal/state/burdocksync/writer.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/platform/burdockstore"
 	"burdockbend.example/burdockbend/internal/state/burdockconfig"
@@ -22,7 +23,7 @@
 
 const (
 	writeTries      = 6
-	writeRetryPause = retryFirst
+	writeRetryPause = 500 * burdockclock.Millis(1)
 )
 
 // Edit is one change of one key.
