Tell operators what an edit replaced, what is unknown and what was not tried

Change: three outcomes told apart, the apply ends when the store gives no answer and counts what was not tried, and each replaced or raced entry is printed field by field. burdock config compare shows the versions in the store and in each process side by side.

--- a/internal/tool/burdockcli/fleet.go
+++ b/internal/tool/burdockcli/fleet.go
@@ -65,7 +65,7 @@
 	if err != nil {
 		return err
 	}
-	return c.apply(ctx, store, edits(entries, wanted, fleetPrefixes...))
+	return c.apply(ctx, store, entries, edits(entries, wanted, fleetPrefixes...))
 }
 
 func (c *CLI) fleetList() *ffcli.Command {
--- a/internal/tool/burdockcli/profile.go
+++ b/internal/tool/burdockcli/profile.go
@@ -59,11 +59,11 @@
 		return err
 	}
 	if base > 0 {
-		if err := checkBase(entries, wanted[0].Key, base); err != nil {
+		if err := c.checkBase(entries[wanted[0].Key], wanted[0], base); err != nil {
 			return err
 		}
 	}
-	return c.apply(ctx, store, edits(entries, wanted))
+	return c.apply(ctx, store, entries, edits(entries, wanted))
 }
 
 func (c *CLI) profileList() *ffcli.Command {
--- a/internal/tool/burdockcli/root.go
+++ b/internal/tool/burdockcli/root.go
@@ -52,7 +52,7 @@
 		ShortUsage:  "burdock COMMAND",
 		ShortHelp:   "operate a fleet of burdockbend",
 		FlagSet:     c.flags("burdock"),
-		Subcommands: []*ffcli.Command{c.profile(), c.fleet(), c.state(), c.try()},
+		Subcommands: []*ffcli.Command{c.profile(), c.fleet(), c.config(), c.state(), c.try()},
 		Exec: func(_ context.Context, args []string) error {
 			if len(args) > 0 {
 				return usage("burdock: no command %q; see burdock -h", args[0])
--- a/internal/tool/burdockcli/state.go
+++ b/internal/tool/burdockcli/state.go
@@ -30,20 +30,29 @@
 }
 
 func (c *CLI) printState(ctx context.Context, address string) error {
+	state, err := fetchState(ctx, address)
+	if err != nil {
+		return err
+	}
+	_, err = c.stdout.Write(state)
+	return err
+}
+
+// fetchState returns the dump of the process at address.
+func fetchState(ctx context.Context, address string) ([]byte, error) {
 	req, err := sling.New().Base("http://" + address).Get(burdockadmin.PathState).Request()
 	if err != nil {
-		return usageError{err}
+		return nil, usageError{err}
 	}
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
 	res, err := http.DefaultClient.Do(req.WithContext(ctx))
 	if err != nil {
-		return errorx.Decorate(err, "ask %s", address)
+		return nil, errorx.Decorate(err, "ask %s", address)
 	}
 	defer func() { _ = res.Body.Close() }()
 	if res.StatusCode != http.StatusOK {
-		return errorx.ExternalError.New("%s answered status %d", address, res.StatusCode)
+		return nil, errorx.ExternalError.New("%s answered status %d", address, res.StatusCode)
 	}
-	_, err = io.Copy(c.stdout, res.Body)
-	return err
+	return io.ReadAll(res.Body)
 }
--- a/internal/tool/burdockcli/store.go
+++ b/internal/tool/burdockcli/store.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"flag"
-	"fmt"
 	"strings"
 
 	"burdockbend.example/burdockbend/internal/base/burdockid"
@@ -88,44 +87,11 @@
 	return list
 }
 
-// apply writes edits one by one and prints each. It goes on after one that
-// lost a race, so that the operator sees the whole outcome.
-func (c *CLI) apply(ctx context.Context, store burdockstore.Store, list []burdocksync.Edit) error {
-	writer := burdocksync.NewWriter(store)
-	var failed int
-	for _, edit := range list {
-		e, err := writer.Write(ctx, edit)
-		if err != nil {
-			failed++
-			_, _ = fmt.Fprintf(c.stdout, "%s: not applied: %v\n", edit.Key, err)
-			continue
-		}
-		_, _ = fmt.Fprintf(c.stdout, "%s: %s version %d\n", e.Key, verb(edit), e.Version)
-	}
-	if len(list) == 0 {
-		_, _ = fmt.Fprintln(c.stdout, "nothing to change")
-	}
-	if failed > 0 {
-		return errorx.ExternalError.New("%d of %d edits were not applied", failed, len(list))
-	}
-	return nil
-}
-
-func verb(edit burdocksync.Edit) string {
-	switch {
-	case edit.Deleted:
-		return "deleted as"
-	case edit.Base == 0:
-		return "added as"
-	default:
-		return "changed to"
-	}
-}
-
 // checkBase refuses an apply that was made on another version.
-func checkBase(entries map[string]burdockconfig.Entry, key string, base burdockid.Version) error {
-	if current := entries[key].Version; current != base {
-		return burdocksync.ErrRace.New("%s is at version %d by now, the edit was made on version %d; nothing was changed", key, current, base)
+func (c *CLI) checkBase(current burdockconfig.Entry, wanted burdockentity.Entity, base burdockid.Version) error {
+	if current.Version != base {
+		c.printDifferences("in the store", current, "in the file", burdockconfig.Entry{Value: wanted.Value})
+		return burdocksync.ErrRace.New("%s is at version %d by now, the edit was made on version %d; nothing was changed", wanted.Key, current.Version, base)
 	}
 	return nil
 }
