Keep an entry from taking its own answer for that of a peer

Cause: the settings of all entries may share one list of peers, and an entry's own address was only left out of those that the fleet names. A cut-off entry asked itself, and stayed verified by its own answer. Change: the own address is left out of both. Before: TestEntryDoesNotAskItself got the own address among the peers; after: it passes.

--- a/internal/serve/burdockprocess/node.go
+++ b/internal/serve/burdockprocess/node.go
@@ -107,14 +107,16 @@
 
 // entryPeers returns the addresses of all entries that are known, without
 // this process's own.
+//
+// Failure: settings that all entries share name each entry to itself. Symptom:
+// an entry that is cut off hears from itself and goes on as verified, with
+// duties that others have taken over.
 func (n *node) entryPeers() []string {
 	addresses := slices.Clone(n.settings.Peers)
 	for _, e := range n.fleet.Now().Entries {
-		if e.Peer != n.settings.PeerListen {
-			addresses = append(addresses, e.Peer)
-		}
+		addresses = append(addresses, e.Peer)
 	}
-	return addresses
+	return slices.DeleteFunc(addresses, func(a string) bool { return a == n.settings.PeerListen })
 }
 
 func (n *node) fire(e burdockcharts.StopEvent) bool {
