--- a/internal/proof/burdockprograms/fleet.go
+++ b/internal/proof/burdockprograms/fleet.go
@@ -110,14 +110,18 @@
 	f := &Fleet{Config: cfg, Key: burdockkey.New(), dir: t.TempDir(), bin: Build(t)}
 	f.Store = f.standin(t, "store")
 	f.List = f.standin(t, "list", "-lag", cfg.Lag.String())
+	for i := range cfg.Entries {
+		f.Entries = append(f.Entries, newEntry(t, i))
+	}
 	for i := range cfg.Models {
 		f.addAgent(t, ModelService, "model", i, "-models", Model)
 	}
 	for i := range cfg.Plains {
 		f.addAgent(t, PlainService, "plain", i)
 	}
-	for i := range cfg.Entries {
-		f.addEntry(t, i)
+	for i, e := range f.Entries {
+		e.settings = f.write(t, e.Name, f.common(i, e.Name, e.Peer, e.Admin)+fmt.Sprintf("listen = %q\n", e.Callers))
+		f.StartEntry(t, e)
 	}
 	return f
 }
@@ -161,17 +165,15 @@
 	a.Process, _ = start(t, a.Name, f.program(agentProgram), false, "-settings", a.settings)
 }
 
-func (f *Fleet) addEntry(t testing.TB, i int) {
+// newEntry chooses an entry's addresses, which all settings name.
+func newEntry(t testing.TB, i int) *Entry {
 	t.Helper()
-	e := &Entry{
+	return &Entry{
 		Name:    fmt.Sprintf("entry-%d", i+1),
 		Callers: FreeAddress(t),
 		Peer:    FreeAddress(t),
 		Admin:   FreeAddress(t),
 	}
-	e.settings = f.write(t, e.Name, f.common(i, e.Name, e.Peer, e.Admin)+fmt.Sprintf("listen = %q\n", e.Callers))
-	f.Entries = append(f.Entries, e)
-	f.StartEntry(t, e)
 }
 
 // StartEntry starts an entry's process, at first or again.
