--- /dev/null
+++ b/internal/proof/burdockconfigproof/spread_test.go
@@ -0,0 +1,265 @@
+package burdockconfigproof
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"burdockbend.example/burdockbend/internal/decide/burdockledger"
+	"burdockbend.example/burdockbend/internal/proof/burdockprograms"
+	"burdockbend.example/burdockbend/internal/standin/burdockfakestore"
+	"burdockbend.example/burdockbend/internal/standin/burdockfault"
+	"burdockbend.example/burdockbend/internal/state/burdockhome"
+)
+
+// command gives the stand-in store a command of its own.
+func command(t *testing.T, f *burdockprograms.Fleet, path string) {
+	t.Helper()
+	res, err := http.Post("http://"+f.Store.Address+path, "", nil)
+	if err != nil {
+		t.Fatalf("%s: %v", path, err)
+	}
+	_ = res.Body.Close()
+	if got, want := res.StatusCode, http.StatusOK; got != want {
+		t.Fatalf("%s: got status %d, want %d", path, got, want)
+	}
+}
+
+// compare runs the operators' comparison of the store and all processes.
+func compare(f *burdockprograms.Fleet) (string, int) {
+	return f.TryOperate(append([]string{"config", "compare", "-store", f.Store.Address}, admins(f)...)...)
+}
+
+// settle waits until the agents have claimed the homes of all keys, which they
+// do through the configuration, and all processes hold the same.
+func settle(t *testing.T, f *burdockprograms.Fleet) {
+	t.Helper()
+	for slot := range burdockledger.Slot(burdockledger.Slots) {
+		key := fmt.Sprintf("%s%s/%d", burdockhome.Prefix, burdockprograms.ModelService, slot)
+		burdockprograms.Eventually(t, key+" is claimed", func() bool {
+			_, ok := heldAt(f.Entries[0].Admin, key)
+			return ok
+		})
+	}
+	burdockprograms.Eventually(t, "the store and all processes hold the same", func() bool {
+		_, status := compare(f)
+		return status == 0
+	})
+}
+
+// versionsOf polls what a process has in force until it is told to stop.
+type versionsOf struct {
+	admin string
+	key   string
+	stop  chan struct{}
+	done  chan struct{}
+	seen  []held
+}
+
+func watchVersions(f *burdockprograms.Fleet, key string) []*versionsOf {
+	var all []*versionsOf
+	for _, admin := range admins(f) {
+		v := &versionsOf{admin: admin, key: key, stop: make(chan struct{}), done: make(chan struct{})}
+		go v.run()
+		all = append(all, v)
+	}
+	return all
+}
+
+const pollPause = 50 * time.Millisecond
+
+func (v *versionsOf) run() {
+	defer close(v.done)
+	for {
+		select {
+		case <-v.stop:
+			return
+		case <-time.After(pollPause):
+		}
+		if h, ok := heldAt(v.admin, v.key); ok && (len(v.seen) == 0 || v.seen[len(v.seen)-1] != h) {
+			v.seen = append(v.seen, h)
+		}
+	}
+}
+
+// wantForward stops the polls and checks that no process ever went back.
+func wantForward(t *testing.T, all []*versionsOf) {
+	t.Helper()
+	for _, v := range all {
+		close(v.stop)
+		<-v.done
+		for i := 1; i < len(v.seen); i++ {
+			if v.seen[i].Version <= v.seen[i-1].Version {
+				t.Errorf("%s went from version %d to %d of %s", v.admin, v.seen[i-1].Version, v.seen[i].Version, v.key)
+			}
+		}
+	}
+}
+
+// An operator's edit is in force at every process some seconds after the
+// command has returned. The fleet serves no traffic, so the edit spreads by
+// the store's watch to the entries and by pulls to the agents.
+func TestTimeToAll(t *testing.T) {
+	f := startFleet(t, 8, 3)
+	for version := 2; version <= 6; version++ {
+		f.ApplyProfile(t, f.ProfileTOML(100+version))
+		began := time.Now()
+		waitVersionEverywhere(t, f, version)
+		t.Logf("version %d in force at %d processes after %v", version, len(admins(f)), time.Since(began).Round(10*time.Millisecond))
+	}
+}
+
+// The store answers each call too late at first, and the operator is told so.
+// Then it answers after two seconds: an edit is accepted, and every process has
+// it in force although each read takes that long.
+func TestStoreSlow(t *testing.T) {
+	f := startFleet(t, 2, 2)
+	all := watchVersions(f, profileKey)
+	f.Store.SetFault(t, burdockfault.Setting{DelayMillis: 3500})
+	early := newApplying(f, profileFile(t, f, 77))
+	early.run()
+	wantOutput(t, early, 1, "read the configuration", "store.unavailable")
+	f.Store.SetFault(t, burdockfault.Setting{DelayMillis: 2000})
+	slow := newApplying(f, profileFile(t, f, 77))
+	slow.run()
+	wantOutput(t, slow, 0, "changed to version 2")
+	waitVersionEverywhere(t, f, 2)
+	wantForward(t, all)
+}
+
+// watchEnds is longer than one watch of the store waits. An entry that is
+// frozen for that long has no answer of the store left to read when it wakes.
+const watchEnds = 11 * time.Second
+
+// An edit is accepted while two of three entries are frozen, so one entry
+// alone sees it. Then the store goes down, and the two wake up. The edit
+// reaches them and all agents by way of the one entry, and stays when the
+// store is back.
+func TestEditRightBeforeOutage(t *testing.T) {
+	f := startFleet(t, 3, 3)
+	all := watchVersions(f, profileKey)
+	frozen := f.Entries[1:]
+	for _, e := range frozen {
+		e.Freeze()
+	}
+	time.Sleep(watchEnds)
+	f.ApplyProfile(t, f.ProfileTOML(77))
+	waitVersion(t, f.Entries[0].Admin, 2)
+	f.Store.SetFault(t, burdockfault.Setting{Mode: burdockfault.Down})
+	for _, e := range frozen {
+		e.Thaw()
+	}
+	began := time.Now()
+	waitVersionEverywhere(t, f, 2)
+	t.Logf("in force everywhere %v after the entries woke", time.Since(began).Round(10*time.Millisecond))
+	f.Store.SetFault(t, burdockfault.Setting{})
+	f.ApplyProfile(t, f.ProfileTOML(88))
+	waitVersionEverywhere(t, f, 3)
+	wantForward(t, all)
+}
+
+// The store is silent. An agent and an entry are lost and start again with
+// nothing but their settings; each gets the configuration, with an edit made
+// right before, from the other entry. Both are ready although the store never
+// answered them.
+func TestStartWhileStoreIsOut(t *testing.T) {
+	f := startFleet(t, 2, 2)
+	f.ApplyProfile(t, f.ProfileTOML(77))
+	waitVersionEverywhere(t, f, 2)
+	f.Store.SetFault(t, burdockfault.Setting{Mode: burdockfault.Silent})
+	f.Agents[0].Kill()
+	f.Entries[1].Kill()
+	f.StartAgent(t, f.Agents[0])
+	f.StartEntry(t, f.Entries[1])
+	began := time.Now()
+	f.WaitReady(t)
+	t.Logf("ready %v after their start", time.Since(began).Round(10*time.Millisecond))
+	waitVersionEverywhere(t, f, 2)
+}
+
+// The store restarts from an older state that lacks two edits and an added
+// profile, and still has a deleted one. No process goes back, and the store
+// gets all of it again: a process that asks the store alone finds what was
+// accepted.
+func TestStoreRestartsFromOlderState(t *testing.T) {
+	f := startFleet(t, 2, 3)
+	settle(t, f)
+	command(t, f, burdockfakestore.PathSnapshot)
+	f.ApplyProfile(t, f.ProfileTOML(77))
+	f.ApplyProfile(t, f.ProfileTOML(88))
+	f.ApplyProfile(t, strings.Replace(f.ProfileTOML(99), `"bench"`, `"added"`, 1))
+	waitVersionEverywhere(t, f, 3)
+	settle(t, f)
+	before := f.Store.Counts()["PUT /v1/key"]
+	all := watchVersions(f, profileKey)
+	command(t, f, burdockfakestore.PathRestore)
+	burdockprograms.Eventually(t, "the store has the lost edits again", func() bool {
+		list := f.Operate(t, "profile", "list", "-store", f.Store.Address)
+		return strings.Contains(list, "bench    3") && strings.Contains(list, "added    1")
+	})
+	t.Logf("writes that put 2 keys back, by 3 entries: %d", f.Store.Counts()["PUT /v1/key"]-before)
+	settle(t, f)
+	f.ApplyProfile(t, f.ProfileTOML(99))
+	waitVersionEverywhere(t, f, 4)
+	wantForward(t, all)
+}
+
+// An upstream is taken out of the fleet file while one entry is frozen. When
+// it wakes, it still holds the upstream and the store is down; it hears of the
+// deletion from its peers, and its older entry brings the upstream back to
+// nobody.
+func TestDeletedKeyStaysDeleted(t *testing.T) {
+	f := startFleet(t, 2, 2)
+	deleted := "upstream/" + f.Agents[1].Name
+	f.Entries[1].Freeze()
+	time.Sleep(watchEnds)
+	members := f.FleetTOML()
+	begin := strings.Index(members, "[[upstream]]\nname = \""+f.Agents[1].Name)
+	end := begin + strings.Index(members[begin:], "[[entry]]")
+	f.ApplyFleet(t, members[:begin]+members[end:])
+	isDeleted := func(admin string) bool {
+		h, _ := heldAt(admin, deleted)
+		return h.Deleted
+	}
+	burdockprograms.Eventually(t, "the other entry has the deletion", func() bool { return isDeleted(f.Entries[0].Admin) })
+	f.Store.SetFault(t, burdockfault.Setting{Mode: burdockfault.Down})
+	all := watchVersions(f, deleted)
+	f.Entries[1].Thaw()
+	for _, admin := range admins(f) {
+		burdockprograms.Eventually(t, admin+" has the deletion", func() bool { return isDeleted(admin) })
+	}
+	f.Store.SetFault(t, burdockfault.Setting{})
+	f.ApplyProfile(t, f.ProfileTOML(77))
+	waitVersionEverywhere(t, f, 2)
+	wantForward(t, all)
+	for _, admin := range admins(f) {
+		if !isDeleted(admin) {
+			t.Errorf("%s: the upstream is back", admin)
+		}
+	}
+}
+
+// An operator compares the store with each process while one is frozen. The
+// command names what differs, says who does not answer, and ends with status 1
+// until all hold the same; while the store is out it still compares the rest.
+func TestCompareShowsWhoIsBehind(t *testing.T) {
+	f := startFleet(t, 1, 2)
+	settle(t, f)
+	out, status := compare(f)
+	if status != 0 || strings.Contains(out, "\nKEY ") {
+		t.Errorf("all alike: got status %d, want 0 and no keys\n%s", status, out)
+	}
+	f.Agents[0].Freeze()
+	out, status = compare(f)
+	f.Agents[0].Thaw()
+	if status != 1 || !strings.Contains(out, "no answer") {
+		t.Errorf("one frozen: got status %d, want 1 and a line for it\n%s", status, out)
+	}
+	f.Store.SetFault(t, burdockfault.Setting{Mode: burdockfault.Down})
+	out, status = compare(f)
+	if status != 1 || !strings.Contains(out, "1 holders did not answer, 0 keys differ") {
+		t.Errorf("store out: got status %d, want 1 and the processes compared\n%s", status, out)
+	}
+}
--- a/internal/proof/burdockprograms/fleet.go
+++ b/internal/proof/burdockprograms/fleet.go
@@ -267,6 +267,12 @@
 	return f.Operate(t, "profile", "apply", "-store", f.Store.Address, f.write(t, "edit", content))
 }
 
+// ApplyFleet puts a membership file in force.
+func (f *Fleet) ApplyFleet(t testing.TB, content string) string {
+	t.Helper()
+	return f.Operate(t, "fleet", "apply", "-store", f.Store.Address, f.write(t, "members", content))
+}
+
 // Operate runs one command of the operators, which must succeed.
 func (f *Fleet) Operate(t testing.TB, args ...string) string {
 	t.Helper()
