Bound how often a burst of edits makes watchers ask the store

Cause: a watch that brought something was renewed at once, so while a fleet file is written each watcher asks again for each edit, and 350 watchers would ask tens of thousands of times a second. Change: a watcher waits 0.5 to 1.5 s after a watch that brought something. The first edit of a burst is in force as soon as before, later ones up to 1.5 s later.

--- a/internal/state/burdocksync/watcher.go
+++ b/internal/state/burdocksync/watcher.go
@@ -18,6 +18,12 @@
 	// watchWait is how long one watch waits. A waiting watch counts as a call,
 	// so a longer one is cheaper; a shorter one finds a dead store sooner.
 	watchWait = 10 * burdockclock.Second
+	// rewatchPause is how long a watcher waits, on average, after a watch that
+	// brought something. Load: a fleet file of thousands of edits, written in
+	// seconds, before 350 watchers. Harm: each edit wakes all of them, and all
+	// ask again at once. With the pause they ask 350 times a second in all; the
+	// first edit is still in force at once, and the next ones a second later.
+	rewatchPause = burdockclock.Second
 	// relistEvery bounds how long a fault of the store's watch can hide an edit.
 	relistEvery = 5 * burdockclock.Minute
 	// retryFirst spreads the first tries after a short outage: with 350 watchers
@@ -88,6 +94,9 @@
 		w.listedAt = 0 // the store went back to an older state: read all of it
 	}
 	w.revision = revision
+	if len(stored) > 0 {
+		sleep(ctx, rewatchPause/2+rand.N(rewatchPause))
+	}
 	return nil
 }
 
@@ -145,8 +154,13 @@
 		w.log.Warn("store does not answer", zap.Error(err))
 	}
 	w.source.fire(burdockcharts.ConfigurationEventLoseStore)
-	pause := min(retryFirst<<min(w.failures-1, 5), retryMost)
-	sleep(ctx, pause/2+rand.N(pause/2+1))
+	sleep(ctx, retryPause(w.failures))
+}
+
+// retryPause returns how long to wait after a number of failures in a row.
+func retryPause(failures int) burdockclock.Millis {
+	pause := min(retryFirst<<min(failures-1, 5), retryMost)
+	return pause/2 + rand.N(pause/2+1)
 }
 
 // sleep waits for d or until ctx ends.
--- a/internal/state/burdocksync/watcher_test.go
+++ b/internal/state/burdocksync/watcher_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/platform/burdockstore"
 	"burdockbend.example/burdockbend/internal/standin/burdockfakestore"
+	"burdockbend.example/burdockbend/internal/standin/burdockfault"
 	"burdockbend.example/burdockbend/internal/state/burdockconfig"
 	"go.uber.org/zap"
 )
@@ -18,6 +21,7 @@
 // that is driven step by step.
 type oldStore struct {
 	server  *burdockfakestore.Server
+	faults  *burdockfault.Injector
 	store   burdockstore.Store
 	view    *burdockconfig.View
 	watcher *Watcher
@@ -27,7 +31,8 @@
 	t.Helper()
 	clock := burdockclock.System()
 	o := &oldStore{server: burdockfakestore.New(clock), view: burdockconfig.NewView()}
-	web := httptest.NewServer(o.server)
+	o.faults = burdockfault.NewInjector(o.server)
+	web := httptest.NewServer(o.faults)
 	t.Cleanup(web.Close)
 	o.store = burdockstore.NewHTTP([]string{strings.TrimPrefix(web.URL, "http://")})
 	o.watcher = NewWatcher(o.store, o.view, NewSource(clock), clock, zap.NewNop())
@@ -132,3 +137,47 @@
 		t.Errorf("in the store: got version %d, want 2", got.Version)
 	}
 }
+
+// An operator applies a file of many edits, which the store takes within a
+// second. Each one wakes every watch; a watcher that asked again at once would
+// ask as often as there are edits, and 350 of them would ask tens of thousands
+// of times a second. All edits are in force in the end.
+func TestManyEditsCostFewWatches(t *testing.T) {
+	o := newOldStore(t)
+	o.write(t, "upstream/0", "1", "a")
+	o.watcher.Start()
+	defer o.watcher.Close()
+	const edits = 200
+	began := time.Now()
+	for i := 1; i <= edits; i++ {
+		o.write(t, fmt.Sprint("upstream/", i), "1", "a")
+	}
+	for deadline := began.Add(time.Minute); o.view.Len() <= edits; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("in force: got %d of %d edits", o.view.Len(), edits)
+		}
+	}
+	most := 4 + int(2*time.Since(began)/rewatchPause.Duration())
+	if got := o.faults.Counts()["GET /v1/watch"]; got > most {
+		t.Errorf("watches: got %d, want at most %d", got, most)
+	}
+}
+
+// The store comes back after an outage that all 350 watchers of a fleet have
+// seen. They must not meet it together: no tenth of the longest pause may
+// bring more than a third of them.
+func TestRetriesSpread(t *testing.T) {
+	const watchers, parts = 350, 10
+	var counts [parts + 1]int
+	for range watchers {
+		counts[retryPause(6)*parts/retryMost]++
+	}
+	for part, n := range counts {
+		if n > watchers/3 {
+			t.Errorf("part %d of the pause brings %d of %d watchers", part, n, watchers)
+		}
+	}
+	if got, most := retryPause(1), retryFirst; got > most {
+		t.Errorf("first pause: got %d ms, want at most %d", got, most)
+	}
+}
