Say that nothing was written when the store refuses a write

Cause: any status but 404 and 409 counted as no answer, so a value that is too large was tried six times and its outcome called unknown. Change: a status that puts the call itself at fault is an ErrRefused, which is not retried. After an earlier try without an answer the outcome stays unknown. Before: TestRefusedWriteIsNotUnknown got an unknown outcome after 6 writes; after: a refusal after 1.

--- a/internal/platform/burdockstore/http.go
+++ b/internal/platform/burdockstore/http.go
@@ -157,12 +157,14 @@
 }
 
 func decode(status int, body []byte, req *http.Request, out any) error {
-	switch status {
-	case http.StatusOK:
-	case http.StatusNotFound:
+	switch {
+	case status == http.StatusOK:
+	case status == http.StatusNotFound:
 		return ErrNotFound.New("%s", req.URL.Query().Get("key"))
-	case http.StatusConflict:
+	case status == http.StatusConflict:
 		return ErrConflict.New("%s", body)
+	case refuses(status):
+		return ErrRefused.New("%s %s: status %d %s", req.Method, req.URL.Path, status, body)
 	default:
 		return ErrUnavailable.New("%s %s: status %d", req.Method, req.URL.Path, status)
 	}
@@ -174,3 +176,10 @@
 	}
 	return nil
 }
+
+// refuses reports whether a status says that the call itself is at fault. A
+// timeout or too many calls leave it to be tried again.
+func refuses(status int) bool {
+	return status >= http.StatusBadRequest && status < http.StatusInternalServerError &&
+		status != http.StatusRequestTimeout && status != http.StatusTooManyRequests
+}
--- a/internal/platform/burdockstore/store.go
+++ b/internal/platform/burdockstore/store.go
@@ -40,8 +40,9 @@
 	// as of which they were read.
 	List(ctx context.Context, prefix string) ([]Entry, Revision, error)
 	// CompareAndSwap writes value if the key stands at revision old. It
-	// returns an ErrConflict when it does not. Any other error leaves open
-	// whether the write took effect.
+	// returns an ErrConflict when it does not, and an ErrRefused when the store
+	// does not take the value. Any other error leaves open whether the write
+	// took effect.
 	CompareAndSwap(ctx context.Context, key string, old Revision, value []byte) (Revision, error)
 	// Watch returns the entries under prefix that changed after a revision. It
 	// waits up to wait for the first one. The waiting counts as one call.
@@ -62,6 +63,9 @@
 	ErrNotFound = Errors.NewType("notFound")
 	// ErrConflict says that a write or lease lost a race and had no effect.
 	ErrConflict = Errors.NewType("conflict")
+	// ErrRefused says that the store does not take such a call, such as a value
+	// that is too large. It had no effect, and a retry has none either.
+	ErrRefused = Errors.NewType("refused")
 	// ErrUnavailable says that no answer came. A write may have taken effect.
 	ErrUnavailable = Errors.NewType("unavailable")
 )
--- a/internal/state/burdocksync/writer.go
+++ b/internal/state/burdocksync/writer.go
@@ -54,7 +54,7 @@
 	var current burdockconfig.Entry
 	var revision burdockstore.Revision
 	err := w.retry(ctx, func() (err error) {
-		current, revision, err = w.read(ctx, edit.Key)
+		current, revision, err = Read(ctx, w.store, edit.Key)
 		return err
 	})
 	if err != nil {
@@ -87,8 +87,10 @@
 	if err != nil {
 		return burdockconfig.Entry{}, errorx.Decorate(err, "encode %s", next.Key)
 	}
+	unanswered := false
 	err = w.retry(ctx, func() error {
 		_, err := w.store.CompareAndSwap(ctx, burdockconfig.StorePrefix+next.Key, revision, value)
+		unanswered = unanswered || errorx.IsOfType(err, burdockstore.ErrUnavailable)
 		return err
 	})
 	switch {
@@ -96,6 +98,8 @@
 		return next, nil
 	case errorx.IsOfType(err, burdockstore.ErrConflict):
 		return w.whose(ctx, next)
+	case errorx.IsOfType(err, burdockstore.ErrRefused) && !unanswered:
+		return burdockconfig.Entry{}, err // no try was written
 	default:
 		return burdockconfig.Entry{}, ErrOutcomeUnknown.Wrap(err, "%s version %d mark %s", next.Key, next.Version, next.Mark)
 	}
@@ -105,7 +109,7 @@
 func (w *Writer) whose(ctx context.Context, own burdockconfig.Entry) (burdockconfig.Entry, error) {
 	var current burdockconfig.Entry
 	err := w.retry(ctx, func() (err error) {
-		current, _, err = w.read(ctx, own.Key)
+		current, _, err = Read(ctx, w.store, own.Key)
 		return err
 	})
 	switch {
@@ -121,8 +125,10 @@
 	}
 }
 
-func (w *Writer) read(ctx context.Context, key string) (burdockconfig.Entry, burdockstore.Revision, error) {
-	stored, err := w.store.Get(ctx, burdockconfig.StorePrefix+key)
+// Read returns the entry of key in the store and its revision. A key that the
+// store does not have is at version 0.
+func Read(ctx context.Context, store burdockstore.Store, key string) (burdockconfig.Entry, burdockstore.Revision, error) {
+	stored, err := store.Get(ctx, burdockconfig.StorePrefix+key)
 	if errorx.IsOfType(err, burdockstore.ErrNotFound) {
 		return burdockconfig.Entry{Key: key}, 0, nil
 	}
