Let the cost of whole listings not grow with the fleet

Cause: each watcher listed every key each 5 minutes: at 10,000 keys of 400 bytes that would be 14 KB/s of a node, where 3 KB/s are allowed for all control. Watchers that listed together after an outage went on to do so. Change: the time between listings grows with the number of keys, to 1 KB/s on average, and is drawn at random. A fleet below 750 keys keeps its 5 minutes. TestListingsAreSeldom checks both bounds.

--- a/internal/state/burdocksync/watcher.go
+++ b/internal/state/burdocksync/watcher.go
@@ -24,8 +24,13 @@
 	// ask again at once. With the pause they ask 350 times a second in all; the
 	// first edit is still in force at once, and the next ones a second later.
 	rewatchPause = burdockclock.Second
-	// relistEvery bounds how long a fault of the store's watch can hide an edit.
-	relistEvery = 5 * burdockclock.Minute
+	// relistLeast and relistPerKey bound how long a fault of the store's watch
+	// can hide an edit from all watchers. Load: 10,000 keys, of 400 bytes each
+	// in a listing, before 350 watchers. Harm: a listing every 5 minutes takes
+	// 14 KB/s of a node. The time for each key holds it to 1 KB/s; what one
+	// watcher of the fleet finds, the others hear of.
+	relistLeast  = 5 * burdockclock.Minute
+	relistPerKey = 400 * burdockclock.Millis(1)
 	// retryFirst spreads the first tries after a short outage: with 350 watchers
 	// the store gets 700 listings a second for half a second.
 	retryFirst = burdockclock.Second
@@ -47,6 +52,8 @@
 	failures int
 	revision burdockstore.Revision
 	listedAt burdockclock.Millis
+	// relistAfter is drawn anew with each listing.
+	relistAfter burdockclock.Millis
 }
 
 // NewWatcher returns a watcher that is not yet running.
@@ -81,7 +88,7 @@
 
 // once reads the whole configuration or waits for what is new.
 func (w *Watcher) once(ctx context.Context) error {
-	due := w.listedAt == 0 || w.failures > 0 || w.clock.Boot()-w.listedAt > relistEvery
+	due := w.listedAt == 0 || w.failures > 0 || w.clock.Boot()-w.listedAt > w.relistAfter
 	if due {
 		return w.list(ctx)
 	}
@@ -119,6 +126,7 @@
 		return nil, err
 	}
 	w.listedAt = w.clock.Boot()
+	w.relistAfter = relistPause(len(stored))
 	w.revision = revision
 	w.take(stored)
 	return stored, nil
@@ -163,6 +171,13 @@
 	return pause/2 + rand.N(pause/2+1)
 }
 
+// relistPause returns how long after a listing of a number of keys the next
+// one is due. Watchers that listed together, after an outage, don't meet again.
+func relistPause(keys int) burdockclock.Millis {
+	pause := max(relistLeast, burdockclock.Millis(keys)*relistPerKey)
+	return pause/2 + rand.N(pause)
+}
+
 // sleep waits for d or until ctx ends.
 func sleep(ctx context.Context, d burdockclock.Millis) {
 	timer := time.NewTimer(d.Duration())
--- a/internal/state/burdocksync/watcher_test.go
+++ b/internal/state/burdocksync/watcher_test.go
@@ -181,3 +181,17 @@
 		t.Errorf("first pause: got %d ms, want at most %d", got, most)
 	}
 }
+
+// A listing of all keys is the dearest call. At the design's size it must take
+// no more than 2 KB/s of a node; on a small fleet it is due every few minutes.
+func TestListingsAreSeldom(t *testing.T) {
+	const keys, bytesPerKey, mostBytesPerSecond = 10000, 400, 2000
+	for range 100 {
+		if got := keys * bytesPerKey / int(relistPause(keys)/burdockclock.Second); got > mostBytesPerSecond {
+			t.Errorf("bytes a second: got %d, want at most %d", got, mostBytesPerSecond)
+		}
+		if got, most := relistPause(250), 3*relistLeast/2; got > most {
+			t.Errorf("small fleet: got %d ms, want at most %d", got, most)
+		}
+	}
+}
