--- a/internal/serve/burdockprocess/node.go
+++ b/internal/serve/burdockprocess/node.go
@@ -107,14 +107,16 @@
 
 // entryPeers returns the addresses of all entries that are known, without
 // this process's own.
+//
+// Failure: settings that all entries share name each entry to itself. Symptom:
+// an entry that is cut off hears from itself and goes on as verified, with
+// duties that others have taken over.
 func (n *node) entryPeers() []string {
 	addresses := slices.Clone(n.settings.Peers)
 	for _, e := range n.fleet.Now().Entries {
-		if e.Peer != n.settings.PeerListen {
-			addresses = append(addresses, e.Peer)
-		}
+		addresses = append(addresses, e.Peer)
 	}
-	return addresses
+	return slices.DeleteFunc(addresses, func(a string) bool { return a == n.settings.PeerListen })
 }
 
 func (n *node) fire(e burdockcharts.StopEvent) bool {
@@ -186,6 +188,7 @@
 // versionDump is one key of the configuration.
 type versionDump struct {
 	Version uint64 `json:"version"`
+	Mark    string `json:"mark"`
 	Deleted bool   `json:"deleted,omitempty"`
 }
 
@@ -199,8 +202,8 @@
 		Source:   n.source.State(),
 		Findings: []string{},
 	}
-	for _, e := range n.view.Under("") {
-		d.Versions[e.Key] = versionDump{Version: uint64(e.Version), Deleted: e.Deleted}
+	for _, e := range n.view.All() {
+		d.Versions[e.Key] = versionDump{Version: uint64(e.Version), Mark: e.Mark, Deleted: e.Deleted}
 	}
 	for _, f := range n.fleet.Findings() {
 		d.Findings = append(d.Findings, f.String())
--- a/internal/state/burdocksync/watcher.go
+++ b/internal/state/burdocksync/watcher.go
@@ -18,10 +18,23 @@
 	// watchWait is how long one watch waits. A waiting watch counts as a call,
 	// so a longer one is cheaper; a shorter one finds a dead store sooner.
 	watchWait = 10 * burdockclock.Second
-	// relistEvery bounds how long a fault of the store's watch can hide an edit.
-	relistEvery = 5 * burdockclock.Minute
-	retryFirst  = 500 * burdockclock.Millis(1)
-	retryMost   = 10 * burdockclock.Second
+	// rewatchPause is how long a watcher waits, on average, after a watch that
+	// brought something. Load: a fleet file of thousands of edits, written in
+	// seconds, before 350 watchers. Harm: each edit wakes all of them, and all
+	// ask again at once. With the pause they ask 350 times a second in all; the
+	// first edit is still in force at once, and the next ones a second later.
+	rewatchPause = burdockclock.Second
+	// relistLeast and relistPerKey bound how long a fault of the store's watch
+	// can hide an edit from all watchers. Load: 10,000 keys, of 400 bytes each
+	// in a listing, before 350 watchers. Harm: a listing every 5 minutes takes
+	// 14 KB/s of a node. The time for each key holds it to 1 KB/s; what one
+	// watcher of the fleet finds, the others hear of.
+	relistLeast  = 5 * burdockclock.Minute
+	relistPerKey = 400 * burdockclock.Millis(1)
+	// retryFirst spreads the first tries after a short outage: with 350 watchers
+	// the store gets 700 listings a second for half a second.
+	retryFirst = burdockclock.Second
+	retryMost  = 10 * burdockclock.Second
 )
 
 // Watcher follows the store for this process and all that ask it.
@@ -31,6 +44,7 @@
 	source *Source
 	log    *zap.Logger
 	clock  burdockclock.Clock
+	spread burdockclock.Millis // restoreSpread, but in tests
 
 	cancel context.CancelFunc
 	done   sync.WaitGroup
@@ -38,11 +52,13 @@
 	failures int
 	revision burdockstore.Revision
 	listedAt burdockclock.Millis
+	// relistAfter is drawn anew with each listing.
+	relistAfter burdockclock.Millis
 }
 
 // NewWatcher returns a watcher that is not yet running.
 func NewWatcher(store burdockstore.Store, view *burdockconfig.View, source *Source, clock burdockclock.Clock, log *zap.Logger) *Watcher {
-	return &Watcher{store: store, view: view, source: source, clock: clock, log: log}
+	return &Watcher{store: store, view: view, source: source, clock: clock, log: log, spread: restoreSpread}
 }
 
 // Start begins to watch.
@@ -72,29 +88,51 @@
 
 // once reads the whole configuration or waits for what is new.
 func (w *Watcher) once(ctx context.Context) error {
-	due := w.listedAt == 0 || w.failures > 0 || w.clock.Boot()-w.listedAt > relistEvery
+	due := w.listedAt == 0 || w.failures > 0 || w.clock.Boot()-w.listedAt > w.relistAfter
 	if due {
-		entries, revision, err := w.store.List(ctx, burdockconfig.StorePrefix)
-		if err != nil {
-			return err
-		}
-		w.listedAt = w.clock.Boot()
-		w.take(ctx, entries, revision)
-		return nil
+		return w.list(ctx)
 	}
-	entries, revision, err := w.store.Watch(ctx, burdockconfig.StorePrefix, w.revision, watchWait)
+	stored, revision, err := w.store.Watch(ctx, burdockconfig.StorePrefix, w.revision, watchWait)
 	if err != nil {
 		return err
 	}
-	if revision < w.revision {
+	w.take(stored)
+	if revision < w.revision || len(lostOf(w.view, stored)) > 0 {
 		w.listedAt = 0 // the store went back to an older state: read all of it
 	}
-	w.take(ctx, entries, revision)
+	w.revision = revision
+	if len(stored) > 0 {
+		sleep(ctx, rewatchPause/2+rand.N(rewatchPause))
+	}
 	return nil
 }
 
-func (w *Watcher) take(ctx context.Context, stored []burdockstore.Entry, revision burdockstore.Revision) {
+// list reads the whole configuration.
+func (w *Watcher) list(ctx context.Context) error {
+	stored, err := w.read(ctx)
+	if err != nil {
+		return err
+	}
+	if len(lostOf(w.view, stored))+len(missingFrom(w.view, stored)) > 0 {
+		return w.restore(ctx)
+	}
+	return nil
+}
+
+// read takes in all that the store holds.
+func (w *Watcher) read(ctx context.Context) ([]burdockstore.Entry, error) {
+	stored, revision, err := w.store.List(ctx, burdockconfig.StorePrefix)
+	if err != nil {
+		return nil, err
+	}
+	w.listedAt = w.clock.Boot()
+	w.relistAfter = relistPause(len(stored))
 	w.revision = revision
+	w.take(stored)
+	return stored, nil
+}
+
+func (w *Watcher) take(stored []burdockstore.Entry) {
 	w.source.verify()
 	var entries []burdockconfig.Entry
 	for _, s := range stored {
@@ -104,7 +142,6 @@
 			continue
 		}
 		entries = append(entries, e)
-		w.restore(ctx, s, e)
 	}
 	for _, e := range w.view.Merge(entries) {
 		w.log.Info("configuration in force", zap.String("key", e.Key), zap.Uint64("version", uint64(e.Version)))
@@ -114,27 +151,6 @@
 	}
 }
 
-// restore writes back an entry that the store has lost.
-//
-// Failure: the store restarts from an older state, after an edit was accepted
-// and passed on. Symptom: processes that start from then on would take up what
-// was in force before the edit. Each watcher holds the newer entry and puts it
-// back; compare-and-swap makes sure that no later edit is overwritten.
-func (w *Watcher) restore(ctx context.Context, stored burdockstore.Entry, e burdockconfig.Entry) {
-	own, ok := w.view.Get(e.Key)
-	if !ok || own.Version <= e.Version {
-		return
-	}
-	value, err := burdockconfig.Encode(own)
-	if err != nil {
-		return // an entry that was decoded can be encoded
-	}
-	_, err = w.store.CompareAndSwap(ctx, stored.Key, stored.Revision, value)
-	w.log.Warn("store went back, newer entry written again",
-		zap.String("key", e.Key), zap.Uint64("storeVersion", uint64(e.Version)),
-		zap.Uint64("ownVersion", uint64(own.Version)), zap.Error(err))
-}
-
 // failed waits before the next try.
 //
 // Load: every watcher of the fleet loses the store at one moment and finds it
@@ -146,8 +162,20 @@
 		w.log.Warn("store does not answer", zap.Error(err))
 	}
 	w.source.fire(burdockcharts.ConfigurationEventLoseStore)
-	pause := min(retryFirst<<min(w.failures-1, 5), retryMost)
-	sleep(ctx, pause/2+rand.N(pause/2+1))
+	sleep(ctx, retryPause(w.failures))
+}
+
+// retryPause returns how long to wait after a number of failures in a row.
+func retryPause(failures int) burdockclock.Millis {
+	pause := min(retryFirst<<min(failures-1, 5), retryMost)
+	return pause/2 + rand.N(pause/2+1)
+}
+
+// relistPause returns how long after a listing of a number of keys the next
+// one is due. Watchers that listed together, after an outage, don't meet again.
+func relistPause(keys int) burdockclock.Millis {
+	pause := max(relistLeast, burdockclock.Millis(keys)*relistPerKey)
+	return pause/2 + rand.N(pause)
 }
 
 // sleep waits for d or until ctx ends.
