--- /dev/null
+++ b/internal/measure/burdockpathlab/lab_test.go
@@ -0,0 +1,64 @@
+package burdockpathlab
+
+import (
+	"bytes"
+	"context"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"burdockbend.example/burdockbend/internal/measure/burdockpassthrough"
+	"burdockbend.example/burdockbend/internal/standin/burdockfakeengine"
+	"github.com/VictoriaMetrics/metrics"
+)
+
+func TestParseReadsWhatProcessesExport(t *testing.T) {
+	var exported bytes.Buffer
+	metrics.WriteProcessMetrics(&exported)
+	r, err := parse(&exported)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.memory < 1<<20 {
+		t.Errorf("resident memory: got %d, want more than a megabyte", r.memory)
+	}
+	if _, err := parse(strings.NewReader("process_cpu_seconds_total 1\n")); err == nil {
+		t.Error("metrics without the memory: got no error, want one")
+	}
+}
+
+// The whole command, with a bare hop in place of entry and agent: every path
+// and phase is printed, and every request is answered.
+func TestCommandMeasuresEachPath(t *testing.T) {
+	engine := httptest.NewServer(burdockfakeengine.New(burdockfakeengine.Config{Step: time.Millisecond}))
+	defer engine.Close()
+	address := engine.Listener.Addr().String()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	r, w, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	hop := burdockpassthrough.Command(w)
+	go func() { _ = hop.ParseAndRun(ctx, []string{"-target", address}) }()
+	line := make([]byte, 256)
+	n, err := r.Read(line)
+	if err != nil {
+		t.Fatal(err)
+	}
+	addresses := strings.Fields(string(line[:n]))
+	var out bytes.Buffer
+	args := []string{"-engine", address, "-entry", addresses[0], "-passthrough", addresses[0],
+		"-entry-admin", addresses[1], "-agent-admin", addresses[1], "-passthrough-admin", addresses[1],
+		"-turn", "200ms", "-turns", "1", "-rates", "100", "-streams", "4"}
+	if err := Command(&out).ParseAndRun(ctx, args); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"streams alone", "requests alone", "requests beside streams", pathDirect, pathPassthrough, pathBalancer, "for each token", "resident memory"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("no %q in:\n%s", want, out.String())
+		}
+	}
+}
--- /dev/null
+++ b/internal/measure/burdockpathlab/meter.go
@@ -0,0 +1,81 @@
+package burdockpathlab
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"burdockbend.example/burdockbend/internal/serve/burdockadmin"
+	"github.com/dghubble/sling"
+	"github.com/joomcode/errorx"
+)
+
+const meterTimeout = 5 * time.Second
+
+// Names of the metrics that every process exports.
+const (
+	metricProcessor = "process_cpu_seconds_total"
+	metricMemory    = "process_resident_memory_bytes"
+)
+
+// reading is what a process says of itself at one instant.
+type reading struct {
+	processor time.Duration
+	memory    int64 // bytes
+}
+
+// read asks a process for its processor time and its memory.
+func read(ctx context.Context, admin string) (reading, error) {
+	ctx, cancel := context.WithTimeout(ctx, meterTimeout)
+	defer cancel()
+	req, err := sling.New().Base("http://" + admin).Get(burdockadmin.PathMetrics).Request()
+	if err != nil {
+		return reading{}, errorx.IllegalArgument.Wrap(err, "address %s", admin)
+	}
+	res, err := http.DefaultClient.Do(req.WithContext(ctx))
+	if err != nil {
+		return reading{}, errorx.Decorate(err, "ask %s", admin)
+	}
+	defer func() { _ = res.Body.Close() }()
+	return parse(res.Body)
+}
+
+// parse finds both metrics in the exposition format.
+func parse(r io.Reader) (reading, error) {
+	values := map[string]float64{}
+	lines := bufio.NewScanner(r)
+	for lines.Scan() {
+		name, number, _ := strings.Cut(lines.Text(), " ")
+		if name != metricProcessor && name != metricMemory {
+			continue
+		}
+		value, err := strconv.ParseFloat(number, 64)
+		if err != nil {
+			return reading{}, errorx.IllegalFormat.Wrap(err, "metric %s", name)
+		}
+		values[name] = value
+	}
+	if len(values) != 2 {
+		return reading{}, errorx.IllegalFormat.New("the metrics lack %s or %s", metricProcessor, metricMemory)
+	}
+	return reading{
+		processor: time.Duration(values[metricProcessor] * float64(time.Second)),
+		memory:    int64(values[metricMemory]),
+	}, lines.Err()
+}
+
+// machineLoad returns how busy the machine is, as the kernel tells it: the
+// runnable tasks, averaged over one, five and fifteen minutes.
+func machineLoad() string {
+	data, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return "not known"
+	}
+	fields := strings.Fields(string(data))
+	return strings.Join(fields[:min(3, len(fields))], " ")
+}
--- a/internal/tool/burdockcli/root.go
+++ b/internal/tool/burdockcli/root.go
@@ -9,6 +9,7 @@
 	"io"
 
 	"burdockbend.example/burdockbend/internal/tool/burdockmain"
+	"github.com/joomcode/errorx"
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
 )
@@ -32,6 +33,9 @@
 	case errors.As(err, &usage):
 		_, _ = fmt.Fprintln(c.stderr, usage.err)
 		return burdockmain.ExitUsage
+	case errorx.IsOfType(err, errorx.IllegalArgument):
+		_, _ = fmt.Fprintln(c.stderr, err)
+		return burdockmain.ExitUsage
 	default:
 		_, _ = fmt.Fprintln(c.stderr, err)
 		return burdockmain.ExitFailure
@@ -52,7 +56,7 @@
 		ShortUsage:  "burdock COMMAND",
 		ShortHelp:   "operate a fleet of burdockbend",
 		FlagSet:     c.flags("burdock"),
-		Subcommands: []*ffcli.Command{c.profile(), c.fleet(), c.state(), c.try()},
+		Subcommands: []*ffcli.Command{c.profile(), c.fleet(), c.state(), c.try(), c.load(), c.measure()},
 		Exec: func(_ context.Context, args []string) error {
 			if len(args) > 0 {
 				return usage("burdock: no command %q; see burdock -h", args[0])
