Do not compress what the system's own processes send each other

Cause: the RPC library compresses each message with gzip unless told not to. A stream has a message for each token, so each token of some 200 bytes went through a compressor and a decompressor of its own. A profile of all roles under 32 streams showed 38 % of all processor time in the compressor.

Ruled out by the same profile: the agent's lock, the watchdog timer for each event (2.5 % with all other timers), marshalling (1 to 3 %), logging.

Change: neither side registers an algorithm.

What is left of a token is mostly system calls and wake-ups.

--- a/internal/serve/burdockagent/handover.go
+++ b/internal/serve/burdockagent/handover.go
@@ -282,7 +282,7 @@
 func (h *Homes) offer(ctx context.Context, next burdockmember.Upstream, offer *burdockwire.TakeKeysRequest) (burdockid.Incarnation, bool) {
 	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
 	defer cancel()
-	client := burdockwire.NewAgentServiceClient(h.peers.Client, h.peers.URL(next.Agent))
+	client := burdockwire.NewAgentServiceClient(h.peers.Client, h.peers.URL(next.Agent), burdocktransport.ClientOptions()...)
 	res, err := client.TakeKeys(ctx, connect.NewRequest(offer))
 	if err != nil || !res.Msg.GetTaken() {
 		return "", false
--- a/internal/serve/burdockentry/probe.go
+++ b/internal/serve/burdockentry/probe.go
@@ -6,6 +6,7 @@
 
 	"burdockbend.example/burdockbend/internal/config/burdockmember"
 	"burdockbend.example/burdockbend/internal/decide/burdockeject"
+	"burdockbend.example/burdockbend/internal/wire/burdocktransport"
 	"burdockbend.example/burdockbend/internal/wire/burdockwire"
 	"connectrpc.com/connect"
 )
@@ -41,5 +42,5 @@
 
 // agent returns a client of the agent at address.
 func (e *Entry) agent(address string) burdockwire.AgentServiceClient {
-	return burdockwire.NewAgentServiceClient(e.deps.Peers.Client, e.deps.Peers.URL(address))
+	return burdockwire.NewAgentServiceClient(e.deps.Peers.Client, e.deps.Peers.URL(address), burdocktransport.ClientOptions()...)
 }
--- a/internal/serve/burdockprocess/agent.go
+++ b/internal/serve/burdockprocess/agent.go
@@ -10,6 +10,7 @@
 	"burdockbend.example/burdockbend/internal/serve/burdockagent"
 	"burdockbend.example/burdockbend/internal/state/burdockcharts"
 	"burdockbend.example/burdockbend/internal/state/burdocksync"
+	"burdockbend.example/burdockbend/internal/wire/burdocktransport"
 	"burdockbend.example/burdockbend/internal/wire/burdockwire"
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
@@ -47,8 +48,8 @@
 		},
 	)
 	mux := http.NewServeMux()
-	mux.Handle(burdockwire.NewPeerServiceHandler(burdocksync.NewHandler(n.view, n.source)))
-	mux.Handle(burdockwire.NewAgentServiceHandler(a.agent))
+	mux.Handle(burdockwire.NewPeerServiceHandler(burdocksync.NewHandler(n.view, n.source), burdocktransport.HandlerOptions()...))
+	mux.Handle(burdockwire.NewAgentServiceHandler(a.agent, burdocktransport.HandlerOptions()...))
 	if err := n.listen(mux, a); err != nil {
 		return nil, err
 	}
--- a/internal/serve/burdockprocess/entry.go
+++ b/internal/serve/burdockprocess/entry.go
@@ -11,6 +11,7 @@
 	"burdockbend.example/burdockbend/internal/serve/burdockserver"
 	"burdockbend.example/burdockbend/internal/state/burdockcharts"
 	"burdockbend.example/burdockbend/internal/state/burdocksync"
+	"burdockbend.example/burdockbend/internal/wire/burdocktransport"
 	"burdockbend.example/burdockbend/internal/wire/burdockwire"
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
@@ -38,7 +39,7 @@
 		burdockentry.Deps{Clock: n.clock, Fleet: n.fleet, Peers: n.peers, Log: log, Metrics: n.metrics, Seed: rand.Uint64()},
 	)
 	mux := http.NewServeMux()
-	mux.Handle(burdockwire.NewPeerServiceHandler(burdocksync.NewHandler(n.view, n.source)))
+	mux.Handle(burdockwire.NewPeerServiceHandler(burdocksync.NewHandler(n.view, n.source), burdocktransport.HandlerOptions()...))
 	if err := n.listen(mux, e); err != nil {
 		return nil, err
 	}
--- a/internal/state/burdocksync/puller.go
+++ b/internal/state/burdocksync/puller.go
@@ -104,7 +104,7 @@
 func (p *Puller) Pull(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
-	client := burdockwire.NewPeerServiceClient(p.peers.Client, p.peers.URL(address))
+	client := burdockwire.NewPeerServiceClient(p.peers.Client, p.peers.URL(address), burdocktransport.ClientOptions()...)
 	res, err := client.Sync(ctx, connect.NewRequest(&burdockwire.SyncRequest{Digest: uint64(p.view.Digest()), Verified: p.source.Verified()}))
 	if err != nil {
 		return err
