--- a/internal/tool/burdockmain/main.go
+++ b/internal/tool/burdockmain/main.go
@@ -9,7 +9,6 @@
 	"io"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 
 	"burdockbend.example/burdockbend/internal/config/burdocksettings"
@@ -30,14 +29,6 @@
 
 const envPrefix = "BURDOCK"
 
-// gcPercent lets the heap grow to five times what is alive before it is
-// collected.
-//
-// Load: a few megabytes alive and tens of thousands of messages a second.
-// Harm: with the usual 100 % the heap is collected many times a second, and
-// each collection takes processor time from the tokens under way.
-const gcPercent = 400
-
 // stopper is a running process.
 type stopper interface{ Stop() }
 
@@ -86,7 +77,6 @@
 		_, _ = fmt.Fprintln(stderr, err)
 		return ExitUsage
 	}
-	debug.SetGCPercent(gcPercent)
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	process, err := start(*file, data)
