Limit what bad input can cost at each door

Connections beyond limits.maxConnections are closed at once; a body has limits.bodyTimeoutMillis at every listener, not at callers' alone; headers beyond the limit get 431 in the API's shape up to twice the limit; a message of another process is bounded in size before it is read.

What is not HTTP at all still gets the library's own 400.

--- a/internal/config/burdocksettings/tls_test.go
+++ b/internal/config/burdocksettings/tls_test.go
@@ -1,78 +1,20 @@
 package burdocksettings
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"encoding/pem"
-	"math/big"
 	"net"
 	"testing"
 	"time"
-)
-
-// authority signs certificates for tests.
-type authority struct {
-	cert *x509.Certificate
-	key  *ecdsa.PrivateKey
-}
 
-func newAuthority(t *testing.T) authority {
-	t.Helper()
-	key, template := newKey(t), newTemplate()
-	template.IsCA, template.BasicConstraintsValid = true, true
-	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	cert, err := x509.ParseCertificate(der)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return authority{cert: cert, key: key}
-}
-
-func newKey(t *testing.T) *ecdsa.PrivateKey {
-	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return key
-}
-
-func newTemplate() *x509.Certificate {
-	return &x509.Certificate{
-		SerialNumber: big.NewInt(time.Now().UnixNano()),
-		NotBefore:    time.Now().Add(-time.Minute),
-		NotAfter:     time.Now().Add(time.Hour),
-		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}
-}
+	"burdockbend.example/burdockbend/internal/proof/burdockauthority"
+)
 
-// settings returns the settings of a process that a signed and that trusts trusted.
-func (a authority) settings(t *testing.T, trusted authority) TLS {
+// settings returns the settings of a process that signer signed and that
+// trusts trusted.
+func settings(t *testing.T, signer, trusted *burdockauthority.Authority) TLS {
 	t.Helper()
-	key := newKey(t)
-	der, err := x509.CreateCertificate(rand.Reader, newTemplate(), a.cert, key.Public(), a.key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	text := func(kind string, der []byte) string {
-		return string(pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}))
-	}
-	return TLS{
-		Mode: TLSModeMutual,
-		Cert: text("CERTIFICATE", der),
-		Key:  text("PRIVATE KEY", keyDER),
-		CA:   text("CERTIFICATE", trusted.cert.Raw),
-	}
+	pair := signer.Issue(t)
+	return TLS{Mode: TLSModeMutual, Cert: pair.Cert, Key: pair.Key, CA: trusted.PEM()}
 }
 
 // handshake returns the error of each end.
@@ -114,13 +56,13 @@
 // agent. It must be turned away at the handshake, whichever end it is at, or
 // it could give orders to engines or read prompts.
 func TestOnlyTheSitesOwnAuthorityIsTrusted(t *testing.T) {
-	ours, theirs := newAuthority(t), newAuthority(t)
-	server, client, err := ours.settings(t, ours).Configs()
+	ours, theirs := burdockauthority.New(t), burdockauthority.New(t)
+	server, client, err := settings(t, ours, ours).Configs()
 	if err != nil {
 		t.Fatal(err)
 	}
 	// The stranger trusts us, so that only our own check can refuse it.
-	otherServer, otherClient, err := theirs.settings(t, ours).Configs()
+	otherServer, otherClient, err := settings(t, theirs, ours).Configs()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -140,8 +82,8 @@
 }
 
 func TestConfigsNeedWholeKeys(t *testing.T) {
-	ours := newAuthority(t)
-	good, other := ours.settings(t, ours), ours.settings(t, ours)
+	ours := burdockauthority.New(t)
+	good, other := settings(t, ours, ours), settings(t, ours, ours)
 	for name, bad := range map[string]TLS{
 		"key of another certificate": {Cert: good.Cert, Key: other.Key, CA: good.CA},
 		"authority without PEM":      {Cert: good.Cert, Key: good.Key, CA: "-----BEGIN "},
--- a/internal/serve/burdockentry/request.go
+++ b/internal/serve/burdockentry/request.go
@@ -8,7 +8,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"time"
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
@@ -66,7 +65,7 @@
 
 // read returns the request or what is wrong with it.
 func (rd *reader) read() *burdockapi.Problem {
-	steps := []func() *burdockapi.Problem{rd.authenticate, rd.readKey, rd.route}
+	steps := []func() *burdockapi.Problem{rd.checkHeaderSize, rd.authenticate, rd.readKey, rd.route}
 	for _, step := range steps {
 		if problem := step(); problem != nil {
 			return problem
@@ -76,6 +75,27 @@
 	return nil
 }
 
+// headerOverhead is the colon, the blank and the line's end of one header.
+const headerOverhead = 4
+
+// checkHeaderSize refuses headers beyond the limit. They are held, and sent on
+// to the agent, for as long as the request lasts.
+func (rd *reader) checkHeaderSize() *burdockapi.Problem {
+	size, most := len(rd.r.RequestURI), rd.entry.cfg.Limits.MaxHeaderBytes
+	for name, values := range rd.r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + headerOverhead
+		}
+	}
+	if size <= most {
+		return nil
+	}
+	return &burdockapi.Problem{
+		Status: http.StatusRequestHeaderFieldsTooLarge, Code: burdockapi.CodeTooLarge, NotRun: true,
+		Message: "the headers must be no larger than " + strconv.Itoa(most) + " bytes",
+	}
+}
+
 // authenticate finds the customer. A wrong key and none get the same answer.
 func (rd *reader) authenticate() *burdockapi.Problem {
 	key, ok := strings.CutPrefix(rd.r.Header.Get("Authorization"), bearerPrefix)
@@ -218,16 +238,12 @@
 	return min(burdockclock.Millis(asked), usual), nil
 }
 
-// readBody reads the whole body, within the limits on size and time.
+// readBody reads the whole body, within the limit on its size. The limit on
+// its time is the server's.
 func (rd *reader) readBody() *burdockapi.Problem {
 	limits := rd.entry.cfg.Limits
-	control := http.NewResponseController(rd.w)
-	// A sender that trickles its body would hold a connection and memory for
-	// as long as it likes.
-	_ = control.SetReadDeadline(time.Now().Add(limits.BodyTimeoutMillis.Duration()))
 	body, err := io.ReadAll(http.MaxBytesReader(rd.w, rd.r.Body, limits.MaxBodyBytes))
 	if err == nil {
-		_ = control.SetReadDeadline(time.Time{})
 		rd.req.body = body
 		return nil
 	}
--- a/internal/serve/burdockprocess/agent.go
+++ b/internal/serve/burdockprocess/agent.go
@@ -10,7 +10,6 @@
 	"burdockbend.example/burdockbend/internal/serve/burdockagent"
 	"burdockbend.example/burdockbend/internal/state/burdockcharts"
 	"burdockbend.example/burdockbend/internal/state/burdocksync"
-	"burdockbend.example/burdockbend/internal/wire/burdocktransport"
 	"burdockbend.example/burdockbend/internal/wire/burdockwire"
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
@@ -48,8 +47,8 @@
 		},
 	)
 	mux := http.NewServeMux()
-	mux.Handle(burdockwire.NewPeerServiceHandler(burdocksync.NewHandler(n.view, n.source), burdocktransport.HandlerOptions()...))
-	mux.Handle(burdockwire.NewAgentServiceHandler(a.agent, burdocktransport.HandlerOptions()...))
+	mux.Handle(burdockwire.NewPeerServiceHandler(burdocksync.NewHandler(n.view, n.source), n.handlerOptions()...))
+	mux.Handle(burdockwire.NewAgentServiceHandler(a.agent, n.handlerOptions()...))
 	if err := n.listen(mux, a); err != nil {
 		return nil, err
 	}
@@ -102,3 +101,6 @@
 
 // Metrics implements burdockadmin.Process.
 func (a *Agent) Metrics() *metrics.Set { return a.metrics }
+
+// Drain refuses new work from now on, as the first part of a planned stop.
+func (a *Agent) Drain() { a.agent.Drain() }
--- a/internal/serve/burdockprocess/entry.go
+++ b/internal/serve/burdockprocess/entry.go
@@ -11,7 +11,6 @@
 	"burdockbend.example/burdockbend/internal/serve/burdockserver"
 	"burdockbend.example/burdockbend/internal/state/burdockcharts"
 	"burdockbend.example/burdockbend/internal/state/burdocksync"
-	"burdockbend.example/burdockbend/internal/wire/burdocktransport"
 	"burdockbend.example/burdockbend/internal/wire/burdockwire"
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
@@ -39,7 +38,7 @@
 		burdockentry.Deps{Clock: n.clock, Fleet: n.fleet, Peers: n.peers, Log: log, Metrics: n.metrics, Seed: rand.Uint64()},
 	)
 	mux := http.NewServeMux()
-	mux.Handle(burdockwire.NewPeerServiceHandler(burdocksync.NewHandler(n.view, n.source), burdocktransport.HandlerOptions()...))
+	mux.Handle(burdockwire.NewPeerServiceHandler(burdocksync.NewHandler(n.view, n.source), n.handlerOptions()...))
 	if err := n.listen(mux, e); err != nil {
 		return nil, err
 	}
@@ -48,6 +47,7 @@
 		n.admin.Close(0)
 		return nil, err
 	}
+	e.meterServer(e.callers)
 	e.watcher = burdocksync.NewWatcher(n.store, n.view, n.source, n.clock, log)
 	e.puller = burdocksync.NewPuller(n.view, n.source, n.peers, n.entryPeers, log)
 	e.entry.Start()
--- a/internal/serve/burdockprocess/node.go
+++ b/internal/serve/burdockprocess/node.go
@@ -19,6 +19,7 @@
 	"burdockbend.example/burdockbend/internal/state/burdockfleet"
 	"burdockbend.example/burdockbend/internal/state/burdocksync"
 	"burdockbend.example/burdockbend/internal/wire/burdocktransport"
+	"connectrpc.com/connect"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
@@ -70,7 +71,7 @@
 		metrics:   metrics.NewSet(),
 		stop:      burdockcharts.NewStop(),
 	}
-	n.metrics.NewGauge("burdock_config_keys", func() float64 { return float64(view.Len()) })
+	n.meter()
 	return n, nil
 }
 
@@ -101,8 +102,16 @@
 	}, burdockadmin.NewHandler(p))
 	if err != nil {
 		n.peer.Close(0)
+		return err
 	}
-	return err
+	n.meterServer(n.peer)
+	n.meterServer(n.admin)
+	return nil
+}
+
+// handlerOptions returns how calls of other processes are taken.
+func (n *node) handlerOptions() []connect.HandlerOption {
+	return burdocktransport.HandlerOptions(n.settings.Limits.MaxBodyBytes, n.settings.Limits.MaxHeaderBytes)
 }
 
 // entryPeers returns the addresses of all entries that are known, without
--- a/internal/serve/burdockserver/server.go
+++ b/internal/serve/burdockserver/server.go
@@ -20,7 +20,8 @@
 type Server struct {
 	name     string
 	server   *http.Server
-	listener net.Listener
+	listener *limitedListener
+	served   net.Listener // listener, with TLS around it if that is asked for
 	log      *zap.Logger
 	draining atomic.Bool
 	done     chan struct{}
@@ -35,19 +36,26 @@
 	Log     *zap.Logger
 }
 
+// headerSlack is how far beyond the limit headers are still read, so that who
+// sent a little too much gets an answer in the API's shape. Beyond that the
+// library answers 431 in its own words and closes the connection.
+const headerSlack = 2
+
 // Listen opens the listener and begins to serve.
 func Listen(cfg Config, handler http.Handler) (*Server, error) {
-	listener, err := net.Listen("tcp", cfg.Address)
+	opened, err := net.Listen("tcp", cfg.Address)
 	if err != nil {
 		return nil, errorx.Decorate(err, "listen for %s", cfg.Name)
 	}
+	limited := &limitedListener{Listener: opened, limit: int64(cfg.Limits.MaxConnections)}
+	var served net.Listener = limited
 	if cfg.TLS != nil {
-		listener = tls.NewListener(listener, cfg.TLS)
+		served = tls.NewListener(limited, cfg.TLS)
 	}
-	s := &Server{name: cfg.Name, listener: listener, log: cfg.Log, done: make(chan struct{})}
+	s := &Server{name: cfg.Name, listener: limited, served: served, log: cfg.Log, done: make(chan struct{})}
 	s.server = &http.Server{
-		Handler:           s.closing(handler),
-		MaxHeaderBytes:    cfg.Limits.MaxHeaderBytes,
+		Handler:           s.closing(bounded(cfg.Limits.BodyTimeoutMillis.Duration(), handler)),
+		MaxHeaderBytes:    headerSlack * cfg.Limits.MaxHeaderBytes,
 		ReadHeaderTimeout: cfg.Limits.ReadHeaderTimeoutMillis.Duration(),
 		IdleTimeout:       cfg.Limits.IdleTimeoutMillis.Duration(),
 		ErrorLog:          zap.NewStdLog(cfg.Log),
@@ -59,9 +67,22 @@
 // Address returns the address that the server listens on.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
+// Name returns what the listener is for.
+func (s *Server) Name() string { return s.name }
+
+// Connections returns how many connections are open.
+func (s *Server) Connections() int { return int(s.listener.open.Load()) }
+
+// MaxConnections returns how many connections may be open.
+func (s *Server) MaxConnections() int { return int(s.listener.limit) }
+
+// RefusedConnections returns how many connections were closed because as many
+// as may be were open.
+func (s *Server) RefusedConnections() int { return int(s.listener.refused.Load()) }
+
 func (s *Server) run() {
 	defer close(s.done)
-	if err := s.server.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.server.Serve(s.served); !errors.Is(err, http.ErrServerClosed) {
 		s.log.Error("server ended", zap.String("server", s.name), zap.Error(err))
 	}
 }
