--- a/internal/serve/burdockprocess/entry.go
+++ b/internal/serve/burdockprocess/entry.go
@@ -47,7 +47,7 @@
 		},
 	)
 	mux := http.NewServeMux()
-	mux.Handle(burdockwire.NewPeerServiceHandler(burdocksync.NewHandler(n.view, n.source)))
+	mux.Handle(burdockwire.NewPeerServiceHandler(burdocksync.NewHandler(n.view, n.source), n.handlerOptions()...))
 	if err := n.listen(mux, e); err != nil {
 		return nil, err
 	}
@@ -56,6 +56,7 @@
 		n.admin.Close(0)
 		return nil, err
 	}
+	e.meterServer(e.callers)
 	e.watcher = burdocksync.NewWatcher(n.store, n.view, n.source, n.clock, log)
 	e.puller = burdocksync.NewPuller(n.view, n.source, n.peers, n.entryPeers, log)
 	e.entry.Start()
--- a/internal/tool/burdockcli/root.go
+++ b/internal/tool/burdockcli/root.go
@@ -10,10 +10,13 @@
 
 	"burdockbend.example/burdockbend/internal/measure/burdockexpertlab"
 	"burdockbend.example/burdockbend/internal/measure/burdockgrouplab"
+	"burdockbend.example/burdockbend/internal/measure/burdockpassthrough"
+	"burdockbend.example/burdockbend/internal/measure/burdockpathlab"
 	"burdockbend.example/burdockbend/internal/measure/burdockplacelab"
 	"burdockbend.example/burdockbend/internal/measure/burdockqueuelab"
 	"burdockbend.example/burdockbend/internal/tool/burdockcheck"
 	"burdockbend.example/burdockbend/internal/tool/burdockmain"
+	"github.com/joomcode/errorx"
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
 )
@@ -55,7 +58,7 @@
 	switch {
 	case err == nil, errors.Is(err, flag.ErrHelp):
 		return burdockmain.ExitOK
-	case errors.As(err, &usage):
+	case errors.As(err, &usage), errorx.IsOfType(err, errorx.IllegalArgument):
 		return burdockmain.ExitUsage
 	default:
 		return burdockcheck.Status(err)
@@ -77,7 +80,7 @@
 		ShortHelp:  "operate a fleet of burdockbend",
 		FlagSet:    c.flags("burdock"),
 		Subcommands: []*ffcli.Command{
-			c.profile(), c.fleet(), c.settings(), c.customer(), c.config(), c.state(), c.measure(), c.try(),
+			c.profile(), c.fleet(), c.settings(), c.customer(), c.config(), c.state(), c.load(), c.measure(), c.try(),
 		},
 		Exec: func(_ context.Context, args []string) error {
 			if len(args) > 0 {
@@ -97,7 +100,9 @@
 }
 
 func (c *CLI) measure() *ffcli.Command {
-	return c.group("measure", "measure the decisions against baselines",
+	return c.group("measure", "measure the path, and the decisions against baselines",
+		burdockpathlab.Command(c.stdout),
+		burdockpassthrough.Command(c.stdout),
 		burdockqueuelab.Command(c.stdout),
 		burdockplacelab.Command(c.stdout),
 		burdockexpertlab.Command(c.stdout),
