Take a stop signal from the first line of a daemon on

The signal came before signal.Notify, which stood after the reading of the settings. Ruled out: a crash (no trace in the log) and the grace time (no stop was begun). Change: the handler is set first. What is left is the time before main runs, in which no program can handle a signal and nothing has been served; the harness waits until a started process answers before it does anything to it.

--- a/internal/proof/burdockprograms/fleet.go
+++ b/internal/proof/burdockprograms/fleet.go
@@ -163,6 +163,7 @@
 func (f *Fleet) StartAgent(t testing.TB, a *Agent) {
 	t.Helper()
 	a.Process, _ = start(t, a.Name, f.program(agentProgram), false, "-settings", a.settings)
+	waitUp(t, a.Name, a.Admin)
 }
 
 // newEntry chooses an entry's addresses, which all settings name.
@@ -180,6 +181,7 @@
 func (f *Fleet) StartEntry(t testing.TB, e *Entry) {
 	t.Helper()
 	e.Process, _ = start(t, e.Name, f.program(entryProgram), false, "-settings", e.settings)
+	waitUp(t, e.Name, e.Admin)
 }
 
 func (f *Fleet) common(i int, vm, peer, admin string) string {
--- a/internal/proof/burdockprograms/process.go
+++ b/internal/proof/burdockprograms/process.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"net/http"
 	"os/exec"
 	"strings"
 	"sync"
@@ -121,3 +122,13 @@
 	defer t.mu.Unlock()
 	return string(t.buf)
 }
+
+// waitUp waits until a started process answers operators. A signal that comes
+// before its program has begun to run ends it as if it were killed.
+func waitUp(t testing.TB, name, admin string) {
+	t.Helper()
+	Eventually(t, name+" is up", func() bool {
+		status, _ := Get("http://" + admin + "/healthz")
+		return status == http.StatusOK
+	})
+}
--- a/internal/tool/burdockmain/main.go
+++ b/internal/tool/burdockmain/main.go
@@ -58,6 +58,10 @@
 type usageError struct{ error }
 
 func run(name string, args []string, stderr io.Writer, start func(file string, data []byte) (stopper, error)) int {
+	// First of all, so that a stop that comes while the process starts is a
+	// planned one too.
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	flags := flag.NewFlagSet(name, flag.ContinueOnError)
 	flags.SetOutput(stderr)
 	file := flags.String("settings", "", "TOML file with the settings of this process")
@@ -77,8 +81,6 @@
 		_, _ = fmt.Fprintln(stderr, err)
 		return ExitUsage
 	}
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	process, err := start(*file, data)
 	if err != nil {
 		_, _ = fmt.Fprintln(stderr, err)
