--- a/internal/tool/burdockmain/main.go
+++ b/internal/tool/burdockmain/main.go
@@ -11,8 +11,8 @@
 	"os/signal"
 	"syscall"
 
-	"burdockbend.example/burdockbend/internal/config/burdocksettings"
-	"burdockbend.example/burdockbend/internal/serve/burdockprocess"
+	"burdockbend.example/burdockbend"
+	"burdockbend.example/burdockbend/internal/base/burdockfinding"
 	"github.com/peterbourgon/ff/v3"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
@@ -29,35 +29,20 @@
 
 const envPrefix = "BURDOCK"
 
-// stopper is a running process.
-type stopper interface{ Stop() }
-
 // Entry runs an entry until it is told to stop.
 func Entry(args []string, stderr io.Writer) int {
-	return run("burdock-entry", args, stderr, func(file string, data []byte) (stopper, error) {
-		settings, err := burdocksettings.LoadEntry(file, data)
-		if err != nil {
-			return nil, usageError{err}
-		}
-		return burdockprocess.StartEntry(settings, NewLog(os.Stderr, settings.LogLevel))
-	})
+	return run("burdock-entry", args, stderr, burdockbend.WithEntry)
 }
 
 // Agent runs an agent until it is told to stop.
 func Agent(args []string, stderr io.Writer) int {
-	return run("burdock-agent", args, stderr, func(file string, data []byte) (stopper, error) {
-		settings, err := burdocksettings.LoadAgent(file, data)
-		if err != nil {
-			return nil, usageError{err}
-		}
-		return burdockprocess.StartAgent(settings, NewLog(os.Stderr, settings.LogLevel))
-	})
+	return run("burdock-agent", args, stderr, burdockbend.WithAgent)
 }
 
-// usageError is an error in what the operator wrote.
-type usageError struct{ error }
+// withSettings is the option that takes the settings of one role.
+type withSettings func(file string, data []byte) burdockbend.Option
 
-func run(name string, args []string, stderr io.Writer, start func(file string, data []byte) (stopper, error)) int {
+func run(name string, args []string, stderr io.Writer, role withSettings) int {
 	// First of all, so that a stop that comes while the process starts is a
 	// planned one too.
 	signals := make(chan os.Signal, 1)
@@ -81,19 +66,26 @@
 		_, _ = fmt.Fprintln(stderr, err)
 		return ExitUsage
 	}
-	process, err := start(*file, data)
+	log := burdockbend.WithLog(func(level string) *zap.Logger { return NewLog(os.Stderr, level) })
+	process, err := burdockbend.New(role(*file, data), log)
 	if err != nil {
 		_, _ = fmt.Fprintln(stderr, err)
-		if errors.As(err, &usageError{}) {
-			return ExitUsage
-		}
-		return ExitFailure
+		return statusOf(err)
 	}
 	<-signals
 	process.Stop()
 	return ExitOK
 }
 
+// statusOf tells settings that are wrong from a start that failed.
+func statusOf(err error) int {
+	var findings *burdockfinding.Error
+	if errors.As(err, &findings) {
+		return ExitUsage
+	}
+	return ExitFailure
+}
+
 // NewLog returns a log of JSON lines at the level that the settings name.
 func NewLog(w zapcore.WriteSyncer, level string) *zap.Logger {
 	parsed, err := zapcore.ParseLevel(level)
