--- a/internal/proof/burdockprograms/fleet.go
+++ b/internal/proof/burdockprograms/fleet.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -263,6 +264,15 @@
 	f.Operate(t, "fleet", "apply", "-store", f.Store.Address, members)
 }
 
+// Remove takes an agent's upstream out of the fleet, and says that its VM is
+// gone.
+func (f *Fleet) Remove(t testing.TB, gone *Agent) {
+	t.Helper()
+	f.Agents = slices.DeleteFunc(f.Agents, func(a *Agent) bool { return a == gone })
+	members := f.write(t, "fleet", f.FleetTOML())
+	f.Operate(t, "fleet", "apply", "-store", f.Store.Address, "-gone", gone.Name, members)
+}
+
 // ApplyProfile puts a profile file in force.
 func (f *Fleet) ApplyProfile(t testing.TB, content string) string {
 	t.Helper()
--- a/internal/proof/burdockpromise/key_test.go
+++ b/internal/proof/burdockpromise/key_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"net/http"
-	"slices"
+	"os"
+	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -199,8 +201,7 @@
 	used, fresh := twoKeysOfOneSlot()
 	old := homeOf(t, f, used)
 	old.Freeze()
-	f.Agents = slices.DeleteFunc(f.Agents, func(a *burdockprograms.Agent) bool { return a == old })
-	f.Apply(t)
+	f.Remove(t, old)
 	burdockprograms.Eventually(t, "a new home answers for the slot", func() bool {
 		got := f.Send(context.Background(), f.Entries[0], keyedChat(used, "is there a home?", 1, false))
 		return got.Status == http.StatusBadGateway // it can't know what ran before
@@ -276,3 +277,26 @@
 	o.answer <- stream.Msg()
 	_ = stream.Close()
 }
+
+// An operator takes an upstream out of the fleet that is only silent. Others
+// would take over its keys while it may still run them. The command refuses,
+// says what to do, and changes nothing, until the operator says that the VM is
+// destroyed.
+func TestRemovalOfAHomeIsRefused(t *testing.T) {
+	f := keyFleet(t, time.Millisecond)
+	silent := f.Agents[0]
+	silent.Freeze()
+	f.Agents = f.Agents[1:]
+	file := filepath.Join(t.TempDir(), "fleet.toml")
+	if err := os.WriteFile(file, []byte(f.FleetTOML()), 0o600); err != nil {
+		t.Fatalf("write the fleet file: %v", err)
+	}
+	out, status := f.TryOperate("fleet", "apply", "-store", f.Store.Address, file)
+	if want := "-gone " + silent.Name; status != 2 || !strings.Contains(out, want) {
+		t.Errorf("got status %d %q, want 2 and %q", status, out, want)
+	}
+	if list := f.Operate(t, "fleet", "list", "-store", f.Store.Address); !strings.Contains(list, silent.Name) {
+		t.Errorf("%s is no longer in the fleet after a refused command", silent.Name)
+	}
+	f.Operate(t, "fleet", "apply", "-store", f.Store.Address, "-gone", silent.Name, file)
+}
--- a/internal/tool/burdockcli/fleet.go
+++ b/internal/tool/burdockcli/fleet.go
@@ -3,11 +3,16 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"strings"
 	"text/tabwriter"
 
 	"burdockbend.example/burdockbend/internal/config/burdockentity"
 	"burdockbend.example/burdockbend/internal/config/burdockmember"
 	"burdockbend.example/burdockbend/internal/config/burdockprofile"
+	"burdockbend.example/burdockbend/internal/state/burdockconfig"
+	"burdockbend.example/burdockbend/internal/state/burdockhome"
+	"burdockbend.example/burdockbend/internal/state/burdocksync"
 	"burdockbend.example/burdockbend/internal/tool/burdockcheck"
 	"github.com/peterbourgon/ff/v3/ffcli"
 )
@@ -28,9 +33,10 @@
 func (c *CLI) fleetApply() *ffcli.Command {
 	flags := c.flags("burdock fleet apply")
 	storeAddress := storeFlag(flags)
+	gone := flags.String("gone", "", "upstreams whose VM is destroyed, with commas; needed to remove one that idempotency keys depend on")
 	return &ffcli.Command{
 		Name:       "apply",
-		ShortUsage: "burdock fleet apply -store IP:PORT FILE",
+		ShortUsage: "burdock fleet apply -store IP:PORT [-gone NAMES] FILE",
 		ShortHelp:  "check a fleet file against the profiles in the store and put it in force",
 		LongHelp:   "What the file leaves out is removed from the fleet.",
 		FlagSet:    flags,
@@ -40,12 +46,12 @@
 			if err != nil {
 				return err
 			}
-			return c.applyFleet(ctx, *storeAddress, file, data)
+			return c.applyFleet(ctx, *storeAddress, strings.Split(*gone, ","), file, data)
 		},
 	}
 }
 
-func (c *CLI) applyFleet(ctx context.Context, storeAddress, file string, data []byte) error {
+func (c *CLI) applyFleet(ctx context.Context, storeAddress string, gone []string, file string, data []byte) error {
 	store, err := openStore(storeAddress)
 	if err != nil {
 		return err
@@ -66,34 +72,53 @@
 	if err != nil {
 		return err
 	}
-	return c.apply(ctx, store, entries, edits(entries, wanted, fleetPrefixes...))
+	list := edits(entries, wanted, fleetPrefixes...)
+	if err := checkRemoved(entries, list, gone); err != nil {
+		return err
+	}
+	return c.apply(ctx, store, entries, list)
 }
 
-func (c *CLI) fleetList() *ffcli.Command {
-	flags := c.flags("burdock fleet list")
-	storeAddress := storeFlag(flags)
-	return &ffcli.Command{
-		Name:       "list",
-		ShortUsage: "burdock fleet list -store IP:PORT",
-		ShortHelp:  "list the services and upstreams in the store",
-		FlagSet:    flags,
-		Options:    options(),
-		Exec: func(ctx context.Context, _ []string) error {
-			store, err := openStore(*storeAddress)
-			if err != nil {
-				return err
-			}
-			entries, err := listEntries(ctx, store)
-			if err != nil {
-				return err
-			}
-			fleet, err := burdockmember.Assemble(entitiesUnder(entries, append(fleetPrefixes, burdockentity.SiteKey)...))
-			if err != nil {
-				return err
-			}
-			return c.printFleet(fleet)
-		},
+// checkRemoved refuses to remove an upstream that is the home of idempotency
+// keys, unless the operator says that its VM is gone.
+//
+// Failure: an upstream that is only silent is taken out of the fleet, others
+// take over its keys, and it wakes or was running all along, cut off. Symptom:
+// a letter is sent twice. Nothing but its operators can know that a VM is
+// destroyed; one that was stopped as planned is the home of no key.
+func checkRemoved(entries map[string]burdockconfig.Entry, list []burdocksync.Edit, gone []string) error {
+	homes := map[string]int{}
+	for key, e := range entries {
+		if !strings.HasPrefix(key, burdockhome.Prefix) {
+			continue
+		}
+		if _, _, home, err := burdockhome.Parse(e); err == nil {
+			homes[string(home.Upstream)]++
+		}
 	}
+	var refused []string
+	for _, edit := range list {
+		name, isUpstream := strings.CutPrefix(edit.Key, burdockentity.UpstreamPrefix)
+		if edit.Deleted && isUpstream && homes[name] > 0 && !slices.Contains(gone, name) {
+			refused = append(refused, name)
+		}
+	}
+	if len(refused) == 0 {
+		return nil
+	}
+	slices.Sort(refused)
+	names := strings.Join(refused, ",")
+	return usage("the fleet file leaves out %s, which may still run requests with idempotency keys; stop its agent as planned first, or say -gone %s if its VM is destroyed; nothing was changed", names, names)
+}
+
+func (c *CLI) fleetList() *ffcli.Command {
+	return c.listing("fleet list", "list the services and upstreams in the store", func(entries map[string]burdockconfig.Entry) error {
+		fleet, err := burdockmember.Assemble(entitiesUnder(entries, append(fleetPrefixes, burdockentity.SiteKey)...))
+		if err != nil {
+			return err
+		}
+		return c.printFleet(fleet)
+	})
 }
 
 func (c *CLI) printFleet(fleet burdockmember.Fleet) error {
--- a/internal/tool/burdockcli/profile.go
+++ b/internal/tool/burdockcli/profile.go
@@ -11,6 +11,7 @@
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/config/burdockentity"
 	"burdockbend.example/burdockbend/internal/config/burdockprofile"
+	"burdockbend.example/burdockbend/internal/state/burdockconfig"
 	"burdockbend.example/burdockbend/internal/tool/burdockcheck"
 	"github.com/peterbourgon/ff/v3/ffcli"
 )
@@ -68,36 +69,19 @@
 }
 
 func (c *CLI) profileList() *ffcli.Command {
-	flags := c.flags("burdock profile list")
-	storeAddress := storeFlag(flags)
-	return &ffcli.Command{
-		Name:       "list",
-		ShortUsage: "burdock profile list -store IP:PORT",
-		ShortHelp:  "list the profiles in the store with their versions",
-		FlagSet:    flags,
-		Options:    options(),
-		Exec: func(ctx context.Context, _ []string) error {
-			store, err := openStore(*storeAddress)
-			if err != nil {
-				return err
-			}
-			entries, err := listEntries(ctx, store)
-			if err != nil {
-				return err
-			}
-			profiles, err := burdockprofile.Assemble(entitiesUnder(entries, burdockentity.ProfilePrefix))
-			if err != nil {
-				return err
-			}
-			w := tabwriter.NewWriter(c.stdout, 0, 0, 2, ' ', 0)
-			_, _ = fmt.Fprintln(w, "PROFILE\tVERSION\tCLASSES")
-			for _, p := range profiles {
-				version := entries[burdockentity.ProfilePrefix+string(p.Name)].Version
-				_, _ = fmt.Fprintf(w, "%s\t%d\t%s\n", p.Name, version, classNames(p))
-			}
-			return w.Flush()
-		},
-	}
+	return c.listing("profile list", "list the profiles in the store with their versions", func(entries map[string]burdockconfig.Entry) error {
+		profiles, err := burdockprofile.Assemble(entitiesUnder(entries, burdockentity.ProfilePrefix))
+		if err != nil {
+			return err
+		}
+		w := tabwriter.NewWriter(c.stdout, 0, 0, 2, ' ', 0)
+		_, _ = fmt.Fprintln(w, "PROFILE\tVERSION\tCLASSES")
+		for _, p := range profiles {
+			version := entries[burdockentity.ProfilePrefix+string(p.Name)].Version
+			_, _ = fmt.Fprintf(w, "%s\t%d\t%s\n", p.Name, version, classNames(p))
+		}
+		return w.Flush()
+	})
 }
 
 func classNames(p burdockprofile.Profile) string {
--- a/internal/tool/burdockcli/store.go
+++ b/internal/tool/burdockcli/store.go
@@ -12,6 +12,7 @@
 	"burdockbend.example/burdockbend/internal/state/burdockconfig"
 	"burdockbend.example/burdockbend/internal/state/burdocksync"
 	"github.com/joomcode/errorx"
+	"github.com/peterbourgon/ff/v3/ffcli"
 )
 
 // storeFlag adds the flag that names the store.
@@ -43,6 +44,30 @@
 	return entries, nil
 }
 
+// listing is a command that shows what the store holds.
+func (c *CLI) listing(name, help string, show func(map[string]burdockconfig.Entry) error) *ffcli.Command {
+	flags := c.flags("burdock " + name)
+	storeAddress := storeFlag(flags)
+	return &ffcli.Command{
+		Name:       "list",
+		ShortUsage: "burdock " + name + " -store IP:PORT",
+		ShortHelp:  help,
+		FlagSet:    flags,
+		Options:    options(),
+		Exec: func(ctx context.Context, _ []string) error {
+			store, err := openStore(*storeAddress)
+			if err != nil {
+				return err
+			}
+			entries, err := listEntries(ctx, store)
+			if err != nil {
+				return err
+			}
+			return show(entries)
+		},
+	}
+}
+
 // entitiesUnder returns the entities below one of the prefixes that are not
 // deleted.
 func entitiesUnder(entries map[string]burdockconfig.Entry, prefixes ...string) []burdockentity.Entity {
