Keep a home from running a key again on an old memory

Two orders of events let a key run twice. A home's first offer of its memory could arrive after its second and replace it. And a home that was held up while it gave a slot away and got it back saw only the last change, and went on with the memory from before. An offer of another home could also replace the one that counts, which left the slot without a home for good.

Offers are now kept by who made them and only added to, and a slot whose home has another version than the one it is held from is taken anew.

--- a/internal/serve/burdockagent/keys.go
+++ b/internal/serve/burdockagent/keys.go
@@ -28,9 +28,11 @@
 type keyed struct {
 	ledger *burdockledger.Ledger
 	homes  burdockhome.Homes
-	// offered holds memories that another agent hands over. Each takes effect
+	// heldAt is the version of the home that made each held slot this agent's.
+	heldAt map[burdockledger.Slot]burdockid.Version
+	// offered holds memories that other agents hand over. Each takes effect
 	// when the configuration names this agent the home.
-	offered map[burdockledger.Slot]*burdockwire.TakeKeysRequest
+	offered map[burdockledger.Slot]offers
 	// moving holds slots that are being handed over: nothing new runs there.
 	moving map[burdockledger.Slot]bool
 }
@@ -39,43 +41,57 @@
 	return &keyed{
 		ledger:  burdockledger.New(),
 		homes:   burdockhome.Homes{},
-		offered: map[burdockledger.Slot]*burdockwire.TakeKeysRequest{},
+		heldAt:  map[burdockledger.Slot]burdockid.Version{},
+		offered: map[burdockledger.Slot]offers{},
 		moving:  map[burdockledger.Slot]bool{},
 	}
 }
 
 // follow takes up the homes that the configuration names. Only the
 // configuration makes an agent a home.
+//
+// Failure: an agent is held up while it gives a slot away and gets it back,
+// and sees only the last change. Symptom: it goes on with the memory from
+// before, and runs a key again that ran at the home in between. The version of
+// the home tells: a slot that is held from another version is taken anew.
 func (k *keyed) follow(homes burdockhome.Homes, self burdockid.Upstream, inc burdockid.Incarnation) {
 	k.homes = homes
 	for slot := range burdockledger.Slot(burdockledger.Slots) {
 		home, known := homes[slot]
 		own := known && home.Upstream == self && home.Incarnation == inc
 		switch {
-		case own && !k.ledger.Holds(slot):
-			k.hold(slot, home.Home)
+		case own && (!k.ledger.Holds(slot) || k.heldAt[slot] != home.Version):
+			k.hold(slot, home)
 		case !own && k.ledger.Holds(slot):
-			k.ledger.Drop(slot)
-			delete(k.moving, slot)
+			k.drop(slot)
 		}
 	}
 }
 
-// hold takes a slot, with the memory that was handed over if there is one.
-func (k *keyed) hold(slot burdockledger.Slot, home burdockhome.Home) {
-	offer := k.offered[slot]
+func (k *keyed) drop(slot burdockledger.Slot) {
+	k.ledger.Drop(slot)
+	delete(k.moving, slot)
+	delete(k.heldAt, slot)
+}
+
+// hold takes a slot, with the memory that was handed over if there is one. What
+// the ledger knows already of the slot stays.
+func (k *keyed) hold(slot burdockledger.Slot, home burdockhome.Versioned) {
+	offer := k.offered[slot][home.From]
 	delete(k.offered, slot)
 	delete(k.moving, slot)
-	if home.From == "" {
+	switch {
+	case home.From == "":
 		k.ledger.Hold(slot, home.SinceMillis)
-		return
-	}
-	if offer == nil || offer.GetFromIncarnation() != string(home.From) {
+	case offer == nil:
 		// The configuration speaks of a handover that this process never got. It
 		// is named by incarnation, so this can't be; running nothing is safe.
+		k.drop(slot)
 		return
+	default:
+		k.ledger.Take(slot, home.SinceMillis, linesOf(offer))
 	}
-	k.ledger.Take(slot, home.SinceMillis, linesOf(offer))
+	k.heldAt[slot] = home.Version
 }
 
 func linesOf(offer *burdockwire.TakeKeysRequest) []burdockledger.Line {
@@ -227,9 +243,6 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	slot := burdockledger.Slot(req.Msg.GetSlot())
-	taken := !a.draining && slot >= 0 && slot < burdockledger.Slots
-	if taken {
-		a.keyed.offered[slot] = req.Msg
-	}
+	taken := !a.draining && slot >= 0 && slot < burdockledger.Slots && a.keyed.take(slot, req.Msg)
 	return connect.NewResponse(&burdockwire.TakeKeysResponse{Taken: taken, Incarnation: string(a.incarnation)}), nil
 }
