Let the watchers of a fleet share the putting back of what the store lost

Cause: a watcher wrote back all that a listing lacked without a pause. After a restart with nothing, 350 watchers would each write 10,000 keys as fast as the store answers, mostly to lose against each other. Ruled out: listing again before each write, at 4 MB a listing. Change: each watcher puts back one entry at a time, in random order, with a random pause of up to 2 s, and goes on watching in between, by which it sees and drops what others have put back. Edits are not held up meanwhile.

--- a/internal/state/burdocksync/restore.go
+++ b/internal/state/burdocksync/restore.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/platform/burdockstore"
@@ -11,9 +12,10 @@
 	"go.uber.org/zap"
 )
 
-// restoreSpread is the time over which the watchers of a fleet look again at
-// what the store has lost. With 350 of them that is 88 listings a second; the
-// first ones to look write, and the others find it done.
+// restoreSpread is the time over which the watchers of a fleet begin to put
+// back what the store has lost. The first ones write, and the others see it by
+// their watches. A watcher writes once in half that time at the most, so that
+// 350 watchers write 350 times a second in all, even if everything was lost.
 const restoreSpread = 4 * burdockclock.Second
 
 // lostEntry is an entry that the store has to get back, and the revision of
@@ -23,25 +25,34 @@
 	over  burdockstore.Revision
 }
 
-// restore writes back what the store has lost.
+// putBack writes back one entry that the store has lost, when it is time, and
+// returns how long the next watch may wait.
 //
 // Failure: the store restarts from an older state, after an edit was accepted
 // and passed on. Symptom: processes that start from then on would take up what
 // was in force before the edit, or lack what it added. Each watcher holds the
 // newer entry and puts it back; compare-and-swap makes sure that no later
 // edit is overwritten.
-func (w *Watcher) restore(ctx context.Context) error {
-	sleep(ctx, rand.N(w.spread))
-	stored, err := w.read(ctx)
-	if err != nil {
-		return err
+func (w *Watcher) putBack(ctx context.Context) (burdockclock.Millis, error) {
+	if len(w.lost) == 0 {
+		return watchWait, nil
 	}
-	for _, l := range append(lostOf(w.view, stored), missingFrom(w.view, stored)...) {
-		if err := w.put(ctx, l); err != nil {
-			return err
-		}
+	if left := w.putAt - w.clock.Boot(); left > 0 {
+		return min(left, watchWait), nil
+	}
+	next := w.lost[0]
+	w.lost = w.lost[1:]
+	w.putAt = w.clock.Boot() + rand.N(w.spread/2+1)
+	return 1, w.put(ctx, next)
+}
+
+// dropFound drops what others have put back, or written anew.
+func (w *Watcher) dropFound(stored []burdockstore.Entry) {
+	for _, s := range stored {
+		w.lost = slices.DeleteFunc(w.lost, func(l lostEntry) bool {
+			return burdockconfig.StorePrefix+l.entry.Key == s.Key
+		})
 	}
-	return nil
 }
 
 // put writes one entry back. Only a store that does not answer is an error:
--- a/internal/state/burdocksync/watcher.go
+++ b/internal/state/burdocksync/watcher.go
@@ -54,6 +54,8 @@
 	listedAt burdockclock.Millis
 	// relistAfter is drawn anew with each listing.
 	relistAfter burdockclock.Millis
+	lost        []lostEntry // what the store has to get back, in random order
+	putAt       burdockclock.Millis
 }
 
 // NewWatcher returns a watcher that is not yet running.
@@ -92,11 +94,16 @@
 	if due {
 		return w.list(ctx)
 	}
-	stored, revision, err := w.store.Watch(ctx, burdockconfig.StorePrefix, w.revision, watchWait)
+	wait, err := w.putBack(ctx)
+	if err != nil {
+		return err
+	}
+	stored, revision, err := w.store.Watch(ctx, burdockconfig.StorePrefix, w.revision, wait)
 	if err != nil {
 		return err
 	}
 	w.take(stored)
+	w.dropFound(stored)
 	if revision < w.revision || len(lostOf(w.view, stored)) > 0 {
 		w.listedAt = 0 // the store went back to an older state: read all of it
 	}
@@ -107,15 +114,15 @@
 	return nil
 }
 
-// list reads the whole configuration.
+// list reads the whole configuration, and notes what the store has lost.
 func (w *Watcher) list(ctx context.Context) error {
 	stored, err := w.read(ctx)
 	if err != nil {
 		return err
 	}
-	if len(lostOf(w.view, stored))+len(missingFrom(w.view, stored)) > 0 {
-		return w.restore(ctx)
-	}
+	w.lost = append(lostOf(w.view, stored), missingFrom(w.view, stored)...)
+	rand.Shuffle(len(w.lost), func(i, j int) { w.lost[i], w.lost[j] = w.lost[j], w.lost[i] })
+	w.putAt = w.clock.Boot() + rand.N(w.spread)
 	return nil
 }
 
--- a/internal/state/burdocksync/watcher_test.go
+++ b/internal/state/burdocksync/watcher_test.go
@@ -40,12 +40,14 @@
 	return o
 }
 
-// list lets the watcher read the whole store once.
+// list lets the watcher read the whole store once, and put back what it lost.
 func (o *oldStore) list(t *testing.T) {
 	t.Helper()
 	o.watcher.listedAt = 0
-	if err := o.watcher.once(context.Background()); err != nil {
-		t.Fatalf("read the store: %v", err)
+	for n := 0; n == 0 || len(o.watcher.lost) > 0; n++ {
+		if err := o.watcher.once(context.Background()); err != nil {
+			t.Fatalf("read the store: %v", err)
+		}
 	}
 }
 
@@ -124,11 +126,10 @@
 	o.list(t)
 	o.server.Restore()
 	o.watcher.revision = 0 // as after an older answer
-	if err := o.watcher.once(context.Background()); err != nil {
-		t.Fatal(err)
-	}
-	if err := o.watcher.once(context.Background()); err != nil {
-		t.Fatal(err)
+	for n := 0; n < 2 || len(o.watcher.lost) > 0; n++ {
+		if err := o.watcher.once(context.Background()); err != nil {
+			t.Fatal(err)
+		}
 	}
 	if got, _ := o.view.Get("profile/bench"); got.Version != burdockid.Version(2) {
 		t.Errorf("in force: got version %d, want 2", got.Version)
@@ -195,3 +196,40 @@
 		}
 	}
 }
+
+// The store restarts with nothing. Every watcher of a fleet holds all of it;
+// if all wrote all of it at once the store would go down again. They take
+// turns, and see by their watches what others have put back.
+func TestWatchersShareThePuttingBack(t *testing.T) {
+	const watchers, keys = 8, 40
+	o := newOldStore(t)
+	for i := range keys {
+		o.write(t, fmt.Sprint("upstream/", i), "1", "a")
+	}
+	o.list(t)
+	clock := burdockclock.System()
+	for range watchers {
+		view := burdockconfig.NewView()
+		view.Merge(o.view.All())
+		w := NewWatcher(o.store, view, NewSource(clock), clock, zap.NewNop())
+		w.spread = 100
+		w.Start()
+		defer w.Close()
+	}
+	o.server.Restore() // nothing was kept
+	before := o.faults.Counts()["PUT /v1/key"]
+	for deadline := time.Now().Add(time.Minute); ; time.Sleep(10 * time.Millisecond) {
+		stored, _, err := o.store.List(context.Background(), burdockconfig.StorePrefix)
+		if err == nil && len(stored) == keys {
+			break
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("in the store again: got %d of %d keys", len(stored), keys)
+		}
+	}
+	puts := o.faults.Counts()["PUT /v1/key"] - before
+	t.Logf("writes for %d keys by %d watchers: %d", keys, watchers, puts)
+	if most := keys * watchers / 2; puts > most {
+		t.Errorf("writes: got %d, want at most %d", puts, most)
+	}
+}
