--- a/internal/serve/burdockagent/agent.go
+++ b/internal/serve/burdockagent/agent.go
@@ -72,6 +72,7 @@
 	keyed    *keyed
 	draining bool
 	counts   Counts
+	meters   meters
 }
 
 // New returns an agent. Its loop must be started with Start.
@@ -90,6 +91,7 @@
 	}
 	a.policy = policyOf(cfg, deps.Fleet.Now())
 	a.queue = burdockqueue.New(a.policy.queue, deps.Random)
+	a.meters = newMeters(a, deps.Metrics)
 	return a
 }
 
--- a/internal/serve/burdockagent/finish.go
+++ b/internal/serve/burdockagent/finish.go
@@ -115,19 +115,23 @@
 	switch o := o.(type) {
 	case ended:
 		a.counts.Answered++
+		a.meters.answered.Inc()
 		fields = append(fields, zap.String("outcome", "answered"), zap.Int64("bytes", o.total))
 	case refused:
-		a.counts.Refused++
+		a.countRefusal(o.reason)
 		f = fateNotRun
 		fields = append(fields, zap.String("outcome", "refused"), zap.String("reason", o.explanation))
 	case cut:
 		if o.reason == burdockwire.CutReason_CUT_REASON_CANCELLED {
 			a.counts.Cancelled++
+			a.meters.cancelled.Inc()
 		} else {
 			a.counts.Cut++
+			a.meters.cut.Inc()
 		}
 		fields = append(fields, zap.String("outcome", "cut"), zap.String("reason", o.explanation))
 	}
+	a.meters.ran(j)
 	a.memory.remember(now, j.id, f)
 	a.endKey(j, o)
 	a.deps.Log.Info("request ended", fields...)
--- a/internal/serve/burdockagent/rpc.go
+++ b/internal/serve/burdockagent/rpc.go
@@ -28,6 +28,7 @@
 
 // Attach implements burdockwire.AgentServiceHandler.
 func (a *Agent) Attach(ctx context.Context, req *connect.Request[burdockwire.AttachRequest], stream *connect.ServerStream[burdockwire.RunEvent]) error {
+	a.meters.attachments.Inc()
 	j, no := a.find(req.Msg)
 	if no != nil {
 		return stream.Send(no)
@@ -68,9 +69,10 @@
 	now := a.deps.Clock.Boot()
 	id := burdockid.Request(req.GetRequestId())
 	a.counts.Offered++
+	a.meters.offered.Inc()
 	a.followConfig(now)
 	if no := a.precheck(req, id); no != nil {
-		a.counts.Refused++
+		a.countRefusal(no.reason)
 		return nil, a.refusal(req.GetRequestId(), *no)
 	}
 	if req.GetIdempotencyKey() != "" {
@@ -95,7 +97,7 @@
 		a.jobs[id] = j
 		j.step(burdockcharts.RequestEventEnqueue)
 	case burdockqueue.Refuse:
-		a.counts.Refused++
+		a.countRefusal(reasonOf(d.Reason))
 		a.memory.remember(now, id, fateNotRun)
 		a.forgetKey(req)
 		no := refused{reason: reasonOf(d.Reason), retryAfter: d.RetryAfter, explanation: d.Reason.String()}
@@ -111,14 +113,16 @@
 	switch {
 	case v.job != nil:
 		a.counts.Repeated++
+		a.meters.repeated.Inc()
 		a.aliases[id] = v.job
 		return v.job, nil
 	case v.refused != nil:
-		a.counts.Refused++
+		a.countRefusal(v.refused.reason)
 		a.memory.remember(now, id, fateNotRun)
 		return nil, a.refusal(req.GetRequestId(), *v.refused)
 	default:
 		a.counts.Cut++
+		a.meters.cut.Inc()
 		return nil, cutEventOf(req.GetRequestId(), *v.cut, a.load())
 	}
 }
--- a/internal/serve/burdockentry/attempt.go
+++ b/internal/serve/burdockentry/attempt.go
@@ -66,6 +66,7 @@
 			a.withdraw(client)
 			return a.lost()
 		}
+		a.offers.entry.meters.attachments.Inc()
 		a.offers.entry.deps.Peers.DropIdle()
 		if a.tries > 1 {
 			a.wait(ctx)
@@ -187,6 +188,7 @@
 		return broken{reason: "bytes are missing from the answer"}
 	}
 	if a.offset == 0 {
+		a.offers.ending.begun = true
 		a.offers.ending.firstByte = a.offers.now() - a.offers.req.arrived
 	}
 	if err := a.offers.caller.write(chunk.GetData()); err != nil {
@@ -256,6 +258,7 @@
 
 // withdraw tells the agent that nobody waits any longer.
 func (a *attempt) withdraw(client burdockwire.AgentServiceClient) {
+	a.offers.entry.meters.withdrawals.Inc()
 	a.offers.entry.done.Add(1)
 	go (&withdrawal{entry: a.offers.entry, client: client, id: a.offers.req.id}).run()
 }
--- a/internal/serve/burdockentry/entry.go
+++ b/internal/serve/burdockentry/entry.go
@@ -48,6 +48,7 @@
 	draining atomic.Bool
 	open     atomic.Int64
 	accounts accounts
+	meters   meters
 	stop     chan struct{}
 	done     sync.WaitGroup
 
@@ -58,12 +59,14 @@
 
 // New returns an entry. Its loop must be started with Start.
 func New(cfg Config, deps Deps) *Entry {
-	return &Entry{
+	e := &Entry{
 		cfg:   cfg,
 		deps:  deps,
 		stop:  make(chan struct{}),
 		pools: map[burdockid.Service]*pool{},
 	}
+	e.meters = newMeters(e, deps.Metrics)
+	return e
 }
 
 // Start begins the entry's own work.
@@ -111,6 +114,7 @@
 		e.seeded++
 		p = newPool(service, e.cfg.DataCentre, rand.NewPCG(e.deps.Seed, e.seeded))
 		e.pools[service] = p
+		e.meters.watch(p)
 	}
 	e.mu.Unlock()
 	p.follow(e.deps.Clock.Boot(), fleet)
--- a/internal/serve/burdockentry/offers.go
+++ b/internal/serve/burdockentry/offers.go
@@ -178,6 +178,7 @@
 		o.pool.succeeded(o.now())
 		o.pool.observe(o.now(), target.Name, burdockeject.Answered{Took: res.ran, Work: res.served})
 	case notRun:
+		o.entry.meters.refused(res.refusal.GetReason())
 		if res.refusal.GetReason() == burdockwire.RefusedReason_REFUSED_REASON_UPSTREAM_DOWN {
 			o.pool.observe(o.now(), target.Name, burdockeject.Unreached{})
 		}
@@ -260,6 +261,7 @@
 	})
 	switch d := d.(type) {
 	case burdockretry.Retry:
+		o.entry.meters.retries.Inc()
 		return !o.pause(ctx, d.After)
 	case burdockretry.GiveUp:
 		o.giveUp(d, res)
--- a/internal/serve/burdockentry/serve.go
+++ b/internal/serve/burdockentry/serve.go
@@ -63,6 +63,7 @@
 	reason    string
 	offers    int
 	firstByte burdockclock.Millis
+	begun     bool // the first byte came
 }
 
 // serve answers one caller's request.
@@ -104,6 +105,7 @@
 // end counts and logs the end of a request.
 func (e *Entry) end(req *request, end ending, aborted bool) {
 	e.accounts.add(end.outcome)
+	e.meters.ended(req.service, end)
 	e.deps.Log.Info("request ended",
 		zap.String("requestId", string(req.id)),
 		zap.String("customer", string(req.customer)),
@@ -120,6 +122,7 @@
 
 func (e *Entry) reject(w http.ResponseWriter, req *request, problem *burdockapi.Problem) {
 	problem.Write(w)
+	e.meters.rejected(problem.Code)
 	e.end(req, ending{outcome: outcomeInvalid, reason: problem.Error()}, false)
 }
 
--- a/internal/tool/burdocktry/bench_test.go
+++ b/internal/tool/burdocktry/bench_test.go
@@ -13,29 +13,42 @@
 // BenchmarkStreams runs every role in one process under 32 open streams, to
 // be read with -cpuprofile: the figures of each role alone come from
 // tools/measure-path.
-func BenchmarkStreams(b *testing.B) {
+func BenchmarkStreams(b *testing.B) { benchmark(b, burdockload.Config{Streams: 32}) }
+
+// BenchmarkRequests does so under short requests, 400 a second.
+func BenchmarkRequests(b *testing.B) { benchmark(b, burdockload.Config{Rate: 400}) }
+
+func benchmark(b *testing.B, cfg burdockload.Config) {
+	f, key := startConfigured(b)
+	cfg.Duration, cfg.Timeout, cfg.Seed = 2*time.Second, time.Minute, 1
+	cfg.Mix, cfg.Model, cfg.Keys = burdockload.Mix{Streamed: 1}, modelName, []string{key}
+	cfg.Tokens, cfg.StreamTokens, cfg.Prompt = 2, 2000, 64
+	total := burdockload.NewResult()
+	for b.Loop() {
+		result, err := burdockload.Run(context.Background(), cfg, f.entries[0].Address())
+		if err != nil {
+			b.Fatal(err)
+		}
+		total.Merge(result)
+	}
+	b.ReportMetric(float64(total.Tokens)/total.Took.Seconds(), "tokens/s")
+	b.ReportMetric(float64(burdockload.Span(total.FirstToken, 99).Microseconds()), "firstToken-p99-us")
+}
+
+// startConfigured starts a fleet that is ready, and returns a customer's key.
+func startConfigured(t testing.TB) (*fleet, string) {
+	t.Helper()
 	f, err := startFleet(zap.NewNop())
 	if err != nil {
-		b.Fatal(err)
+		t.Fatal(err)
 	}
-	defer f.close()
+	t.Cleanup(f.close)
 	key := burdockkey.New()
 	if err := f.configure(context.Background(), key); err != nil {
-		b.Fatal(err)
+		t.Fatal(err)
 	}
 	if err := f.waitReady(context.Background()); err != nil {
-		b.Fatal(err)
-	}
-	tokens, took := int64(0), time.Duration(0)
-	for b.Loop() {
-		result, err := burdockload.Run(context.Background(), burdockload.Config{
-			Duration: 2 * time.Second, Streams: 32, Seed: 1, Mix: burdockload.Mix{Streamed: 1}, Tokens: 2, StreamTokens: 2000,
-			Model: modelName, Keys: []string{key}, Timeout: time.Minute,
-		}, f.entries[0].Address())
-		if err != nil {
-			b.Fatal(err)
-		}
-		tokens, took = tokens+result.Tokens, took+result.Took
+		t.Fatal(err)
 	}
-	b.ReportMetric(float64(tokens)/took.Seconds(), "tokens/s")
+	return f, key
 }
