Measure what the parts and processes cost at the design's size

The command "burdock measure capacity" measures the configuration, pools, ledgers and homes of keys at three or more sizes; BenchmarkProcesses measures an entry and an agent as processes with the configuration of a whole fleet.

--- /dev/null
+++ b/internal/measure/burdockcapacitylab/config.go
@@ -0,0 +1,166 @@
+package burdockcapacitylab
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"time"
+
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/config/burdockentity"
+	"burdockbend.example/burdockbend/internal/state/burdockconfig"
+	"burdockbend.example/burdockbend/internal/state/burdocksync"
+	"burdockbend.example/burdockbend/internal/wire/burdockwire"
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/proto"
+)
+
+// ConfigCost is what the configuration of one size costs a process.
+type ConfigCost struct {
+	Size  Size
+	Keys  int
+	Bytes int64 // of view and fleet on the heap
+	// Merge is the processor time to take up one changed upstream, MergeHome
+	// one changed home of a slot.
+	Merge     time.Duration
+	MergeHome time.Duration
+	// The three answers to a pull: without news, with one change, by buckets
+	// for a process that knows nothing. Times are without the transport.
+	SyncEqual   Answer
+	SyncOne     Answer
+	SyncBuckets Answer
+}
+
+// Answer is what one message costs the process that answers, without the
+// transport.
+type Answer struct {
+	Time  time.Duration
+	Bytes int
+}
+
+// MeasureConfig measures a configuration of a size.
+func MeasureConfig(size Size) (ConfigCost, error) {
+	f := Fleet(size)
+	entries, err := Entries(f)
+	if err != nil {
+		return ConfigCost{}, err
+	}
+	s, held := heapOf(func() state { return newState(cloneAll(entries)) })
+	cost := ConfigCost{Size: size, Keys: s.view.Len(), Bytes: held}
+	if cost.Merge, err = mergeUpstream(s, size); err != nil {
+		return ConfigCost{}, err
+	}
+	cost.MergeHome = mergeHome(s, entries[len(entries)-1])
+	err = cost.measureSync(s, size)
+	runtime.KeepAlive(s)
+	return cost, err
+}
+
+// cloneAll copies the values, so that they count for the process that holds
+// them.
+func cloneAll(entries []burdockconfig.Entry) []burdockconfig.Entry {
+	copied := make([]burdockconfig.Entry, len(entries))
+	for i, e := range entries {
+		e.Key, e.Mark, e.Value = string([]byte(e.Key)), string([]byte(e.Mark)), append([]byte(nil), e.Value...)
+		copied[i] = e
+	}
+	return copied
+}
+
+// mergeUpstream measures one change of one upstream: its VM was replaced.
+func mergeUpstream(s state, size Size) (time.Duration, error) {
+	e, err := changed(s, size)
+	if err != nil {
+		return 0, err
+	}
+	return processorTime(func() {
+		e.Version++
+		s.view.Merge([]burdockconfig.Entry{e})
+	}), nil
+}
+
+func changed(s state, size Size) (burdockconfig.Entry, error) {
+	u := upstream(0, size)
+	u.VM = "vm-replaced"
+	key := burdockentity.UpstreamPrefix + string(u.Name)
+	entity, err := burdockentity.Encode(key, u)
+	if err != nil {
+		return burdockconfig.Entry{}, err
+	}
+	current, _ := s.view.Get(key)
+	return entry(key, current.Version+1, entity.Value), nil
+}
+
+func mergeHome(s state, e burdockconfig.Entry) time.Duration {
+	return processorTime(func() {
+		e.Version++
+		s.view.Merge([]burdockconfig.Entry{e})
+	})
+}
+
+func (c *ConfigCost) measureSync(s state, size Size) error {
+	clock := burdockclock.System()
+	h := burdocksync.NewHandler(s.view, burdocksync.NewSource(clock))
+	before := s.view.Digest()
+	e, err := changed(s, size)
+	if err != nil {
+		return err
+	}
+	s.view.Merge([]burdockconfig.Entry{e})
+	now := s.view.Digest()
+	for _, m := range []struct {
+		answer *Answer
+		ask    *burdockwire.SyncRequest
+	}{
+		{&c.SyncEqual, &burdockwire.SyncRequest{Digest: uint64(now)}},
+		{&c.SyncOne, &burdockwire.SyncRequest{Digest: uint64(before)}},
+		{&c.SyncBuckets, &burdockwire.SyncRequest{BucketDigests: make([]uint64, len(s.view.Buckets()))}},
+	} {
+		if *m.answer, err = answer(h, m.ask); err != nil {
+			return err
+		}
+	}
+	if c.SyncBuckets.Bytes < c.SyncOne.Bytes {
+		return fmt.Errorf("a pull of everything came to %d bytes, less than one change", c.SyncBuckets.Bytes)
+	}
+	return nil
+}
+
+// answer measures one answer, with its encoding.
+func answer(h *burdocksync.Handler, ask *burdockwire.SyncRequest) (Answer, error) {
+	var a Answer
+	var failed error
+	a.Time = processorTime(func() {
+		res, err := h.Sync(context.Background(), connect.NewRequest(ask))
+		if err != nil {
+			failed = err
+			return
+		}
+		data, err := proto.Marshal(res.Msg)
+		if err != nil {
+			failed = err
+			return
+		}
+		a.Bytes = len(data)
+	})
+	return a, failed
+}
+
+// Handover is the size of the message that hands a slot over.
+type Handover struct {
+	Keys  int
+	Bytes int
+}
+
+// MeasureHandover returns the size of a handover of keys.
+func MeasureHandover(keys int) Handover {
+	m := &burdockwire.TakeKeysRequest{FromIncarnation: string(burdockid.NewIncarnation()), Slot: 255, SinceMillis: int64(burdockclock.System().Now())}
+	for i := range keys {
+		m.Lines = append(m.Lines, &burdockwire.KeyLine{
+			KeyHigh: uint64(i) + 1<<60, KeyLow: uint64(i) + 1<<61, RequestId: string(burdockid.NewRequest()),
+			Fingerprint: 1<<62 + uint64(i), Fate: 1, AtMillis: int64(burdockclock.System().Now()),
+		})
+	}
+	return Handover{Keys: keys, Bytes: proto.Size(m)}
+}
--- /dev/null
+++ b/internal/measure/burdockcapacitylab/fleet.go
@@ -0,0 +1,149 @@
+package burdockcapacitylab
+
+import (
+	"fmt"
+
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/config/burdockkey"
+	"burdockbend.example/burdockbend/internal/config/burdockmember"
+	"burdockbend.example/burdockbend/internal/decide/burdockledger"
+	"burdockbend.example/burdockbend/internal/state/burdockconfig"
+	"burdockbend.example/burdockbend/internal/state/burdockfleet"
+	"burdockbend.example/burdockbend/internal/state/burdockhome"
+)
+
+// Size is how large a configuration is.
+type Size struct {
+	Upstreams int
+	Customers int
+	Services  int
+	Entries   int
+}
+
+// Sizes are today's, one between, and the design's.
+var Sizes = []Size{
+	{Upstreams: 16, Customers: 10, Services: 1, Entries: 3},
+	{Upstreams: 400, Customers: 400, Services: 6, Entries: 35},
+	{Upstreams: 3800, Customers: 3800, Services: 6, Entries: 350},
+}
+
+// perService returns how many upstreams the first service has.
+func (s Size) perService() int { return (s.Upstreams + s.Services - 1) / s.Services }
+
+const dataCentreCount = 10
+
+func dataCentre(i int) burdockid.DataCentre {
+	return burdockid.DataCentre(fmt.Sprintf("gua-hall-%d", i%dataCentreCount))
+}
+
+func serviceName(i int) burdockid.Service { return burdockid.Service(fmt.Sprintf("llm-pool-%d", i)) }
+
+func upstreamName(i int) burdockid.Upstream {
+	return burdockid.Upstream(fmt.Sprintf("replica-%04d", i))
+}
+
+// Fleet returns a membership of a size. Its addresses lead nowhere.
+func Fleet(size Size) burdockmember.Fleet {
+	f := burdockmember.Fleet{Site: "gt-gua"}
+	for i := range dataCentreCount {
+		f.DataCentres = append(f.DataCentres, burdockmember.DataCentre{Name: dataCentre(i)})
+	}
+	for i := range size.Services {
+		f.Services = append(f.Services, burdockmember.Service{
+			Name: serviceName(i), Kind: burdockmember.KindModel, Profile: "bench",
+			Models: []string{fmt.Sprintf("netlist-writer-%d", i)}, MaxPromptTokens: 8192,
+		})
+	}
+	for i := range size.Upstreams {
+		f.Upstreams = append(f.Upstreams, upstream(i, size))
+	}
+	for i := range size.Entries {
+		f.Entries = append(f.Entries, burdockmember.Entry{
+			VM: burdockid.VM(fmt.Sprintf("entry-%03d", i)), DataCentre: dataCentre(i), Peer: fmt.Sprintf("127.0.2.%d:1", i%250+1),
+		})
+	}
+	for i := range size.Customers {
+		name := fmt.Sprintf("customer-%04d", i)
+		f.Customers = append(f.Customers, burdockmember.Customer{
+			Name: burdockid.Customer(name), KeyHash: burdockkey.Hash(name),
+		})
+	}
+	return f
+}
+
+func upstream(i int, size Size) burdockmember.Upstream {
+	return burdockmember.Upstream{
+		Name:       upstreamName(i),
+		Service:    serviceName(i % size.Services),
+		VM:         burdockid.VM(fmt.Sprintf("vm-%04d", i)),
+		DataCentre: dataCentre(i),
+		Agent:      fmt.Sprintf("127.0.1.%d:1", i%250+1),
+	}
+}
+
+// Entries returns the configuration of a fleet: its membership, and for each
+// service the homes of all slots, each with the upstream that it prefers.
+func Entries(f burdockmember.Fleet) ([]burdockconfig.Entry, error) {
+	entities, err := burdockmember.Split(f)
+	if err != nil {
+		return nil, err
+	}
+	entries := make([]burdockconfig.Entry, 0, len(entities)+len(f.Services)*burdockledger.Slots)
+	for _, e := range entities {
+		entries = append(entries, entry(e.Key, 1, e.Value))
+	}
+	for _, s := range f.Services {
+		homes, err := homesOf(s.Name, f.Upstreams)
+		if err != nil {
+			return nil, err
+		}
+		entries = append(entries, homes...)
+	}
+	return entries, nil
+}
+
+// entry returns a configuration entry with a mark as long as a writer's.
+func entry(key string, version burdockid.Version, value []byte) burdockconfig.Entry {
+	return burdockconfig.Entry{Key: key, Version: version, Mark: string(burdockid.NewRequest()), Value: value}
+}
+
+func homesOf(service burdockid.Service, upstreams []burdockmember.Upstream) ([]burdockconfig.Entry, error) {
+	var members []burdockid.Upstream
+	for _, u := range upstreams {
+		if u.Service == service {
+			members = append(members, u.Name)
+		}
+	}
+	var entries []burdockconfig.Entry
+	for slot := range burdockledger.Slot(burdockledger.Slots) {
+		home := burdockhome.Home{Upstream: preferred(service, slot, members), Incarnation: burdockid.NewIncarnation()}
+		value, err := burdockhome.Encode(home)
+		if err != nil {
+			return nil, err
+		}
+		entries = append(entries, entry(burdockhome.Key(service, slot), 1, value))
+	}
+	return entries, nil
+}
+
+func preferred(service burdockid.Service, slot burdockledger.Slot, members []burdockid.Upstream) burdockid.Upstream {
+	for _, m := range members {
+		if burdockhome.Rank(service, slot, members, m) == 0 {
+			return m
+		}
+	}
+	return ""
+}
+
+// state is the configuration as a process holds it.
+type state struct {
+	view  *burdockconfig.View
+	fleet *burdockfleet.Fleet
+}
+
+func newState(entries []burdockconfig.Entry) state {
+	view := burdockconfig.NewView()
+	s := state{view: view, fleet: burdockfleet.Follow(view)}
+	view.Merge(entries)
+	return s
+}
--- /dev/null
+++ b/internal/measure/burdockcapacitylab/process_test.go
@@ -0,0 +1,250 @@
+package burdockcapacitylab
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"burdockbend.example/burdockbend/internal/config/burdockkey"
+	"burdockbend.example/burdockbend/internal/config/burdockmember"
+	"burdockbend.example/burdockbend/internal/config/burdockprofile"
+	"burdockbend.example/burdockbend/internal/platform/burdockstore"
+	"burdockbend.example/burdockbend/internal/proof/burdockprograms"
+	"burdockbend.example/burdockbend/internal/state/burdockconfig"
+)
+
+func TestMain(m *testing.M) {
+	status := m.Run()
+	burdockprograms.CleanUp()
+	os.Exit(status)
+}
+
+// counter passes TCP connections on to a target and counts their bytes.
+type counter struct {
+	target   string
+	listener net.Listener
+	bytes    atomic.Int64
+}
+
+func newCounter(t testing.TB, target string) *counter {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatalf("listen: %v", err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	c := &counter{target: target, listener: listener}
+	go c.run()
+	return c
+}
+
+func (c *counter) address() string { return c.listener.Addr().String() }
+
+func (c *counter) run() {
+	for {
+		client, err := c.listener.Accept()
+		if err != nil {
+			return
+		}
+		server, err := net.Dial("tcp", c.target)
+		if err != nil {
+			_ = client.Close()
+			continue
+		}
+		go (&counted{counter: c, from: client, to: server}).run()
+		go (&counted{counter: c, from: server, to: client}).run()
+	}
+}
+
+// counted is one direction of a connection.
+type counted struct {
+	counter *counter
+	from    net.Conn
+	to      net.Conn
+}
+
+// Write implements io.Writer.
+func (c *counted) Write(b []byte) (int, error) {
+	c.counter.bytes.Add(int64(len(b)))
+	return c.to.Write(b)
+}
+
+func (c *counted) run() {
+	_, _ = io.Copy(c, c.from)
+	_ = c.to.Close()
+	_ = c.from.Close()
+}
+
+// system is one entry and one agent with the configuration of a whole fleet,
+// and counters before both.
+type system struct {
+	*burdockprograms.Fleet
+	toEntry *counter
+	toAgent *counter
+}
+
+func startSystem(b *testing.B, size Size) *system {
+	b.Helper()
+	fleet := burdockprograms.Launch(b, burdockprograms.Config{Models: 1, Entries: 1, Slots: 16})
+	s := &system{
+		Fleet:   fleet,
+		toEntry: newCounter(b, fleet.Entries[0].Peer),
+		toAgent: newCounter(b, fleet.Agents[0].Peer),
+	}
+	s.configure(b, size)
+	s.WaitReady(b)
+	return s
+}
+
+// configure puts the fleet in force, with the real processes in the place of
+// the first upstream and as the only entry.
+func (s *system) configure(b *testing.B, size Size) {
+	b.Helper()
+	f := Fleet(size)
+	f.Services[0].Models = []string{burdockprograms.Model}
+	f.Upstreams[0].Name = "llm-pool-01"
+	f.Upstreams[0].VM = "llm-pool-01"
+	f.Upstreams[0].Agent = s.toAgent.address()
+	f.Entries = []burdockmember.Entry{{VM: "entry-1", DataCentre: dataCentre(0), Peer: s.toEntry.address()}}
+	f.Customers[0].KeyHash = burdockkey.Hash(s.Key)
+	entries, err := Entries(f)
+	if err != nil {
+		b.Fatalf("Entries: %v", err)
+	}
+	var profile burdockprofile.Profile
+	profile.SetDefaults()
+	profile.Name = "bench"
+	profiles, err := burdockprofile.Split([]burdockprofile.Profile{profile})
+	if err != nil {
+		b.Fatalf("Split: %v", err)
+	}
+	entries = append(entries, entry(profiles[0].Key, 1, profiles[0].Value))
+	s.writeAll(b, entries)
+}
+
+const writers = 4
+
+func (s *system) writeAll(b *testing.B, entries []burdockconfig.Entry) {
+	b.Helper()
+	var done sync.WaitGroup
+	for i := range writers {
+		done.Add(1)
+		go func() {
+			defer done.Done()
+			store := burdockstore.NewHTTP([]string{s.Store.Address})
+			for j := i; j < len(entries); j += writers {
+				value, err := burdockconfig.Encode(entries[j])
+				if err == nil {
+					_, err = store.CompareAndSwap(context.Background(), burdockconfig.StorePrefix+entries[j].Key, 0, value)
+				}
+				if err != nil {
+					b.Errorf("write %s: %v", entries[j].Key, err)
+					return
+				}
+			}
+		}()
+	}
+	done.Wait()
+}
+
+// metric reads one metric of a process.
+func metric(b *testing.B, admin, name string) float64 {
+	b.Helper()
+	_, body := burdockprograms.Get("http://" + admin + "/metrics")
+	lines := bufio.NewScanner(strings.NewReader(body))
+	for lines.Scan() {
+		if value, ok := strings.CutPrefix(lines.Text(), name+" "); ok {
+			number, err := strconv.ParseFloat(value, 64)
+			if err != nil {
+				b.Fatalf("%s: %v", name, err)
+			}
+			return number
+		}
+	}
+	b.Fatalf("no metric %s at %s", name, admin)
+	return 0
+}
+
+const (
+	settle = 10 * time.Second
+	idle   = 30 * time.Second
+)
+
+// BenchmarkProcesses measures real processes with the configuration of a whole
+// fleet: first idle, then with requests, then an agent that starts anew. It
+// takes a minute for each size; run it with -benchtime 1x.
+func BenchmarkProcesses(b *testing.B) {
+	for _, size := range Sizes {
+		b.Run(fmt.Sprint(size.Upstreams), func(b *testing.B) {
+			for range b.N {
+				s := startSystem(b, size)
+				time.Sleep(settle)
+				s.measureIdle(b)
+				s.measureRequests(b)
+				s.measureRestart(b)
+			}
+		})
+	}
+}
+
+func (s *system) measureIdle(b *testing.B) {
+	entry, agent := s.Entries[0].Admin, s.Agents[0].Admin
+	cpuEntry, cpuAgent := metric(b, entry, "process_cpu_seconds_total"), metric(b, agent, "process_cpu_seconds_total")
+	counts, bytes := s.Store.Counts(), s.toEntry.bytes.Load()
+	time.Sleep(idle)
+	b.ReportMetric(100*(metric(b, entry, "process_cpu_seconds_total")-cpuEntry)/idle.Seconds(), "entry-cpu-%")
+	b.ReportMetric(100*(metric(b, agent, "process_cpu_seconds_total")-cpuAgent)/idle.Seconds(), "agent-cpu-%")
+	b.ReportMetric(float64(s.toEntry.bytes.Load()-bytes)/idle.Seconds(), "agent-pull-B/s")
+	b.ReportMetric(metric(b, entry, "process_resident_memory_bytes")/(1<<20), "entry-MiB")
+	b.ReportMetric(metric(b, agent, "process_resident_memory_bytes")/(1<<20), "agent-MiB")
+	b.ReportMetric(metric(b, entry, "process_resident_memory_anon_bytes")/(1<<20), "entry-anon-MiB")
+	b.ReportMetric(metric(b, agent, "process_resident_memory_anon_bytes")/(1<<20), "agent-anon-MiB")
+	for name, n := range s.Store.Counts() {
+		b.Logf("store calls in %v idle: %s %d", idle, name, n-counts[name])
+	}
+}
+
+const requests = 200
+
+// measureRequests counts what a request puts on the wire between entry and
+// agent beyond its body and its answer.
+func (s *system) measureRequests(b *testing.B) {
+	call := burdockprograms.Chat("a deck", 10, false)
+	before := s.toAgent.bytes.Load()
+	served, whole := 0, 0
+	for range requests {
+		answer := s.Send(context.Background(), s.Entries[0], call)
+		if !answer.Whole() {
+			continue
+		}
+		served++
+		whole += len(call.Body) + len(answer.Body)
+	}
+	if served == 0 {
+		b.Fatal("no request was served")
+	}
+	b.Logf("requests served by the one agent: %d of %d", served, requests)
+	b.ReportMetric(float64(s.toAgent.bytes.Load()-before-int64(whole))/float64(served), "request-B")
+}
+
+// measureRestart counts what an agent pulls that starts with nothing.
+func (s *system) measureRestart(b *testing.B) {
+	agent := s.Agents[0]
+	agent.Kill()
+	before, counts := s.toEntry.bytes.Load(), s.Store.Counts()
+	s.StartAgent(b, agent)
+	s.WaitReady(b)
+	b.ReportMetric(float64(s.toEntry.bytes.Load()-before), "start-pull-B")
+	for name, n := range s.Store.Counts() {
+		b.Logf("store calls of an agent's start: %s %d", name, n-counts[name])
+	}
+}
--- a/internal/tool/burdockcli/root.go
+++ b/internal/tool/burdockcli/root.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 
+	"burdockbend.example/burdockbend/internal/measure/burdockcapacitylab"
 	"burdockbend.example/burdockbend/internal/measure/burdockexpertlab"
 	"burdockbend.example/burdockbend/internal/measure/burdockgrouplab"
 	"burdockbend.example/burdockbend/internal/measure/burdockplacelab"
@@ -101,7 +102,8 @@
 		burdockqueuelab.Command(c.stdout),
 		burdockplacelab.Command(c.stdout),
 		burdockexpertlab.Command(c.stdout),
-		burdockgrouplab.Command(c.stdout))
+		burdockgrouplab.Command(c.stdout),
+		burdockcapacitylab.Command(c.stdout))
 }
 
 // flags returns an empty flag set that reports to the command line's errors.
