Let a watcher ask the store at its own pace

Ruled out: a pause before each watch, which would delay the change that comes alone.

Change: half a second lies between the starts of two calls.

--- a/internal/measure/burdockcapacitylab/command.go
+++ b/internal/measure/burdockcapacitylab/command.go
@@ -48,16 +48,16 @@
 
 func printConfig(w io.Writer) error {
 	table := newTable(w, "Configuration of one process",
-		"upstreams\tcustomers\tkeys\theap KiB\tmerge µs\thome µs\tequal µs\tB\tone µs\tB\tall µs\tB\t")
+		"upstreams\tcustomers\tkeys\theap KiB\tmerge µs\thome µs\tequal µs\tB\tone µs\tB\tall µs\tB\tlisting B\t")
 	for _, size := range Sizes {
 		c, err := MeasureConfig(size)
 		if err != nil {
 			return err
 		}
-		fmt.Fprintf(table, "%d\t%d\t%d\t%d\t%s\t%s\t%s\t%d\t%s\t%d\t%s\t%d\t\n",
+		fmt.Fprintf(table, "%d\t%d\t%d\t%d\t%s\t%s\t%s\t%d\t%s\t%d\t%s\t%d\t%d\t\n",
 			size.Upstreams, size.Customers, c.Keys, c.Bytes>>10, micros(c.Merge), micros(c.MergeHome),
 			micros(c.SyncEqual.Time), c.SyncEqual.Bytes, micros(c.SyncOne.Time), c.SyncOne.Bytes,
-			micros(c.SyncBuckets.Time), c.SyncBuckets.Bytes)
+			micros(c.SyncBuckets.Time), c.SyncBuckets.Bytes, c.Listing)
 	}
 	return table.Flush()
 }
--- a/internal/measure/burdockcapacitylab/config.go
+++ b/internal/measure/burdockcapacitylab/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"runtime"
 	"time"
@@ -9,6 +10,7 @@
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/config/burdockentity"
+	"burdockbend.example/burdockbend/internal/platform/burdockstore"
 	"burdockbend.example/burdockbend/internal/state/burdockconfig"
 	"burdockbend.example/burdockbend/internal/state/burdocksync"
 	"burdockbend.example/burdockbend/internal/wire/burdockwire"
@@ -30,6 +32,8 @@
 	SyncEqual   Answer
 	SyncOne     Answer
 	SyncBuckets Answer
+	// Listing is the size of the store's answer that lists all keys.
+	Listing int
 }
 
 // Answer is what one message costs the process that answers, without the
@@ -51,12 +55,28 @@
 	if cost.Merge, err = mergeUpstream(s, size); err != nil {
 		return ConfigCost{}, err
 	}
+	if cost.Listing, err = listing(entries); err != nil {
+		return ConfigCost{}, err
+	}
 	cost.MergeHome = mergeHome(s, entries[len(entries)-1])
 	err = cost.measureSync(s, size)
 	runtime.KeepAlive(s)
 	return cost, err
 }
 
+func listing(entries []burdockconfig.Entry) (int, error) {
+	var l burdockstore.Listing
+	for i, e := range entries {
+		value, err := burdockconfig.Encode(e)
+		if err != nil {
+			return 0, err
+		}
+		l.Entries = append(l.Entries, burdockstore.Entry{Key: burdockconfig.StorePrefix + e.Key, Value: value, Revision: burdockstore.Revision(i)})
+	}
+	data, err := json.Marshal(l)
+	return len(data), err
+}
+
 // cloneAll copies the values, so that they count for the process that holds
 // them.
 func cloneAll(entries []burdockconfig.Entry) []burdockconfig.Entry {
--- a/internal/state/burdocksync/watcher.go
+++ b/internal/state/burdocksync/watcher.go
@@ -18,6 +18,12 @@
 	// watchWait is how long one watch waits. A waiting watch counts as a call,
 	// so a longer one is cheaper; a shorter one finds a dead store sooner.
 	watchWait = 10 * burdockclock.Second
+	// watchGap is the least time between the starts of two calls. Each write ends
+	// every waiting watch: a burst of them, such as the homes of a new service's
+	// keys or a whole fleet put in force, would else have 350 watchers ask again
+	// as fast as the store answers, which takes two thousand reads a second.
+	// With the gap it is 700, and a change that comes alone waits for nothing.
+	watchGap = 500 * burdockclock.Millis(1)
 	// relistEvery bounds how long a fault of the store's watch can hide an edit.
 	relistEvery = 5 * burdockclock.Minute
 	retryFirst  = 500 * burdockclock.Millis(1)
@@ -62,11 +68,13 @@
 func (w *Watcher) loop(ctx context.Context) {
 	defer w.done.Done()
 	for ctx.Err() == nil {
+		began := w.clock.Boot()
 		if err := w.once(ctx); err != nil && ctx.Err() == nil {
 			w.failed(ctx, err)
 			continue
 		}
 		w.failures = 0
+		sleep(ctx, began+watchGap-w.clock.Boot())
 	}
 }
 
--- /dev/null
+++ b/internal/state/burdocksync/watcher_test.go
@@ -0,0 +1,49 @@
+package burdocksync
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/platform/burdockstore"
+	"burdockbend.example/burdockbend/internal/standin/burdockfakestore"
+	"burdockbend.example/burdockbend/internal/standin/burdockfault"
+	"burdockbend.example/burdockbend/internal/state/burdockconfig"
+	"go.uber.org/zap"
+)
+
+// Operators put a fleet in force key by key. Each write ends the watch of each
+// entry, which asks again at once; hundreds of entries would keep the store
+// from its writes. A watcher asks at its own pace, and still gets every key.
+func TestBurstOfWritesDoesNotMultiplyWatches(t *testing.T) {
+	clock := burdockclock.System()
+	injector := burdockfault.NewInjector(burdockfakestore.New(clock))
+	server := httptest.NewServer(injector)
+	defer server.Close()
+	store := burdockstore.NewHTTP([]string{server.Listener.Addr().String()})
+	view := burdockconfig.NewView()
+	w := NewWatcher(store, view, NewSource(clock), clock, zap.NewNop())
+	began := clock.Boot()
+	w.Start()
+	defer w.Close()
+	writer := NewWriter(store)
+	const writes = 100
+	for i := range writes {
+		if _, err := writer.Write(context.Background(), Edit{Key: fmt.Sprintf("customer/%d", i), Value: []byte("{}")}); err != nil {
+			t.Fatalf("write %d: %v", i, err)
+		}
+		time.Sleep(10 * time.Millisecond) // lets the watch come back in between
+	}
+	for limit := time.Now().Add(time.Minute); view.Len() < writes; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(limit) {
+			t.Fatalf("keys that came: got %d, want %d", view.Len(), writes)
+		}
+	}
+	most := int((clock.Boot()-began)/watchGap) + 1
+	if got := injector.Counts()["GET /v1/watch"]; got > most {
+		t.Errorf("watches during %d writes: got %d, want at most %d", writes, got, most)
+	}
+}
