--- a/cmd/burdock-standin/main.go
+++ b/cmd/burdock-standin/main.go
@@ -23,13 +23,15 @@
 
 func run(args []string) int {
 	flags := flag.NewFlagSet("burdock-standin", flag.ContinueOnError)
-	kind := flags.String("kind", "", "store, list, engine, plain or link")
+	kind := flags.String("kind", "", "store, list, engine, plain, lockstep or link")
 	listen := flags.String("listen", "127.0.0.1:0", "IP and port to listen on")
 	lag := flags.Duration("lag", 0, "how late the list shows a change")
 	step := flags.Duration("step", 4500*time.Microsecond, "time between two tokens of an engine")
 	prefill := flags.Duration("prefill", 2*time.Millisecond, "time to the first byte of an answer")
 	target := flags.String("target", "", "IP and port that a link leads to")
 	models := flags.String("models", "", "names of an engine's models, with commas")
+	ranks := flags.Int("ranks", 1, "engines that a lockstep keeps in step")
+	rank := rankFlags(flags)
 	if err := ff.Parse(flags, args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return burdockmain.ExitUsage
@@ -43,7 +45,8 @@
 		Kind:    burdockstandin.Kind(*kind),
 		Address: *listen,
 		Lag:     burdockclock.FromDuration(*lag),
-		Engine:  burdockfakeengine.Config{Step: *step, Prefill: *prefill, Models: strings.Split(*models, ",")},
+		Ranks:   *ranks,
+		Engine:  burdockfakeengine.Config{Step: *step, Prefill: *prefill, Models: strings.Split(*models, ","), Rank: rank()},
 	})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- /dev/null
+++ b/internal/platform/burdockengine/grouphttp.go
@@ -0,0 +1,154 @@
+package burdockengine
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/group/burdockgroup"
+	"burdockbend.example/burdockbend/internal/wire/burdocktransport"
+	"github.com/dghubble/sling"
+)
+
+// Paths of the group's interface of an engine.
+const (
+	GroupOrderPath  = "/group/order"
+	GroupStepsPath  = "/group/steps"
+	GroupCountsPath = "/group/counts"
+)
+
+const (
+	// groupTimeout bounds one call to an engine on the same VM. The engine
+	// answers before a load has ended, so it has nothing to wait for.
+	groupTimeout = 2 * time.Second
+	// maxGroupBytes covers the counts of the largest group in JSON.
+	maxGroupBytes = 16 << 20
+)
+
+// GroupOrder is an order to an engine as it is sent. One of the pointers is
+// set; none asks for the status.
+type GroupOrder struct {
+	Fence     burdockid.Fence         `json:"fence"`
+	LoadMap   *burdockgroup.LoadMap   `json:"loadMap,omitempty"`
+	HoldAt    *burdockgroup.HoldAt    `json:"holdAt,omitempty"`
+	UseFrom   *burdockgroup.UseFrom   `json:"useFrom,omitempty"`
+	Resume    *burdockgroup.Resume    `json:"resume,omitempty"`
+	BeginWith *burdockgroup.BeginWith `json:"beginWith,omitempty"`
+}
+
+// NewGroupOrder returns an order as it is sent.
+func NewGroupOrder(fence burdockid.Fence, order burdockgroup.EngineOrder) GroupOrder {
+	g := GroupOrder{Fence: fence}
+	switch o := order.(type) {
+	case burdockgroup.LoadMap:
+		g.LoadMap = &o
+	case burdockgroup.HoldAt:
+		g.HoldAt = &o
+	case burdockgroup.UseFrom:
+		g.UseFrom = &o
+	case burdockgroup.Resume:
+		g.Resume = &o
+	case burdockgroup.BeginWith:
+		g.BeginWith = &o
+	}
+	return g
+}
+
+// Order returns the order that was sent.
+func (g GroupOrder) Order() burdockgroup.EngineOrder {
+	switch {
+	case g.LoadMap != nil:
+		return *g.LoadMap
+	case g.HoldAt != nil:
+		return *g.HoldAt
+	case g.UseFrom != nil:
+		return *g.UseFrom
+	case g.Resume != nil:
+		return *g.Resume
+	case g.BeginWith != nil:
+		return *g.BeginWith
+	}
+	return burdockgroup.ReadStatus{}
+}
+
+type stepsQuery struct {
+	From burdockid.Step `url:"from"`
+}
+
+// groupHTTP speaks to the group's interface of an engine.
+type groupHTTP struct {
+	client *http.Client
+	base   string
+}
+
+// NewGroupHTTP returns the GroupEngine at address, an IP and port. No call is
+// sent a second time: an order that arrives after a later one is what the
+// conditions on orders are there for, not what the agent should bring about.
+func NewGroupHTTP(address string) GroupEngine {
+	return &groupHTTP{
+		base: "http://" + address,
+		client: &http.Client{
+			Timeout: groupTimeout,
+			Transport: burdocktransport.NewOnce(&http.Transport{
+				DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
+				IdleConnTimeout: idleTimeout,
+			}),
+		},
+	}
+}
+
+// Order implements GroupEngine.
+func (g *groupHTTP) Order(ctx context.Context, fence burdockid.Fence, order burdockgroup.EngineOrder) (burdockgroup.EngineStatus, error) {
+	var status burdockgroup.EngineStatus
+	err := g.call(ctx, sling.New().Base(g.base).Post(GroupOrderPath).BodyJSON(NewGroupOrder(fence, order)), &status)
+	return status, err
+}
+
+// Steps implements GroupEngine.
+func (g *groupHTTP) Steps(ctx context.Context, from burdockid.Step) (GroupSteps, error) {
+	var steps GroupSteps
+	err := g.call(ctx, sling.New().Base(g.base).Get(GroupStepsPath).QueryStruct(stepsQuery{From: from}), &steps)
+	return steps, err
+}
+
+// Counts implements GroupEngine.
+func (g *groupHTTP) Counts(ctx context.Context) (GroupCounts, error) {
+	var counts GroupCounts
+	err := g.call(ctx, sling.New().Base(g.base).Get(GroupCountsPath), &counts)
+	return counts, err
+}
+
+func (g *groupHTTP) call(ctx context.Context, b *sling.Sling, out any) error {
+	req, err := b.Request()
+	if err != nil {
+		return ErrNotSent.Wrap(err, "build request")
+	}
+	res, err := g.client.Do(req.WithContext(ctx))
+	if err != nil {
+		return ErrBroken.Wrap(err, "%s %s", req.Method, req.URL.Path)
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxGroupBytes))
+	if err != nil {
+		return ErrBroken.Wrap(err, "read answer to %s", req.URL.Path)
+	}
+	return decodeGroup(res.StatusCode, body, req.URL.Path, out)
+}
+
+func decodeGroup(status int, body []byte, path string, out any) error {
+	switch status {
+	case http.StatusOK:
+		if err := json.Unmarshal(body, out); err != nil {
+			return ErrBroken.Wrap(err, "answer to %s", path)
+		}
+		return nil
+	case http.StatusConflict:
+		return ErrOldFence.New("%s: %s", path, body)
+	default:
+		return ErrBroken.New("%s: status %d", path, status)
+	}
+}
--- a/internal/platform/burdockstore/http.go
+++ b/internal/platform/burdockstore/http.go
@@ -119,6 +119,13 @@
 	return Lease{Name: name, Holder: holder, Fence: granted.Fence, TTL: ttl}, err
 }
 
+// Fence implements Store.
+func (s *httpStore) Fence(ctx context.Context, name string) (burdockid.Fence, error) {
+	var granted Granted
+	err := s.call(ctx, callTimeout, s.request().Get("/v1/lease").QueryStruct(leaseQuery{Name: name}), &granted)
+	return granted.Fence, err
+}
+
 // Release implements Store.
 func (s *httpStore) Release(ctx context.Context, name, holder string) error {
 	q := leaseQuery{Name: name, Holder: holder}
--- a/internal/platform/burdockstore/store.go
+++ b/internal/platform/burdockstore/store.go
@@ -50,6 +50,9 @@
 	// ErrConflict while another holder has it. The fence grows with each change
 	// of holder.
 	Acquire(ctx context.Context, name, holder string, ttl burdockclock.Millis) (Lease, error)
+	// Fence returns the fencing number of the lease name's latest holder, 0 if
+	// it never had one. The lease need not be held by anyone now.
+	Fence(ctx context.Context, name string) (burdockid.Fence, error)
 	// Release gives the lease up early.
 	Release(ctx context.Context, name, holder string) error
 }
--- /dev/null
+++ b/internal/proof/burdockprograms/group.go
@@ -0,0 +1,151 @@
+package burdockprograms
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/config/burdockkey"
+	"burdockbend.example/burdockbend/internal/serve/burdockrank"
+	"burdockbend.example/burdockbend/internal/standin/burdockfakeengine"
+)
+
+// GroupName is the lock-stepped group of a test.
+const GroupName = "decks-1"
+
+// GroupConfig sets the size and behaviour of a lock-stepped group.
+type GroupConfig struct {
+	Ranks  int
+	Step   time.Duration
+	Load   time.Duration // of a map
+	Fenced bool          // engines check fencing numbers
+	Deaf   map[int]bool  // ranks whose engines run on while they say they are held
+	// DriftEvery is the number of steps after which other experts are popular.
+	DriftEvery int
+	Layers     int
+	// ProfileExtra is added to the profile's TOML.
+	ProfileExtra string
+}
+
+// Group is a lock-stepped group of separate processes: a store, the exchange
+// between the engines, and an engine and an agent for each rank. It has no
+// entry, since its steps need no callers.
+type Group struct {
+	*Fleet
+	Group    GroupConfig
+	Lockstep *Standin
+}
+
+// StartGroup starts a group and puts its membership in force.
+func StartGroup(t testing.TB, cfg GroupConfig) *Group {
+	t.Helper()
+	f := &Fleet{
+		Config: Config{Slots: 4, ProfileExtra: cfg.ProfileExtra},
+		Key:    burdockkey.New(), dir: t.TempDir(), bin: Build(t),
+	}
+	g := &Group{Fleet: f, Group: cfg}
+	f.Store = f.standin(t, "store")
+	f.List = f.standin(t, "list")
+	g.Lockstep = f.standin(t, "lockstep", "-ranks", strconv.Itoa(cfg.Ranks))
+	for i := range cfg.Ranks {
+		g.addRank(t, i)
+	}
+	profiles := f.write(t, "profiles", f.ProfileTOML(defaultMaxQueued))
+	f.Operate(t, "profile", "apply", "-store", f.Store.Address, profiles)
+	f.Operate(t, "fleet", "apply", "-store", f.Store.Address, f.write(t, "fleet", g.groupTOML()))
+	return g
+}
+
+func (g *Group) addRank(t testing.TB, i int) {
+	t.Helper()
+	a := &Agent{
+		Name:     fmt.Sprintf("%s-%02d", ModelService, i+1),
+		Service:  ModelService,
+		Peer:     FreeAddress(t),
+		Admin:    FreeAddress(t),
+		Upstream: g.startEngine(t, i, "127.0.0.1:0"),
+	}
+	a.settings = g.write(t, a.Name, g.common(i, a.Name, a.Peer, a.Admin)+fmt.Sprintf(`
+upstream = %q
+engineAddress = %q
+kind = "model"
+slots = %d
+`, a.Name, a.Upstream.Address, g.Config.Slots))
+	g.Agents = append(g.Agents, a)
+	g.StartAgent(t, a)
+}
+
+func (g *Group) startEngine(t testing.TB, rank int, listen string) *Standin {
+	t.Helper()
+	args := []string{
+		"-listen", listen, "-models", Model,
+		"-lockstep", g.Lockstep.Address, "-rank", strconv.Itoa(rank),
+		"-group-step", g.Group.Step.String(), "-load", g.Group.Load.String(),
+		"-layers", strconv.Itoa(g.Group.Layers), "-drift-every", strconv.Itoa(g.Group.DriftEvery),
+	}
+	if g.Group.Fenced {
+		args = append(args, "-fenced")
+	}
+	if g.Group.Deaf[rank] {
+		args = append(args, "-deaf")
+	}
+	return g.standin(t, "engine", args...)
+}
+
+// ReplaceEngine ends the engine of a rank and starts an empty one in its place.
+func (g *Group) ReplaceEngine(t testing.TB, rank int) {
+	t.Helper()
+	a := g.Agents[rank]
+	a.Upstream.Kill()
+	a.Upstream = g.startEngine(t, rank, a.Upstream.Address)
+}
+
+func (g *Group) groupTOML() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "site = %q\n", site)
+	for _, dc := range dataCentres {
+		fmt.Fprintf(&b, "[[dataCentre]]\nname = %q\n", dc)
+	}
+	fmt.Fprintf(&b, "[[service]]\nname = %q\nkind = \"model\"\nprofile = \"bench\"\nmodels = [%q]\nmaxPromptTokens = 8192\n", ModelService, Model)
+	for i, a := range g.Agents {
+		fmt.Fprintf(&b, "[[upstream]]\nname = %q\nservice = %q\nvm = %q\ndataCentre = %q\nagent = %q\nfenced = %v\ngroup = %q\nrank = %d\n",
+			a.Name, a.Service, a.Name, dataCentres[i%len(dataCentres)], a.Address(), g.Group.Fenced, GroupName, i)
+	}
+	fmt.Fprintf(&b, "[[customer]]\nname = %q\nkeyHash = %q\n", Customer, burdockkey.Hash(g.Key))
+	return b.String()
+}
+
+// Log returns every step that each rank finished.
+func (g *Group) Log() burdockfakeengine.LockstepLog {
+	var log burdockfakeengine.LockstepLog
+	GetJSON("http://"+g.Lockstep.Address+burdockfakeengine.LockstepLogPath, &log)
+	return log
+}
+
+// State returns what the agent of a rank shows of the group, if it answers.
+func (g *Group) State(rank int) (burdockrank.State, bool) {
+	var dump struct {
+		Group *burdockrank.State `json:"group"`
+	}
+	if !GetJSON("http://"+g.Agents[rank].Admin+"/state", &dump) || dump.Group == nil {
+		return burdockrank.State{}, false
+	}
+	return *dump.Group, true
+}
+
+// Last returns the lowest of the ranks' last steps, and whether all have one.
+func Last(log burdockfakeengine.LockstepLog) (burdockid.Step, bool) {
+	var last burdockid.Step
+	for i, runs := range log.Ranks {
+		if len(runs) == 0 {
+			return 0, false
+		}
+		if to := runs[len(runs)-1].To; i == 0 || to < last {
+			last = to
+		}
+	}
+	return last, len(log.Ranks) > 0
+}
--- a/internal/serve/burdockprocess/agent.go
+++ b/internal/serve/burdockprocess/agent.go
@@ -8,6 +8,7 @@
 	"burdockbend.example/burdockbend/internal/config/burdocksettings"
 	"burdockbend.example/burdockbend/internal/platform/burdockengine"
 	"burdockbend.example/burdockbend/internal/serve/burdockagent"
+	"burdockbend.example/burdockbend/internal/serve/burdockrank"
 	"burdockbend.example/burdockbend/internal/state/burdockcharts"
 	"burdockbend.example/burdockbend/internal/state/burdocksync"
 	"burdockbend.example/burdockbend/internal/wire/burdockwire"
@@ -20,6 +21,7 @@
 	*node
 	agent  *burdockagent.Agent
 	homes  *burdockagent.Homes
+	rank   *burdockrank.Host
 	puller *burdocksync.Puller
 	reader *burdocksync.Fallback
 	grace  burdockclock.Millis
@@ -46,9 +48,18 @@
 			Random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		},
 	)
+	a.rank = burdockrank.NewHost(settings.Upstream, burdockrank.Deps{
+		Clock:  n.clock,
+		Engine: burdockengine.NewGroupHTTP(settings.EngineAddress),
+		Store:  n.store,
+		Fleet:  n.fleet,
+		Peers:  n.peers,
+		Log:    log,
+	})
 	mux := http.NewServeMux()
 	mux.Handle(burdockwire.NewPeerServiceHandler(burdocksync.NewHandler(n.view, n.source)))
 	mux.Handle(burdockwire.NewAgentServiceHandler(a.agent))
+	mux.Handle(burdockwire.NewGroupServiceHandler(a.rank))
 	if err := n.listen(mux, a); err != nil {
 		return nil, err
 	}
@@ -58,6 +69,7 @@
 	a.puller.Start()
 	a.reader.Start()
 	a.homes.Start()
+	a.rank.Start()
 	return a, nil
 }
 
@@ -77,6 +89,7 @@
 	a.agent.Drain()
 	a.drain(a.released, min(a.grace, a.agent.StopGrace()))
 	a.homes.Close()
+	a.rank.Close()
 	a.puller.Close()
 	a.reader.Close()
 	a.peer.Close(lateGrace.Duration())
@@ -93,6 +106,9 @@
 func (a *Agent) Dump() any {
 	d := a.dump("agent")
 	d.Agent = a.agent.State()
+	if state := a.rank.State(); state != nil {
+		d.Group = state
+	}
 	return d
 }
 
--- a/internal/serve/burdockprocess/node.go
+++ b/internal/serve/burdockprocess/node.go
@@ -172,6 +172,7 @@
 	Config   ConfigDump              `json:"config"`
 	Entry    any                     `json:"entry,omitempty"`
 	Agent    any                     `json:"agent,omitempty"`
+	Group    any                     `json:"group,omitempty"`
 	Versions map[string]versionDump  `json:"versions"`
 	Source   burdocksync.SourceState `json:"source"`
 	Findings []string                `json:"findings"`
--- /dev/null
+++ b/internal/serve/burdockrank/duty.go
@@ -0,0 +1,183 @@
+package burdockrank
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/group/burdockgroup"
+	"burdockbend.example/burdockbend/internal/wire/burdockwire"
+	"connectrpc.com/connect"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+)
+
+// orderTimeout bounds one order. The controller sends it again long before;
+// this only frees what waits on a peer that hangs.
+const orderTimeout = time.Second
+
+// duty is the group's controller as far as it is in this agent: it acts only
+// while the agent holds the group's lease.
+type duty struct {
+	member *member
+	lease  *leaseKeeper
+	plan   *planning
+
+	mu         sync.Mutex
+	controller *burdockgroup.Controller
+}
+
+func newDuty(m *member, random *rand.Rand) *duty {
+	d := &duty{
+		member:     m,
+		controller: burdockgroup.NewController(burdockgroup.DefaultControllerConfig(m.seat.ranks)),
+	}
+	d.lease = newLeaseKeeper(m, random)
+	d.plan = newPlanning(d)
+	return d
+}
+
+// loop lets the controller and the planner look at the time.
+func (d *duty) loop() {
+	defer d.member.done.Done()
+	ticker := time.NewTicker(rankTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-d.member.ctx.Done():
+			return
+		case <-ticker.C:
+			d.handle(burdockgroup.ControllerTick{})
+			d.plan.advance()
+		}
+	}
+}
+
+// handle gives the controller one input and does what it returns, in turn.
+func (d *duty) handle(in burdockgroup.ControllerInput) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, out := range d.controller.Handle(d.member.deps.Clock.Boot(), in) {
+		d.do(out)
+	}
+}
+
+// state returns the controller's part of the state dump.
+func (d *duty) state() burdockgroup.ControllerState {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.controller.State()
+}
+
+func (d *duty) do(out burdockgroup.ControllerOutput) {
+	m := d.member
+	switch out := out.(type) {
+	case burdockgroup.SendOrder:
+		if m.enter() {
+			go sending{d, out}.run()
+		}
+	case burdockgroup.NeedMap:
+		d.plan.need(out.Map)
+	case burdockgroup.MapInForce:
+		d.plan.inForce(out.Map)
+		m.deps.Log.Info("map in force", zap.String("group", m.seat.group), zap.Uint64("map", uint64(out.Map)))
+	case burdockgroup.MapRefused:
+		m.deps.Log.Warn("a rank could not load the map", zap.Uint64("map", uint64(out.Map)), zap.Int("rank", int(out.Rank)))
+	case burdockgroup.SteppedDown:
+		d.plan.reset()
+		m.deps.Log.Info("no longer controls the group", zap.String("group", m.seat.group), zap.String("reason", string(out.Reason)))
+	case burdockgroup.SplitSeen:
+		d.splitSeen(out)
+	}
+}
+
+func (d *duty) splitSeen(out burdockgroup.SplitSeen) {
+	d.member.mu.Lock()
+	defer d.member.mu.Unlock()
+	if out.Split == nil {
+		d.member.fault("the ranks' statuses contradict each other")
+		return
+	}
+	d.member.fault("ranks used different maps in one step", zap.Error(out.Split))
+}
+
+// sending is one order on its way.
+type sending struct {
+	duty *duty
+	out  burdockgroup.SendOrder
+}
+
+func (s sending) run() {
+	m := s.duty.member
+	defer m.done.Done()
+	ctx, cancel := context.WithTimeout(m.ctx, orderTimeout)
+	defer cancel()
+	if report, ok := s.send(ctx); ok {
+		s.duty.handle(burdockgroup.ReportReceived{Report: report})
+	}
+}
+
+// send looks at the lease right before the order is written. The goroutine may
+// have waited for its turn, and the VM may have been suspended meanwhile.
+func (s sending) send(ctx context.Context) (burdockgroup.Report, bool) {
+	m, order := s.duty.member, s.out.Order
+	if order.To == m.seat.rank {
+		if !s.mayWrite() {
+			return burdockgroup.Report{}, false
+		}
+		report, err := m.order(ctx, order)
+		return report, err == nil
+	}
+	client, ok := m.client(order.To)
+	if !ok {
+		return burdockgroup.Report{}, false
+	}
+	msg := orderToWire(m.seat.group, order)
+	if !s.mayWrite() {
+		return burdockgroup.Report{}, false
+	}
+	m.traffic.sent(msg)
+	res, err := client.Order(ctx, connect.NewRequest(msg))
+	if err != nil {
+		return burdockgroup.Report{}, false
+	}
+	m.traffic.received(res.Msg)
+	report, err := reportFromWire(res.Msg)
+	if err != nil || report.From != order.To {
+		m.deps.Log.Warn("malformed report", zap.Int("rank", int(order.To)), zap.Error(err))
+		return burdockgroup.Report{}, false
+	}
+	return report, true
+}
+
+func (s sending) mayWrite() bool { return s.duty.member.deps.Clock.Boot() < s.out.NotAfter }
+
+// traffic counts the messages of a controller, without their HTTP framing.
+type traffic struct {
+	orders, orderBytes   atomic.Int64
+	reports, reportBytes atomic.Int64
+	counts, countBytes   atomic.Int64
+}
+
+func (t *traffic) sent(msg *burdockwire.GroupOrder) {
+	t.orders.Add(1)
+	t.orderBytes.Add(int64(proto.Size(msg)))
+}
+
+func (t *traffic) received(msg *burdockwire.GroupReport) {
+	t.reports.Add(1)
+	t.reportBytes.Add(int64(proto.Size(msg)))
+}
+
+func (t *traffic) counted(msg *burdockwire.GroupCountsResponse) int {
+	size := proto.Size(msg)
+	t.counts.Add(1)
+	t.countBytes.Add(int64(size))
+	return size
+}
+
+// sinceBoot is the boot clock's time.
+func (d *duty) sinceBoot() burdockclock.Millis { return d.member.deps.Clock.Boot() }
--- /dev/null
+++ b/internal/serve/burdockrank/host.go
@@ -0,0 +1,142 @@
+// Package burdockrank runs the map change of lock-stepped groups in an agent:
+// the state machines of burdockgroup on real time, messages, leases and an
+// engine, and the planner of burdockexpert on the popularity that the engines
+// report. docs/design/mapchange.md says how the parts work together.
+package burdockrank
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/config/burdockmember"
+	"burdockbend.example/burdockbend/internal/platform/burdockengine"
+	"burdockbend.example/burdockbend/internal/platform/burdockstore"
+	"burdockbend.example/burdockbend/internal/state/burdockfleet"
+	"burdockbend.example/burdockbend/internal/wire/burdocktransport"
+	"go.uber.org/zap"
+)
+
+// followEvery is how often a host looks whether its upstream's group changed.
+const followEvery = 200 * time.Millisecond
+
+// Deps is what a host works with.
+type Deps struct {
+	Clock  burdockclock.Clock
+	Engine burdockengine.GroupEngine
+	Store  burdockstore.Store
+	Fleet  *burdockfleet.Fleet
+	Peers  *burdocktransport.Peers
+	Log    *zap.Logger
+}
+
+// Host speaks for the rank that the fleet's membership gives its upstream, if
+// it gives one.
+type Host struct {
+	upstream burdockid.Upstream
+	deps     Deps
+	stop     chan struct{}
+	stopped  chan struct{}
+
+	mu      sync.Mutex
+	current *member // nil while the upstream is in no group
+}
+
+// NewHost returns the host of an upstream. Its loop must be started with Start.
+func NewHost(upstream burdockid.Upstream, deps Deps) *Host {
+	return &Host{upstream: upstream, deps: deps, stop: make(chan struct{}), stopped: make(chan struct{})}
+}
+
+// Start begins to follow the fleet.
+func (h *Host) Start() { go h.loop() }
+
+// Close gives up the rank and the group's lease.
+func (h *Host) Close() {
+	close(h.stop)
+	<-h.stopped
+	h.replace(nil)
+}
+
+func (h *Host) loop() {
+	defer close(h.stopped)
+	ticker := time.NewTicker(followEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-h.stop:
+			return
+		case <-ticker.C:
+			h.follow()
+		}
+	}
+}
+
+// seat is a place in a group. A machine that was made for one seat knows
+// nothing that holds for another.
+type seat struct {
+	group string
+	rank  burdockid.Rank
+	ranks int
+}
+
+func (h *Host) follow() {
+	want := seatOf(h.deps.Fleet.Now(), h.upstream)
+	m := h.member()
+	switch {
+	case m == nil && want.group == "", m != nil && m.seat == want:
+	case want.group == "":
+		h.replace(nil)
+	default:
+		// The old machines end before the new ones begin: an engine has one door.
+		h.replace(nil)
+		h.replace(newMember(want, h.upstream, h.deps, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))))
+	}
+}
+
+func seatOf(fleet *burdockfleet.Snapshot, name burdockid.Upstream) seat {
+	u, ok := fleet.Upstreams[name]
+	if !ok || u.Group == "" {
+		return seat{}
+	}
+	return seat{group: u.Group, rank: u.Rank, ranks: len(groupOf(fleet, u))}
+}
+
+// groupOf returns the members of an upstream's group.
+func groupOf(fleet *burdockfleet.Snapshot, of burdockmember.Upstream) []burdockmember.Upstream {
+	var members []burdockmember.Upstream
+	for _, u := range fleet.Members[of.Service] {
+		if u.Group == of.Group {
+			members = append(members, u)
+		}
+	}
+	return members
+}
+
+func (h *Host) member() *member {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.current
+}
+
+// memberOf returns the member of a group, nil if the upstream is not in it.
+func (h *Host) memberOf(group string) *member {
+	if m := h.member(); m != nil && m.seat.group == group {
+		return m
+	}
+	return nil
+}
+
+func (h *Host) replace(m *member) {
+	h.mu.Lock()
+	old := h.current
+	h.current = m
+	h.mu.Unlock()
+	if old != nil {
+		old.close()
+	}
+	if m != nil {
+		m.start()
+	}
+}
--- /dev/null
+++ b/internal/serve/burdockrank/lease.go
@@ -0,0 +1,91 @@
+package burdockrank
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/group/burdockgroup"
+	"burdockbend.example/burdockbend/internal/platform/burdockstore"
+	"github.com/joomcode/errorx"
+	"go.uber.org/zap"
+)
+
+const (
+	// leaseTTL is how long a group may be without a controller after one died.
+	// A shorter one costs the store more renewals: 240 groups at one in 5 s are
+	// 48 writes a second already.
+	leaseTTL = 10 * burdockclock.Second
+	// leaseEvery leaves room for one lost renewal.
+	leaseEvery = 5 * burdockclock.Second
+	// leaseSpread is the part of leaseEvery by which it varies, so that a store
+	// that comes back isn't met by all groups at once.
+	leaseSpread = 0.2
+	// leaseStagger lets the lowest rank try first when a group starts, which
+	// keeps the rest from asking a store that has answered already.
+	leaseStagger burdockclock.Millis = 300
+	// mostStagger bounds that for large groups.
+	mostStagger    = 3 * burdockclock.Second
+	releaseTimeout = time.Second
+)
+
+func leaseName(group string) string { return "group/" + group }
+
+// leaseKeeper gets and renews the lease of a group.
+type leaseKeeper struct {
+	member *member
+	holder string
+	random *rand.Rand // of its loop alone
+	held   bool       // of its loop, and after its end
+}
+
+func newLeaseKeeper(m *member, random *rand.Rand) *leaseKeeper {
+	return &leaseKeeper{member: m, holder: string(m.upstream) + "/" + string(m.incarnation), random: random}
+}
+
+func (k *leaseKeeper) loop() {
+	defer k.member.done.Done()
+	wait := min(burdockclock.Millis(k.member.seat.rank)*leaseStagger, mostStagger)
+	for k.member.sleep(wait) {
+		k.try()
+		wait = k.pause()
+	}
+}
+
+// pause is the time to the next try: leaseEvery, give or take its spread.
+func (k *leaseKeeper) pause() burdockclock.Millis {
+	return burdockclock.Millis(float64(leaseEvery) * (1 + leaseSpread*(k.random.Float64()-0.5)))
+}
+
+// try gets or renews the lease. It counts from before the request: the store
+// may have granted it as soon as it was asked. When there is no answer nothing
+// is known, and a lease that was held lapses by itself.
+func (k *leaseKeeper) try() {
+	m := k.member
+	before := m.deps.Clock.Boot()
+	lease, err := m.deps.Store.Acquire(m.ctx, leaseName(m.seat.group), k.holder, leaseTTL)
+	switch {
+	case err == nil:
+		if !k.held {
+			m.deps.Log.Info("controls the group", zap.String("group", m.seat.group), zap.Uint64("fence", uint64(lease.Fence)))
+		}
+		k.held = true
+		m.duty.handle(burdockgroup.LeaseHeld{Lease: burdockgroup.Lease{Fence: lease.Fence, Until: before + leaseTTL}})
+	case errorx.IsOfType(err, burdockstore.ErrConflict):
+		k.held = false
+		m.duty.handle(burdockgroup.LeaseLost{})
+	}
+}
+
+// release gives the lease up early on a planned stop, so that another agent
+// need not wait until it lapses. The loop must have ended.
+func (k *leaseKeeper) release() {
+	if !k.held {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	// Without an answer the lease lapses.
+	_ = k.member.deps.Store.Release(ctx, leaseName(k.member.seat.group), k.holder)
+}
--- /dev/null
+++ b/internal/serve/burdockrank/planning.go
@@ -0,0 +1,343 @@
+package burdockrank
+
+import (
+	"context"
+	"sync"
+
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/config/burdockprofile"
+	"burdockbend.example/burdockbend/internal/decide/burdockexpert"
+	"burdockbend.example/burdockbend/internal/group/burdockgroup"
+	"burdockbend.example/burdockbend/internal/platform/burdockengine"
+	"burdockbend.example/burdockbend/internal/wire/burdockwire"
+	"connectrpc.com/connect"
+	"go.uber.org/zap"
+)
+
+const (
+	// popularityHalfLife is short against drifts through the day, and long
+	// against the noise of single batches.
+	popularityHalfLife = burdockclock.Minute
+	// countsEvery is the least time between two questions for counts.
+	countsEvery = 2 * burdockclock.Second
+	// countsRetry is the time after a question that failed.
+	countsRetry burdockclock.Millis = 500
+	// countsBytesPerSecond bounds what a controller receives for its planner to
+	// half of the 3 KB a second that a node may spend on control. The counts of
+	// 60 layers of 128 experts take tens of kilobytes, so at that size one rank
+	// is asked each half minute. All ranks draw from the same requests, so each
+	// is a sample of the group.
+	countsBytesPerSecond = 1500
+	millisPerSecond      = 1000
+	// wishMost is how long a wanted map may take to come into force before the
+	// planner looks again.
+	wishMost = burdockclock.Minute
+	// leastWeight stands for a weight of 0, which a profile may give to one of
+	// the two costs and which the planner can't divide by.
+	leastWeight = 1e-9
+	// normalSpeed is that of a rank whose speed nobody has measured.
+	normalSpeed = 1.0
+)
+
+// planning gathers the popularity of experts while the agent holds the group's
+// lease, and decides which map the group shall use.
+type planning struct {
+	duty *duty
+
+	mu         sync.Mutex
+	planner    *burdockexpert.Planner
+	popularity *burdockexpert.Popularity
+	counts     []burdockengine.GroupCounts // by rank; without tokens until heard
+	observed   []bool                      // by rank: counted in the popularity
+	asking     bool
+	askAt      burdockclock.Millis
+	askNext    burdockid.Rank
+	needFirst  bool                 // the group has no map
+	needOld    burdockid.MapVersion // the controller lacks this map's content
+	wishedAt   burdockclock.Millis  // when a map was wanted; 0 once it is in force
+	changedAt  burdockclock.Millis  // when the map in use came into force
+}
+
+func newPlanning(d *duty) *planning {
+	p := &planning{duty: d, planner: burdockexpert.New(burdockexpert.Config{})}
+	p.clear()
+	return p
+}
+
+// clear forgets what was counted. The lock must be held, if it is shared yet.
+func (p *planning) clear() {
+	ranks := p.duty.member.seat.ranks
+	p.popularity = nil
+	p.counts = make([]burdockengine.GroupCounts, ranks)
+	p.observed = make([]bool, ranks)
+	p.needFirst, p.needOld, p.wishedAt = false, 0, 0
+}
+
+// reset forgets what was counted under a lease that is over.
+func (p *planning) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.clear()
+}
+
+// need notes which map the controller asks for; 0 stands for any.
+func (p *planning) need(v burdockid.MapVersion) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.needFirst = p.needFirst || v == 0
+	if v != 0 {
+		p.needOld = v
+	}
+}
+
+// inForce notes the end of a change.
+func (p *planning) inForce(burdockid.MapVersion) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.wishedAt, p.needFirst = 0, false
+	p.changedAt = p.duty.sinceBoot()
+}
+
+// advance asks for counts and plans when that is due. The duty's lock must not
+// be held.
+func (p *planning) advance() {
+	state := p.duty.state()
+	if state.Phase == burdockgroup.ControllerIdle {
+		return
+	}
+	p.answerNeed()
+	p.ask()
+	if wanted := p.decide(state); wanted != nil {
+		p.duty.handle(burdockgroup.MapWanted{Content: wanted})
+	}
+}
+
+// answerNeed gives the controller the content of a map that this agent was
+// given earlier.
+func (p *planning) answerNeed() {
+	p.mu.Lock()
+	v := p.needOld
+	p.needOld = 0
+	p.mu.Unlock()
+	if v == 0 {
+		return
+	}
+	if content := p.duty.member.content(v); content != nil {
+		p.duty.handle(burdockgroup.MapFound{Map: v, Content: content})
+	}
+}
+
+// ask asks the next rank for its counts when that is due: at first those that
+// have not told, then one after the other.
+func (p *planning) ask() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.asking || p.duty.sinceBoot() < p.askAt || !p.duty.member.enter() {
+		return
+	}
+	p.asking = true
+	go question{p, p.nextRank()}.run()
+}
+
+func (p *planning) nextRank() burdockid.Rank {
+	ranks := burdockid.Rank(len(p.counts))
+	rank := p.askNext % ranks
+	for i := range ranks {
+		if r := (p.askNext + i) % ranks; p.counts[r].Tokens == nil {
+			rank = r
+			break
+		}
+	}
+	p.askNext = rank + 1
+	return rank
+}
+
+// question asks one rank for its counts.
+type question struct {
+	planning *planning
+	rank     burdockid.Rank
+}
+
+func (q question) run() {
+	m := q.planning.duty.member
+	defer m.done.Done()
+	ctx, cancel := context.WithTimeout(m.ctx, askTimeout)
+	defer cancel()
+	counts, size, err := q.ask(ctx)
+	q.planning.take(q.rank, counts, size, err)
+}
+
+func (q question) ask(ctx context.Context) (burdockengine.GroupCounts, int, error) {
+	m := q.planning.duty.member
+	if q.rank == m.seat.rank {
+		counts, err := m.deps.Engine.Counts(ctx)
+		return counts, 0, err
+	}
+	client, ok := m.client(q.rank)
+	if !ok {
+		return burdockengine.GroupCounts{}, 0, ErrNotMember.New("no agent is known for rank %d", q.rank)
+	}
+	res, err := client.Counts(ctx, connect.NewRequest(&burdockwire.GroupCountsRequest{Group: m.seat.group}))
+	if err != nil {
+		return burdockengine.GroupCounts{}, 0, err
+	}
+	return countsFromWire(res.Msg), m.traffic.counted(res.Msg), nil
+}
+
+// take adds what a rank's engine counted since it was asked before.
+func (p *planning) take(rank burdockid.Rank, counts burdockengine.GroupCounts, size int, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.duty.sinceBoot()
+	p.asking = false
+	if err != nil || len(counts.Tokens) == 0 || len(counts.Tokens[0]) == 0 {
+		p.askAt = now + countsRetry
+		return
+	}
+	p.askAt = now + p.pause(size)
+	p.shape(counts)
+	before := p.counts[rank]
+	p.counts[rank] = counts
+	if before.Life != counts.Life || len(before.Tokens) != len(counts.Tokens) {
+		return // counts since an engine's start say little of the last minute
+	}
+	for l := range counts.Tokens {
+		p.popularity.Observe(now, burdockid.Layer(l), since(before.Tokens[l], counts.Tokens[l]))
+	}
+	p.observed[rank] = true
+}
+
+// pause is the time until the next question: none while some rank has not told.
+func (p *planning) pause(size int) burdockclock.Millis {
+	for _, c := range p.counts {
+		if c.Tokens == nil {
+			return 0
+		}
+	}
+	return max(countsEvery, burdockclock.Millis(size)*millisPerSecond/countsBytesPerSecond)
+}
+
+// shape starts the popularity afresh when the model's shape is another.
+func (p *planning) shape(counts burdockengine.GroupCounts) {
+	layers, experts := len(counts.Tokens), len(counts.Tokens[0])
+	if p.popularity != nil {
+		s := p.popularity.Snapshot()
+		if len(s.Share) == layers && s.Experts == experts {
+			return
+		}
+	}
+	p.popularity = burdockexpert.NewPopularity(layers, experts, popularityHalfLife)
+}
+
+func since(before, now []burdockid.Tokens) []burdockid.Tokens {
+	delta := make([]burdockid.Tokens, len(now))
+	for e := range now {
+		delta[e] = now[e]
+		if e < len(before) {
+			delta[e] = max(0, now[e]-before[e])
+		}
+	}
+	return delta
+}
+
+// decide returns the content of the map that the group shall use next, or nil
+// if it shall stay with what it has.
+//
+// Load: popularity that drifts all day in a group that must not stand still.
+// Harm prevented: maps wanted one upon the other, each of which voids the load
+// of the one before. So none is wanted while one is under way, nor before the
+// profile's hold time is over.
+func (p *planning) decide(state burdockgroup.ControllerState) []byte {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.duty.sinceBoot()
+	experts := p.duty.member.experts()
+	if state.Phase != burdockgroup.ControllerResting || !p.mayPlan(now, experts) {
+		return nil
+	}
+	in := p.input(state, experts)
+	if in.Present == nil && !p.needFirst {
+		return nil // a map is in use whose content has not come yet
+	}
+	move, ok := p.planner.Plan(now, in).(burdockexpert.Move)
+	p.observed = make([]bool, len(p.observed))
+	if !ok {
+		return nil
+	}
+	content, err := move.Map.Encode()
+	if err != nil {
+		p.duty.member.deps.Log.Error("the planned map can't be encoded", zap.Error(err))
+		return nil
+	}
+	p.wishedAt, p.needFirst = now, false
+	p.duty.member.deps.Log.Info("another map is wanted", zap.String("group", p.duty.member.seat.group),
+		zap.String("reason", string(move.Reason)), zap.Int("moves", len(move.Moves)), zap.Int("bytes", len(content)))
+	return content
+}
+
+// mayPlan reports whether there is something to decide on: the counts of all
+// ranks for a first map, and then something new.
+func (p *planning) mayPlan(now burdockclock.Millis, experts burdockprofile.Experts) bool {
+	for _, c := range p.counts {
+		if c.Tokens == nil {
+			return false
+		}
+	}
+	if p.wishedAt != 0 && now-p.wishedAt < wishMost {
+		return false
+	}
+	if p.needFirst {
+		return true
+	}
+	news := false
+	for _, o := range p.observed {
+		news = news || o
+	}
+	return news && now-p.changedAt >= experts.HoldMillis
+}
+
+func (p *planning) input(state burdockgroup.ControllerState, experts burdockprofile.Experts) burdockexpert.Input {
+	in := burdockexpert.Input{
+		Popularity:  p.popularity.Snapshot(),
+		Weights:     burdockexpert.Weights{Skew: max(experts.SkewWeight, leastWeight), Cost: max(experts.CostWeight, leastWeight)},
+		ExpertBytes: p.counts[0].ExpertBytes,
+		StoreRate:   p.counts[0].StoreRate,
+		Hold:        experts.HoldMillis,
+	}
+	for r, c := range p.counts {
+		in.Ranks = append(in.Ranks, burdockexpert.Rank{
+			Slots: c.Slots,
+			Speed: normalSpeed,
+			Empty: r < len(state.Ranks) && state.Ranks[r].Engine.Base == 0,
+		})
+	}
+	if state.Goal.Base != 0 && !p.needFirst {
+		in.Present = p.present(state.Goal)
+	}
+	return in
+}
+
+// present returns the map in use, if this agent was given it.
+func (p *planning) present(goal burdockgroup.Goal) *burdockexpert.Map {
+	base := goal.Base
+	if goal.Map != 0 {
+		base = goal.Map
+	}
+	content := p.duty.member.content(base)
+	if content == nil {
+		return nil
+	}
+	m, err := burdockexpert.Decode(content)
+	if err != nil {
+		p.duty.member.deps.Log.Error("the map in use can't be decoded", zap.Uint64("map", uint64(base)), zap.Error(err))
+		return nil
+	}
+	return m
+}
+
+// experts returns the exchange rate of the profile that the group runs under.
+func (m *member) experts() burdockprofile.Experts {
+	fleet := m.deps.Fleet.Now()
+	return fleet.Profile(fleet.Upstreams[m.upstream].Service).Experts
+}
--- a/internal/standin/burdockfakeengine/engine.go
+++ b/internal/standin/burdockfakeengine/engine.go
@@ -36,6 +36,8 @@
 	Prefill time.Duration
 	// Models are the names that GET /v1/models lists.
 	Models []string
+	// Rank makes the stand-in the engine of a rank of a lock-stepped group.
+	Rank RankConfig
 }
 
 // Runs is what the stand-in counted, for comparison with what callers saw.
@@ -62,6 +64,9 @@
 	s.mux.HandleFunc("POST /v1/completions", s.counted(s.completion))
 	s.mux.HandleFunc("GET /v1/models", s.models)
 	s.mux.HandleFunc("GET /runs", s.serveRuns)
+	if cfg.Rank.Lockstep != "" {
+		newRankEngine(cfg.Rank).register(s.mux)
+	}
 	s.mux.HandleFunc("/", s.counted(s.plain))
 	return s
 }
--- /dev/null
+++ b/internal/standin/burdockfakeengine/rank.go
@@ -0,0 +1,283 @@
+package burdockfakeengine
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/group/burdockgroup"
+	"burdockbend.example/burdockbend/internal/platform/burdockengine"
+)
+
+const (
+	// rememberedSteps is how many finished steps an engine tells of.
+	rememberedSteps = 1024
+	// heldPause is how often an engine that may not begin looks again.
+	heldPause = time.Millisecond
+)
+
+// RankConfig says how a stand-in behaves as the engine of a rank.
+type RankConfig struct {
+	// Lockstep is the address of the group's Lockstep; empty for an engine that
+	// is in no group.
+	Lockstep string
+	Rank     burdockid.Rank
+	Step     time.Duration // time that a step takes
+	Load     time.Duration // time that a map takes to load
+	// Fenced refuses orders with an old fencing number.
+	Fenced bool
+	// Deaf says that it is held, and runs on.
+	Deaf bool
+	// Layers, Experts and Slots are the shape of the model and of the memory.
+	Layers, Experts, Slots int
+	// DriftEvery is the number of steps after which other experts of a layer are
+	// popular; 0 for popularity that stays. The layers turn one after the other.
+	DriftEvery burdockid.Step
+	Seed       uint64
+}
+
+// rankEngine is a stand-in for the engine of one rank of a lock-stepped group.
+// It carries out each order as one act, under the conditions that
+// burdockgroup.EngineOrder states.
+type rankEngine struct {
+	cfg  RankConfig
+	life burdockengine.Life
+	link *lockstepLink
+
+	mu      sync.Mutex
+	status  burdockgroup.EngineStatus
+	highest burdockid.Fence
+	loads   uint64 // counts loads, so that one that was replaced ends nothing
+	steps   []burdockengine.GroupStep
+	traffic *traffic
+}
+
+func newRankEngine(cfg RankConfig) *rankEngine {
+	life := burdockengine.Life(burdockid.NewIncarnation())
+	e := &rankEngine{
+		cfg:     cfg,
+		life:    life,
+		link:    newLockstepLink(cfg.Lockstep, cfg.Rank, life),
+		traffic: newTraffic(cfg),
+	}
+	go e.run()
+	return e
+}
+
+func (e *rankEngine) register(mux *http.ServeMux) {
+	mux.HandleFunc("POST "+burdockengine.GroupOrderPath, e.serveOrder)
+	mux.HandleFunc("GET "+burdockengine.GroupStepsPath, e.serveSteps)
+	mux.HandleFunc("GET "+burdockengine.GroupCountsPath, e.serveCounts)
+}
+
+// run steps for as long as the process lives and is not replaced.
+func (e *rankEngine) run() {
+	ctx := context.Background()
+	next := e.link.join(ctx)
+	e.mu.Lock()
+	e.status.Next = next
+	e.mu.Unlock()
+	var finished *burdockengine.GroupStep
+	for e.link.wait(ctx, finished) {
+		step := e.awaitBegin()
+		time.Sleep(e.cfg.Step)
+		e.finish(step)
+		finished = &step
+	}
+}
+
+// awaitBegin waits until the next step may begin, and begins it.
+func (e *rankEngine) awaitBegin() burdockengine.GroupStep {
+	for {
+		if step, ok := e.begin(); ok {
+			return step
+		}
+		time.Sleep(heldPause)
+	}
+}
+
+func (e *rankEngine) begin() (burdockengine.GroupStep, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := &e.status
+	if s.Held && s.Next >= s.HoldAt && !e.cfg.Deaf {
+		return burdockengine.GroupStep{}, false
+	}
+	if s.Switch.Map != 0 && s.Next >= s.Switch.At {
+		s.Base, s.Switch = s.Switch.Map, burdockgroup.Switch{}
+	}
+	if s.Base == 0 {
+		return burdockengine.GroupStep{}, false
+	}
+	step := burdockengine.GroupStep{Step: s.Next, Map: s.Base}
+	s.Next++
+	return step, true
+}
+
+func (e *rankEngine) finish(step burdockengine.GroupStep) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.status.LastStep, e.status.LastMap = step.Step, step.Map
+	e.steps = append(e.steps, step)
+	if len(e.steps) > 2*rememberedSteps {
+		e.steps = slices.Clone(e.steps[len(e.steps)-rememberedSteps:])
+	}
+	e.traffic.add(step.Step)
+}
+
+// apply carries out an order and reports whether it was taken.
+func (e *rankEngine) apply(fence burdockid.Fence, order burdockgroup.EngineOrder) (burdockgroup.EngineStatus, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_, reads := order.(burdockgroup.ReadStatus)
+	if e.cfg.Fenced && fence < e.highest && !reads {
+		return e.status, false
+	}
+	e.highest = max(e.highest, fence)
+	s := &e.status
+	switch order := order.(type) {
+	case burdockgroup.LoadMap:
+		e.load(order.Map)
+	case burdockgroup.HoldAt:
+		if s.Next <= order.Step {
+			s.Held, s.HoldAt = true, order.Step
+		}
+	case burdockgroup.UseFrom:
+		if s.Held && s.HoldAt == order.Step && s.Spare == order.Map {
+			s.Switch, s.Spare = burdockgroup.Switch{Map: order.Map, At: order.Step}, 0
+		}
+	case burdockgroup.Resume:
+		if s.Held && s.HoldAt == order.Step && s.Switch == order.Switch {
+			s.Held, s.HoldAt = false, 0
+		}
+	case burdockgroup.BeginWith:
+		e.beginWith(order.Map)
+	}
+	return e.status, true
+}
+
+func (e *rankEngine) has(v burdockid.MapVersion) bool {
+	s := e.status
+	return v != 0 && (s.Base == v || s.Switch.Map == v || s.Spare == v)
+}
+
+func (e *rankEngine) load(v burdockid.MapVersion) {
+	if e.has(v) || e.status.Loading == v {
+		return
+	}
+	e.status.Loading, e.status.Spare = v, 0
+	e.loads++
+	n := e.loads
+	time.AfterFunc(e.cfg.Load, func() { e.loaded(n) })
+}
+
+func (e *rankEngine) loaded(n uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if n == e.loads {
+		e.status.Spare, e.status.Loading = e.status.Loading, 0
+	}
+}
+
+func (e *rankEngine) beginWith(v burdockid.MapVersion) {
+	s := &e.status
+	if s.Base != 0 || !e.has(v) {
+		return
+	}
+	s.Base = v
+	if s.Spare == v {
+		s.Spare = 0
+	}
+}
+
+func (e *rankEngine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var order burdockengine.GroupOrder
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(&order); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	status, taken := e.apply(order.Fence, order.Order())
+	if !taken {
+		http.Error(w, "old fencing number", http.StatusConflict)
+		return
+	}
+	writeJSON(w, status)
+}
+
+func (e *rankEngine) serveSteps(w http.ResponseWriter, r *http.Request) {
+	from, _ := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
+	e.mu.Lock()
+	i, _ := slices.BinarySearchFunc(e.steps, burdockid.Step(from), func(s burdockengine.GroupStep, from burdockid.Step) int {
+		return int(int64(s.Step) - int64(from))
+	})
+	steps := burdockengine.GroupSteps{Life: e.life, Steps: slices.Clone(e.steps[i:])}
+	e.mu.Unlock()
+	writeJSON(w, steps)
+}
+
+func (e *rankEngine) serveCounts(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	counts := burdockengine.GroupCounts{
+		Life:        e.life,
+		Tokens:      e.traffic.copied(),
+		Slots:       e.cfg.Slots,
+		ExpertBytes: standinExpertBytes,
+		StoreRate:   standinStoreRate,
+	}
+	e.mu.Unlock()
+	writeJSON(w, counts)
+}
+
+// Sizes that a stand-in states: an expert is fetched in a millisecond, so that
+// small drifts are worth a change in tests.
+const (
+	standinExpertBytes burdockid.Bytes          = 1_000_000
+	standinStoreRate   burdockid.BytesPerSecond = 1_000_000_000
+)
+
+// traffic counts the tokens that a rank sends to each expert. Which experts are
+// popular turns with the steps.
+type traffic struct {
+	cfg    RankConfig
+	rng    *rand.Rand
+	tokens [][]burdockid.Tokens
+}
+
+func newTraffic(cfg RankConfig) *traffic {
+	t := &traffic{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Rank)))}
+	for range cfg.Layers {
+		t.tokens = append(t.tokens, make([]burdockid.Tokens, cfg.Experts))
+	}
+	return t
+}
+
+// hottestTokens is what the most popular expert of a layer gets in a step.
+const hottestTokens = 1000
+
+func (t *traffic) add(step burdockid.Step) {
+	for l, tokens := range t.tokens {
+		turned := 0
+		if t.cfg.DriftEvery > 0 {
+			late := t.cfg.DriftEvery * burdockid.Step(l) / burdockid.Step(t.cfg.Layers)
+			turned = int((step + late) / t.cfg.DriftEvery)
+		}
+		for e := range tokens {
+			place := (e + l + turned*t.cfg.Experts/2) % t.cfg.Experts
+			tokens[e] += burdockid.Tokens(hottestTokens/(1+place) + t.rng.IntN(1+hottestTokens/50))
+		}
+	}
+}
+
+func (t *traffic) copied() [][]burdockid.Tokens {
+	copied := make([][]burdockid.Tokens, len(t.tokens))
+	for l, tokens := range t.tokens {
+		copied[l] = slices.Clone(tokens)
+	}
+	return copied
+}
--- a/internal/standin/burdockfakestore/store.go
+++ b/internal/standin/burdockfakestore/store.go
@@ -51,6 +51,7 @@
 	s.mux.HandleFunc("GET /v1/list", s.list)
 	s.mux.HandleFunc("GET /v1/watch", s.watch)
 	s.mux.HandleFunc("POST /v1/lease", s.acquire)
+	s.mux.HandleFunc("GET /v1/lease", s.fence)
 	s.mux.HandleFunc("DELETE /v1/lease", s.release)
 	return s
 }
@@ -176,6 +177,13 @@
 	return held.fence, true
 }
 
+func (s *Server) fence(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	fence := s.leases[r.URL.Query().Get("name")].fence
+	s.mu.Unlock()
+	reply(w, burdockstore.Granted{Fence: fence})
+}
+
 func (s *Server) release(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	s.mu.Lock()
--- a/internal/standin/burdockstandin/standin.go
+++ b/internal/standin/burdockstandin/standin.go
@@ -24,6 +24,8 @@
 	List   Kind = "list"
 	Engine Kind = "engine"
 	Plain  Kind = "plain"
+	// Lockstep is the exchange between the engines of a lock-stepped group.
+	Lockstep Kind = "lockstep"
 )
 
 // Config says which stand-in runs, and how.
@@ -34,6 +36,8 @@
 	Lag burdockclock.Millis
 	// Engine is how an engine or a plain service behaves.
 	Engine burdockfakeengine.Config
+	// Ranks is the number of engines that a Lockstep keeps in step.
+	Ranks int
 }
 
 // Running is a stand-in that serves.
@@ -74,8 +78,10 @@
 		return burdockfakelist.New(clock, cfg.Lag), nil
 	case Engine, Plain:
 		return burdockfakeengine.New(cfg.Engine), nil
+	case Lockstep:
+		return burdockfakeengine.NewLockstep(cfg.Ranks), nil
 	default:
-		return nil, errorx.IllegalArgument.New("no stand-in %q; want %s, %s, %s or %s", cfg.Kind, Store, List, Engine, Plain)
+		return nil, errorx.IllegalArgument.New("no stand-in %q; want %s, %s, %s, %s or %s", cfg.Kind, Store, List, Engine, Plain, Lockstep)
 	}
 }
 
--- a/internal/wire/burdockwire/burdockwire.connect.go
+++ b/internal/wire/burdockwire/burdockwire.connect.go
@@ -27,6 +27,8 @@
 	AgentServiceName = "burdock.wire.v1.AgentService"
 	// PeerServiceName is the fully-qualified name of the PeerService service.
 	PeerServiceName = "burdock.wire.v1.PeerService"
+	// GroupServiceName is the fully-qualified name of the GroupService service.
+	GroupServiceName = "burdock.wire.v1.GroupService"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -49,6 +51,14 @@
 	AgentServiceTakeKeysProcedure = "/burdock.wire.v1.AgentService/TakeKeys"
 	// PeerServiceSyncProcedure is the fully-qualified name of the PeerService's Sync RPC.
 	PeerServiceSyncProcedure = "/burdock.wire.v1.PeerService/Sync"
+	// GroupServiceOrderProcedure is the fully-qualified name of the GroupService's Order RPC.
+	GroupServiceOrderProcedure = "/burdock.wire.v1.GroupService/Order"
+	// GroupServiceAskFenceProcedure is the fully-qualified name of the GroupService's AskFence RPC.
+	GroupServiceAskFenceProcedure = "/burdock.wire.v1.GroupService/AskFence"
+	// GroupServiceSayWaitingProcedure is the fully-qualified name of the GroupService's SayWaiting RPC.
+	GroupServiceSayWaitingProcedure = "/burdock.wire.v1.GroupService/SayWaiting"
+	// GroupServiceCountsProcedure is the fully-qualified name of the GroupService's Counts RPC.
+	GroupServiceCountsProcedure = "/burdock.wire.v1.GroupService/Counts"
 )
 
 // AgentServiceClient is a client for the burdock.wire.v1.AgentService service.
@@ -312,3 +322,159 @@
 func (UnimplementedPeerServiceHandler) Sync(context.Context, *connect.Request[SyncRequest]) (*connect.Response[SyncResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("burdock.wire.v1.PeerService.Sync is not implemented"))
 }
+
+// GroupServiceClient is a client for the burdock.wire.v1.GroupService service.
+type GroupServiceClient interface {
+	// Order gives a rank an order of the group's controller.
+	Order(context.Context, *connect.Request[GroupOrder]) (*connect.Response[GroupReport], error)
+	// AskFence asks for the highest fencing number that the rank has seen.
+	AskFence(context.Context, *connect.Request[AskFenceRequest]) (*connect.Response[AskFenceResponse], error)
+	// SayWaiting tells the group's controller that a rank holds its group back.
+	SayWaiting(context.Context, *connect.Request[SayWaitingRequest]) (*connect.Response[SayWaitingResponse], error)
+	// Counts returns how often the rank's engine used each expert.
+	Counts(context.Context, *connect.Request[GroupCountsRequest]) (*connect.Response[GroupCountsResponse], error)
+}
+
+// NewGroupServiceClient constructs a client for the burdock.wire.v1.GroupService service. By
+// default, it uses the Connect protocol with the binary Protobuf Codec, asks for gzipped responses,
+// and sends uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the
+// connect.WithGRPC() or connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewGroupServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) GroupServiceClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	groupServiceMethods := File_internal_wire_burdockwire_burdockwire_proto.Services().ByName("GroupService").Methods()
+	return &groupServiceClient{
+		order: connect.NewClient[GroupOrder, GroupReport](
+			httpClient,
+			baseURL+GroupServiceOrderProcedure,
+			connect.WithSchema(groupServiceMethods.ByName("Order")),
+			connect.WithClientOptions(opts...),
+		),
+		askFence: connect.NewClient[AskFenceRequest, AskFenceResponse](
+			httpClient,
+			baseURL+GroupServiceAskFenceProcedure,
+			connect.WithSchema(groupServiceMethods.ByName("AskFence")),
+			connect.WithClientOptions(opts...),
+		),
+		sayWaiting: connect.NewClient[SayWaitingRequest, SayWaitingResponse](
+			httpClient,
+			baseURL+GroupServiceSayWaitingProcedure,
+			connect.WithSchema(groupServiceMethods.ByName("SayWaiting")),
+			connect.WithClientOptions(opts...),
+		),
+		counts: connect.NewClient[GroupCountsRequest, GroupCountsResponse](
+			httpClient,
+			baseURL+GroupServiceCountsProcedure,
+			connect.WithSchema(groupServiceMethods.ByName("Counts")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// groupServiceClient implements GroupServiceClient.
+type groupServiceClient struct {
+	order      *connect.Client[GroupOrder, GroupReport]
+	askFence   *connect.Client[AskFenceRequest, AskFenceResponse]
+	sayWaiting *connect.Client[SayWaitingRequest, SayWaitingResponse]
+	counts     *connect.Client[GroupCountsRequest, GroupCountsResponse]
+}
+
+// Order calls burdock.wire.v1.GroupService.Order.
+func (c *groupServiceClient) Order(ctx context.Context, req *connect.Request[GroupOrder]) (*connect.Response[GroupReport], error) {
+	return c.order.CallUnary(ctx, req)
+}
+
+// AskFence calls burdock.wire.v1.GroupService.AskFence.
+func (c *groupServiceClient) AskFence(ctx context.Context, req *connect.Request[AskFenceRequest]) (*connect.Response[AskFenceResponse], error) {
+	return c.askFence.CallUnary(ctx, req)
+}
+
+// SayWaiting calls burdock.wire.v1.GroupService.SayWaiting.
+func (c *groupServiceClient) SayWaiting(ctx context.Context, req *connect.Request[SayWaitingRequest]) (*connect.Response[SayWaitingResponse], error) {
+	return c.sayWaiting.CallUnary(ctx, req)
+}
+
+// Counts calls burdock.wire.v1.GroupService.Counts.
+func (c *groupServiceClient) Counts(ctx context.Context, req *connect.Request[GroupCountsRequest]) (*connect.Response[GroupCountsResponse], error) {
+	return c.counts.CallUnary(ctx, req)
+}
+
+// GroupServiceHandler is an implementation of the burdock.wire.v1.GroupService service.
+type GroupServiceHandler interface {
+	// Order gives a rank an order of the group's controller.
+	Order(context.Context, *connect.Request[GroupOrder]) (*connect.Response[GroupReport], error)
+	// AskFence asks for the highest fencing number that the rank has seen.
+	AskFence(context.Context, *connect.Request[AskFenceRequest]) (*connect.Response[AskFenceResponse], error)
+	// SayWaiting tells the group's controller that a rank holds its group back.
+	SayWaiting(context.Context, *connect.Request[SayWaitingRequest]) (*connect.Response[SayWaitingResponse], error)
+	// Counts returns how often the rank's engine used each expert.
+	Counts(context.Context, *connect.Request[GroupCountsRequest]) (*connect.Response[GroupCountsResponse], error)
+}
+
+// NewGroupServiceHandler builds an HTTP handler from the service implementation. It returns the
+// path on which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewGroupServiceHandler(svc GroupServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	groupServiceMethods := File_internal_wire_burdockwire_burdockwire_proto.Services().ByName("GroupService").Methods()
+	groupServiceOrderHandler := connect.NewUnaryHandler(
+		GroupServiceOrderProcedure,
+		svc.Order,
+		connect.WithSchema(groupServiceMethods.ByName("Order")),
+		connect.WithHandlerOptions(opts...),
+	)
+	groupServiceAskFenceHandler := connect.NewUnaryHandler(
+		GroupServiceAskFenceProcedure,
+		svc.AskFence,
+		connect.WithSchema(groupServiceMethods.ByName("AskFence")),
+		connect.WithHandlerOptions(opts...),
+	)
+	groupServiceSayWaitingHandler := connect.NewUnaryHandler(
+		GroupServiceSayWaitingProcedure,
+		svc.SayWaiting,
+		connect.WithSchema(groupServiceMethods.ByName("SayWaiting")),
+		connect.WithHandlerOptions(opts...),
+	)
+	groupServiceCountsHandler := connect.NewUnaryHandler(
+		GroupServiceCountsProcedure,
+		svc.Counts,
+		connect.WithSchema(groupServiceMethods.ByName("Counts")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/burdock.wire.v1.GroupService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case GroupServiceOrderProcedure:
+			groupServiceOrderHandler.ServeHTTP(w, r)
+		case GroupServiceAskFenceProcedure:
+			groupServiceAskFenceHandler.ServeHTTP(w, r)
+		case GroupServiceSayWaitingProcedure:
+			groupServiceSayWaitingHandler.ServeHTTP(w, r)
+		case GroupServiceCountsProcedure:
+			groupServiceCountsHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedGroupServiceHandler returns CodeUnimplemented from all methods.
+type UnimplementedGroupServiceHandler struct{}
+
+func (UnimplementedGroupServiceHandler) Order(context.Context, *connect.Request[GroupOrder]) (*connect.Response[GroupReport], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("burdock.wire.v1.GroupService.Order is not implemented"))
+}
+
+func (UnimplementedGroupServiceHandler) AskFence(context.Context, *connect.Request[AskFenceRequest]) (*connect.Response[AskFenceResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("burdock.wire.v1.GroupService.AskFence is not implemented"))
+}
+
+func (UnimplementedGroupServiceHandler) SayWaiting(context.Context, *connect.Request[SayWaitingRequest]) (*connect.Response[SayWaitingResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("burdock.wire.v1.GroupService.SayWaiting is not implemented"))
+}
+
+func (UnimplementedGroupServiceHandler) Counts(context.Context, *connect.Request[GroupCountsRequest]) (*connect.Response[GroupCountsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("burdock.wire.v1.GroupService.Counts is not implemented"))
+}
