Take only a true UUID's time for a key's birth

Fuzzing found keys that look like a time-ordered UUID but aren't one, with other separators or dashes in other places. Their numbers were read as a time, which could make an old key look younger than a takeover and run it again.

--- a/internal/decide/burdockledger/key.go
+++ b/internal/decide/burdockledger/key.go
@@ -39,25 +39,43 @@
 const (
 	uuidLength      = 36
 	uuidVersionAt   = 14
-	uuidTimeDigits  = 12
+	uuidTimeOctets  = 6
 	uuidTimeOrdered = '7'
 )
 
+// uuidGroups are the lengths of the groups between a UUID's dashes.
+var uuidGroups = [...]int{8, 4, 4, 4, 12}
+
 // Birth returns when a key was made, on the wall clock of whoever made it. A
-// time-ordered UUID (version 7) says so; other keys do not.
+// time-ordered UUID (version 7) says so; other keys do not, also when they
+// look much like one: a time read out of a customer's own numbers could make
+// an old key look new, and run it again.
 func Birth(key burdockid.IdempotencyKey) (burdockclock.Millis, bool) {
-	s := string(key)
-	if len(s) != uuidLength || s[uuidVersionAt] != uuidTimeOrdered || strings.Count(s, "-") != 4 {
-		return 0, false
-	}
-	digits := s[0:8] + s[9:13]
-	b, err := hex.DecodeString(digits)
-	if err != nil || len(digits) != uuidTimeDigits {
+	octets, ok := uuidOctets(string(key))
+	if !ok || key[uuidVersionAt] != uuidTimeOrdered {
 		return 0, false
 	}
 	var at burdockclock.Millis
-	for _, octet := range b {
+	for _, octet := range octets[:uuidTimeOctets] {
 		at = at<<8 | burdockclock.Millis(octet)
 	}
 	return at, true
 }
+
+// uuidOctets returns the octets of a UUID in its usual text form.
+func uuidOctets(s string) ([]byte, bool) {
+	if len(s) != uuidLength {
+		return nil, false
+	}
+	groups := strings.Split(s, "-")
+	if len(groups) != len(uuidGroups) {
+		return nil, false
+	}
+	for i, group := range groups {
+		if len(group) != uuidGroups[i] {
+			return nil, false
+		}
+	}
+	octets, err := hex.DecodeString(strings.Join(groups, ""))
+	return octets, err == nil
+}
