Read a slot's home under its one key alone

keyHome/x/017, keyHome/x/+17 and x/17 were taken for keyHome/x/17. With two entries for one slot, processes that read them in different order would differ about its home. Values without an upstream, an incarnation or with a time below 0 are refused as well.

--- a/internal/state/burdockhome/home.go
+++ b/internal/state/burdockhome/home.go
@@ -54,13 +54,19 @@
 func Parse(e burdockconfig.Entry) (burdockid.Service, burdockledger.Slot, Versioned, error) {
 	service, number, ok := strings.Cut(strings.TrimPrefix(e.Key, Prefix), "/")
 	slot, err := strconv.Atoi(number)
-	if !ok || err != nil || slot < 0 || slot >= burdockledger.Slots {
+	// A slot has one key. Were 017 taken for 17, two entries would name its home,
+	// and processes that read them in different order would differ.
+	canonical := Key(burdockid.Service(service), burdockledger.Slot(slot)) == e.Key
+	if !ok || err != nil || slot < 0 || slot >= burdockledger.Slots || !canonical {
 		return "", 0, Versioned{}, burdockconfig.ErrMalformed.New("no slot in key %q", e.Key)
 	}
 	home := Versioned{Version: e.Version}
 	if err := json.Unmarshal(e.Value, &home.Home); err != nil {
 		return "", 0, Versioned{}, burdockconfig.ErrMalformed.Wrap(err, "%s", e.Key)
 	}
+	if home.Upstream == "" || home.Incarnation == "" || home.SinceMillis < 0 {
+		return "", 0, Versioned{}, burdockconfig.ErrMalformed.New("%s: no home in the value", e.Key)
+	}
 	return burdockid.Service(service), burdockledger.Slot(slot), home, nil
 }
 
