Refuse stored entries without prefix, key or version

Such a value is no entry of the configuration: version 0 stands for a key that was never written. Two files of the fuzz corpus failed before.

--- a/internal/state/burdockconfig/envelope.go
+++ b/internal/state/burdockconfig/envelope.go
@@ -23,7 +23,11 @@
 	if err := json.Unmarshal(stored.Value, &e); err != nil {
 		return Entry{}, ErrMalformed.Wrap(err, "%s", stored.Key)
 	}
-	if e.Key != strings.TrimPrefix(stored.Key, StorePrefix) {
+	key, ours := strings.CutPrefix(stored.Key, StorePrefix)
+	if !ours || key == "" || e.Version == 0 {
+		return Entry{}, ErrMalformed.New("%s is no key of the configuration, or has no version", stored.Key)
+	}
+	if e.Key != key {
 		return Entry{}, ErrMalformed.New("%s holds the entry of %q", stored.Key, e.Key)
 	}
 	return e, nil
