Bound what a caller's max_tokens adds to the cost

With the largest number, prompt and answer summed to a cost below 0, which the queue charges as next to nothing: a customer could pass its share. The corpus file largest-limit failed before. The body goes on unchanged.

--- a/internal/serve/burdockapi/completion.go
+++ b/internal/serve/burdockapi/completion.go
@@ -23,6 +23,10 @@
 	bytesPerToken = 4
 	// usualMaxTokens stands in when the caller sets no bound on the answer.
 	usualMaxTokens = 256
+	// mostTokens bounds what one limit adds to the cost, far above any answer.
+	// A caller may write any number; without the bound, prompt and answer could
+	// sum to a cost below 0, which the queue charges as next to nothing.
+	mostTokens = 1 << 20
 )
 
 // Completion is what the balancer needs to know of a model request. The body
@@ -78,7 +82,7 @@
 		if *limit < 1 {
 			return Completion{}, invalid("max_tokens", "max_tokens must be 1 or more")
 		}
-		c.MaxTokens = burdockid.Tokens(*limit)
+		c.MaxTokens = burdockid.Tokens(min(*limit, mostTokens))
 	}
 	return c, nil
 }
