Hold out against nonsense in the agent's messages

An attach with a negative age put the offer in the future, and was answered "not run" by a guess; it now gets an unknown outcome.

--- a/internal/serve/burdockagent/agent_test.go
+++ b/internal/serve/burdockagent/agent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
@@ -241,3 +242,16 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 }
+
+// A caller whose deadline is very far off gets its answer. Counted in
+// nanoseconds the span is beyond what a number holds, and would have passed.
+func TestDeadlineBeyondAllNumbers(t *testing.T) {
+	for _, timeout := range []int64{1e13, math.MaxInt64} {
+		r := newRig(t, time.Millisecond)
+		req := chat("patient")
+		req.TimeoutMillis = timeout
+		if got := r.run(t, req); got.GetEnd() == nil {
+			t.Errorf("timeout %d: got %v, want an end", timeout, got)
+		}
+	}
+}
--- a/internal/serve/burdockagent/policy.go
+++ b/internal/serve/burdockagent/policy.go
@@ -69,10 +69,14 @@
 	return p.usual
 }
 
+// mostLeft bounds the time left of a request, as profiles do. Beyond some 292 years a span does
+// not fit the standard library's type, and would count as passed.
+const mostLeft = 24 * burdockclock.Hour
+
 // deadline converts the time left of a request to an instant; 0 is none.
 func deadline(now, left burdockclock.Millis) burdockclock.Millis {
 	if left <= 0 {
 		return 0
 	}
-	return now + left
+	return now + min(left, mostLeft)
 }
--- a/internal/serve/burdockagent/rpc.go
+++ b/internal/serve/burdockagent/rpc.go
@@ -197,7 +197,8 @@
 	now := a.deps.Clock.Boot()
 	offered := now - burdockclock.Millis(req.GetAgeMillis()) - clockMargin
 	known := a.memory.fate(id)
-	if known == fateNone && offered > a.started && a.memory.reaches(offered) {
+	sane := req.GetAgeMillis() >= 0 // a negative age would put the offer in the future
+	if known == fateNone && sane && offered > a.started && a.memory.reaches(offered) {
 		a.memory.remember(now, id, fateWithdrawn)
 		known = fateWithdrawn
 	}
