--- a/internal/state/burdocksync/watcher.go
+++ b/internal/state/burdocksync/watcher.go
@@ -18,11 +18,11 @@
 	// watchWait is how long one watch waits. A waiting watch counts as a call,
 	// so a longer one is cheaper; a shorter one finds a dead store sooner.
 	watchWait = 10 * burdockclock.Second
-	// rewatchPause is how long a watcher waits, on average, after a watch that
+	// rewatchPause is how long a watcher waits, at most, after a watch that
 	// brought something. Load: a fleet file of thousands of edits, written in
 	// seconds, before 350 watchers. Harm: each edit wakes all of them, and all
-	// ask again at once. With the pause they ask 350 times a second in all; the
-	// first edit is still in force at once, and the next ones a second later.
+	// ask again at once. With the pause they ask 700 times a second in all. A
+	// longer one would leave an edit too little of its five seconds.
 	rewatchPause = burdockclock.Second
 	// relistLeast and relistPerKey bound how long a fault of the store's watch
 	// can hide an edit from all watchers. Load: 10,000 keys, of 400 bytes each
@@ -109,7 +109,7 @@
 	}
 	w.revision = revision
 	if len(stored) > 0 {
-		sleep(ctx, rewatchPause/2+rand.N(rewatchPause))
+		sleep(ctx, rand.N(rewatchPause))
 	}
 	return nil
 }
