--- a/internal/proof/burdockprograms/fleet.go
+++ b/internal/proof/burdockprograms/fleet.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -163,6 +164,7 @@
 func (f *Fleet) StartAgent(t testing.TB, a *Agent) {
 	t.Helper()
 	a.Process, _ = start(t, a.Name, f.program(agentProgram), false, "-settings", a.settings)
+	waitUp(t, a.Name, a.Admin)
 }
 
 // newEntry chooses an entry's addresses, which all settings name.
@@ -180,6 +182,7 @@
 func (f *Fleet) StartEntry(t testing.TB, e *Entry) {
 	t.Helper()
 	e.Process, _ = start(t, e.Name, f.program(entryProgram), false, "-settings", e.settings)
+	waitUp(t, e.Name, e.Admin)
 }
 
 func (f *Fleet) common(i int, vm, peer, admin string) string {
@@ -261,6 +264,15 @@
 	f.Operate(t, "fleet", "apply", "-store", f.Store.Address, members)
 }
 
+// Remove takes an agent's upstream out of the fleet, and says that its VM is
+// gone.
+func (f *Fleet) Remove(t testing.TB, gone *Agent) {
+	t.Helper()
+	f.Agents = slices.DeleteFunc(f.Agents, func(a *Agent) bool { return a == gone })
+	members := f.write(t, "fleet", f.FleetTOML())
+	f.Operate(t, "fleet", "apply", "-store", f.Store.Address, "-gone", gone.Name, members)
+}
+
 // ApplyProfile puts a profile file in force.
 func (f *Fleet) ApplyProfile(t testing.TB, content string) string {
 	t.Helper()
--- a/internal/serve/burdockagent/handover.go
+++ b/internal/serve/burdockagent/handover.go
@@ -1,9 +1,7 @@
 package burdockagent
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -199,11 +197,12 @@
 
 // successors returns the members in the order that a slot prefers.
 func (h *Homes) successors(service burdockid.Service, slot burdockledger.Slot) []burdockmember.Upstream {
-	members := slices.Clone(h.agent.deps.Fleet.Now().Members[service])
-	list := names(members)
-	slices.SortFunc(members, func(x, y burdockmember.Upstream) int {
-		return cmp.Compare(burdockhome.Rank(service, slot, list, x.Name), burdockhome.Rank(service, slot, list, y.Name))
-	})
+	fleet := h.agent.deps.Fleet.Now()
+	order := burdockhome.Order(service, slot, names(fleet.Members[service]))
+	members := make([]burdockmember.Upstream, len(order))
+	for i, name := range order {
+		members[i] = fleet.Upstreams[name]
+	}
 	return members
 }
 
@@ -282,7 +281,7 @@
 func (h *Homes) offer(ctx context.Context, next burdockmember.Upstream, offer *burdockwire.TakeKeysRequest) (burdockid.Incarnation, bool) {
 	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
 	defer cancel()
-	client := burdockwire.NewAgentServiceClient(h.peers.Client, h.peers.URL(next.Agent))
+	client := burdockwire.NewAgentServiceClient(h.peers.Client, h.peers.URL(next.Agent), burdocktransport.ClientOptions()...)
 	res, err := client.TakeKeys(ctx, connect.NewRequest(offer))
 	if err != nil || !res.Msg.GetTaken() {
 		return "", false
--- a/internal/serve/burdockprocess/agent.go
+++ b/internal/serve/burdockprocess/agent.go
@@ -47,8 +47,8 @@
 		},
 	)
 	mux := http.NewServeMux()
-	mux.Handle(burdockwire.NewPeerServiceHandler(burdocksync.NewHandler(n.view, n.source)))
-	mux.Handle(burdockwire.NewAgentServiceHandler(a.agent))
+	mux.Handle(burdockwire.NewPeerServiceHandler(burdocksync.NewHandler(n.view, n.source), n.handlerOptions()...))
+	mux.Handle(burdockwire.NewAgentServiceHandler(a.agent, n.handlerOptions()...))
 	if err := n.listen(mux, a); err != nil {
 		return nil, err
 	}
@@ -101,3 +101,6 @@
 
 // Metrics implements burdockadmin.Process.
 func (a *Agent) Metrics() *metrics.Set { return a.metrics }
+
+// Drain refuses new work from now on, as the first part of a planned stop.
+func (a *Agent) Drain() { a.agent.Drain() }
