Count what watchers put back until they are done

TestWatchersShareThePuttingBack passed without the safeguard that it is there for, since it ended its count with the last key back in the store.

--- a/internal/state/burdocksync/watcher_test.go
+++ b/internal/state/burdocksync/watcher_test.go
@@ -201,7 +201,7 @@
 // if all wrote all of it at once the store would go down again. They take
 // turns, and see by their watches what others have put back.
 func TestWatchersShareThePuttingBack(t *testing.T) {
-	const watchers, keys = 8, 40
+	const watchers, keys, settled = 8, 40, 3 * time.Second
 	o := newOldStore(t)
 	for i := range keys {
 		o.write(t, fmt.Sprint("upstream/", i), "1", "a")
@@ -227,6 +227,7 @@
 			t.Fatalf("in the store again: got %d of %d keys", len(stored), keys)
 		}
 	}
+	time.Sleep(settled) // for writes of those that have not seen it
 	puts := o.faults.Counts()["PUT /v1/key"] - before
 	t.Logf("writes for %d keys by %d watchers: %d", keys, watchers, puts)
 	if most := keys * watchers / 2; puts > most {
