Let the go command see which files the tests' programs are built from

Tests of the separate processes do not import the product's packages, so a change of those alone printed the result of the run before it as (cached).

--- a/internal/proof/burdockprograms/build.go
+++ b/internal/proof/burdockprograms/build.go
@@ -4,6 +4,7 @@
 package burdockprograms
 
 import (
+	"io/fs"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -52,6 +53,9 @@
 	}
 	_, file, _, _ := runtime.Caller(0)
 	root := filepath.Join(filepath.Dir(file), "..", "..", "..")
+	if buildErr = track(root); buildErr != nil {
+		return
+	}
 	args := []string{"build", "-o", buildDir + string(filepath.Separator)}
 	if raceEnabled {
 		args = append(args, "-race")
@@ -64,3 +68,25 @@
 		buildErr = err
 	}
 }
+
+// track looks at every file that the programs are built from.
+//
+// Failure: a change of the product alone, in a package that a test does not
+// import, and a run of that test. Symptom: the go command finds the test
+// unchanged and prints the result of the run before the change. It does count
+// the files that a test looked at, so looking at them is enough.
+func track(root string) error {
+	for _, dir := range []string{"cmd", "internal", "go.mod", "go.sum"} {
+		err := filepath.WalkDir(filepath.Join(root, dir), func(path string, _ fs.DirEntry, err error) error {
+			if err != nil {
+				return err
+			}
+			_, err = os.Stat(path)
+			return err
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
