Give no address out twice in a test

FreeAddress closes the port before a program opens it, so the machine could choose it again: TestKeyRepeatedAfterEntryDied failed on a busy machine with adminListen the same as listen.

--- a/internal/proof/burdockprograms/fleet.go
+++ b/internal/proof/burdockprograms/fleet.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -282,15 +283,25 @@
 	return string(out), cmd.ProcessState.ExitCode()
 }
 
-// FreeAddress returns an address on loopback that nobody listens on.
+// given holds the addresses that FreeAddress returned.
+var given sync.Map
+
+// FreeAddress returns an address on loopback that nobody listens on, and that
+// it has not returned before: until a program has opened it, the machine may
+// choose the same port again.
 func FreeAddress(t testing.TB) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatalf("find a free port: %v", err)
+	for {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatalf("find a free port: %v", err)
+		}
+		address := listener.Addr().String()
+		_ = listener.Close()
+		if _, again := given.LoadOrStore(address, true); !again {
+			return address
+		}
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
 }
 
 // WaitReady waits until every process is ready and all hold the same
