--- a/internal/decide/burdockeject/config.go
+++ b/internal/decide/burdockeject/config.go
@@ -21,9 +21,10 @@
 	// ejects.
 	MostScore float64
 	// FailureCap is the share of all members whose work may be taken away
-	// because they fail. It has to hold a data centre of three. Harm
-	// prevented: the fault may lie in this entry's own network, and then all
-	// seem to fail; work that no one else can take must stay.
+	// because they fail. It has to hold two regions of three, which one cut off
+	// from them sees no more of. Harm prevented: the fault may lie in this
+	// entry's own network, and then all seem to fail; some must stay in use, so
+	// that the entry notices by itself when its network is back.
 	FailureCap float64
 	// SlowCap is the same for slow ones. It is smaller: a slow upstream still
 	// answers, and what it does not get makes the others slower.
@@ -33,6 +34,10 @@
 	// all of it. Harm prevented: hundreds of entries probe at one instant.
 	ProbeAfter burdockclock.Millis
 	ProbeMost  burdockclock.Millis
+	// ProbeGap is the mean time between two probes of any upstreams, at least.
+	// With a data centre of 380 upstreams gone, their probes would otherwise take a
+	// good part of an entry's 18 requests a second.
+	ProbeGap burdockclock.Millis
 	// ProbeLost is when a probe that was never told of counts as failed.
 	ProbeLost burdockclock.Millis
 	// HalfLife is the time in which a score fades by half. It has to be longer
@@ -48,10 +53,11 @@
 	defaultEvidence   = 3
 	defaultTolerance  = 0.5
 	defaultMostScore  = 2
-	defaultFailureCap = 0.5
+	defaultFailureCap = 0.7
 	defaultSlowCap    = 0.2
 	defaultProbeAfter = 2 * burdockclock.Second
 	defaultProbeMost  = 2 * burdockclock.Minute
+	defaultProbeGap   = 250 * burdockclock.Millis(1)
 	defaultProbeLost  = 30 * burdockclock.Second
 	defaultHalfLife   = 10 * burdockclock.Minute
 	defaultRiseAfter  = 2 * burdockclock.Second
@@ -65,6 +71,7 @@
 	c.SlowCap = cmp.Or(c.SlowCap, defaultSlowCap)
 	c.ProbeAfter = cmp.Or(c.ProbeAfter, defaultProbeAfter)
 	c.ProbeMost = cmp.Or(c.ProbeMost, defaultProbeMost)
+	c.ProbeGap = cmp.Or(c.ProbeGap, defaultProbeGap)
 	c.ProbeLost = cmp.Or(c.ProbeLost, defaultProbeLost)
 	c.HalfLife = cmp.Or(c.HalfLife, defaultHalfLife)
 	c.RiseAfter = cmp.Or(c.RiseAfter, defaultRiseAfter)
--- a/internal/decide/burdockeject/eject.go
+++ b/internal/decide/burdockeject/eject.go
@@ -13,11 +13,19 @@
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 )
 
-// Observation is what one offer tells of an upstream: Answered, Failed or
-// Unreached.
+// Observation is what one offer tells of an upstream: Began, Answered, Failed
+// or Unreached; or Reached, what a probe without an offer does.
 // A refusal is neither; it is load, not health.
 type Observation interface{ observation() }
 
+// Began is an offer that was taken and whose answer has begun. It shows that
+// the upstream can be reached, long before the answer ends and shows its pace.
+type Began struct{}
+
+// Reached is a probe without a request: the upstream was asked how it is, and
+// answered.
+type Reached struct{}
+
 // Answered is work that an upstream completed.
 type Answered struct {
 	// Took is the time that the work took, without waiting in a queue.
@@ -36,6 +44,8 @@
 // Unreached is an offer that was never sent, since no connection could be made.
 type Unreached struct{}
 
+func (Began) observation()     {}
+func (Reached) observation()   {}
 func (Answered) observation()  {}
 func (Failed) observation()    {}
 func (Unreached) observation() {}
@@ -110,6 +120,7 @@
 	lostSlow    float64
 	lostFailing float64
 	probes      probeHeap
+	probedAt    burdockclock.Millis
 }
 
 // New returns a tracker without members. The source rnd must be used by
--- a/internal/decide/burdockplace/place.go
+++ b/internal/decide/burdockplace/place.go
@@ -35,7 +35,8 @@
 	DataCentre burdockid.DataCentre
 	// Cost is the work that the request is expected to bring.
 	Cost burdockid.Tokens
-	// Attempt counts the offers of this request that were already refused.
+	// Attempt counts the offers of this request that upstreams refused. Those
+	// that were never sent do not count: they say nothing of the load.
 	Attempt int
 	// Exclude reports the upstreams that must not be chosen, such as those
 	// that refused this request. It may be nil.
@@ -69,9 +70,10 @@
 	Reason   Reason
 	// Candidates is how many upstreams were compared.
 	Candidates int
-	// MaxLoad is the load, as Report.Load counts it, beyond which the upstream
-	// should refuse this offer at once so that it can go to a less loaded one.
-	// It is 0 when the upstream should apply no bound but its own.
+	// MaxLoad is the load, as Report.Load counts it, that the upstream may have
+	// with this request added; beyond it, it should refuse the offer at once, so
+	// that it can go to a less loaded one. It is 0 when the upstream should
+	// apply no bound but its own.
 	MaxLoad float64
 }
 
@@ -94,19 +96,16 @@
 type Placer struct {
 	cfg     Config
 	rnd     *rand.Rand
-	members []member
-	index   map[burdockid.Upstream]int32
+	members []member // ordered by name
+	index   nameIndex
 	table   table
 	fleet   fleetLoad
+	recent  recent
 	widths  widths
 }
 
 // New returns a placer without members. The source rnd must be used by
 // nothing else; fields of cfg that are zero take their defaults.
 func New(cfg Config, rnd *rand.Rand) *Placer {
-	return &Placer{
-		cfg:   cfg.withDefaults(),
-		rnd:   rnd,
-		index: make(map[burdockid.Upstream]int32),
-	}
+	return &Placer{cfg: cfg.withDefaults(), rnd: rnd}
 }
--- a/internal/group/burdockgroup/rank.go
+++ b/internal/group/burdockgroup/rank.go
@@ -40,6 +40,10 @@
 	status  EngineStatus
 	kept    map[burdockid.MapVersion][]byte
 
+	settled RankPhase // last phase that the engine's status gave
+	sayGap  burdockclock.Millis
+	sayAt   burdockclock.Millis // when to say that the rank still waits
+
 	ticket  uint64
 	askedAt burdockclock.Millis
 	answer  *Order // the order to report on when the engine has answered
@@ -122,7 +126,8 @@
 // that was out of reach of the newest controller doesn't decide alone; and one
 // at least must know, else only the store can tell.
 func (r *Rank) hearPeer(told FenceTold) {
-	if r.machine.State() != RankLearning {
+	stranger := told.From < 0 || int(told.From) >= r.cfg.Ranks || told.From == r.cfg.Rank
+	if stranger || r.machine.State() != RankLearning {
 		return
 	}
 	r.peers[told.From] = told
@@ -170,6 +175,8 @@
 func (r *Rank) admit(o Order) Refusal {
 	_, isRead := o.Body.(Read)
 	switch {
+	case o.To != r.cfg.Rank:
+		return RefusalWrongRank
 	case r.machine.State() == RankLearning:
 		return RefusalLearning
 	case o.Number.Less(r.highest):
@@ -199,9 +206,9 @@
 	case Commit:
 		return rankCommit, UseFrom{Map: body.Map, Step: body.At}, firstRefusal(r.needLoaded(body.Map), r.needHold(body.At))
 	case Release:
-		return rankRelease, Resume{}, r.needHold(body.At)
+		return rankRelease, Resume{Step: body.At, Switch: r.status.Switch}, r.needHold(body.At)
 	case Abort:
-		return rankAbort, Resume{}, RefusalNone
+		return rankAbort, Resume{Step: r.status.HoldAt}, RefusalNone
 	case Begin:
 		return rankBegin, BeginWith(body), r.needEmpty(body.Map)
 	default:
@@ -212,6 +219,9 @@
 // keep stores a map's content, so that a later controller can load it on a
 // rank that was replaced.
 func (r *Rank) keep(l Load) Refusal {
+	if l.Map == 0 || len(l.Content) == 0 {
+		return RefusalNoMap
+	}
 	if old, ok := r.kept[l.Map]; ok && !bytes.Equal(old, l.Content) {
 		return RefusalMapDiffers
 	}
@@ -276,12 +286,21 @@
 	if r.fire(seen(in.Status), "") != nil {
 		return
 	}
+	r.noteSettled()
 	if r.answer != nil {
 		r.report(*r.answer)
 		r.answer = nil
 	}
 }
 
+func (r *Rank) noteSettled() {
+	if phase := r.machine.State(); phase != r.settled {
+		r.settled = phase
+		r.sayGap = r.cfg.Patience
+		r.sayAt = r.now + r.sayGap
+	}
+}
+
 func seen(s EngineStatus) rankEvent {
 	switch {
 	case s.Held && s.Switch.Map != 0:
@@ -344,11 +363,22 @@
 			r.askEngine(ReadStatus{})
 		}
 	case RankEmpty, RankArmed, RankCommitted:
-		if r.now-r.since >= r.cfg.Patience {
-			r.since = r.now
-			r.emit(SayWaiting{From: r.cfg.Rank})
-		}
+		r.sayWaiting()
+	}
+}
+
+// mostPatience is the factor up to which the gap between two SayWaiting grows.
+// A group that no one can help, for want of a map, say, must not fill the
+// network with calls for help.
+const mostPatience = 16
+
+func (r *Rank) sayWaiting() {
+	if r.now < r.sayAt {
+		return
 	}
+	r.sayGap = min(2*r.sayGap, mostPatience*r.cfg.Patience)
+	r.sayAt = r.now + r.sayGap
+	r.emit(SayWaiting{From: r.cfg.Rank})
 }
 
 func (r *Rank) askFence() {
--- a/internal/platform/burdockstore/http.go
+++ b/internal/platform/burdockstore/http.go
@@ -119,6 +119,13 @@
 	return Lease{Name: name, Holder: holder, Fence: granted.Fence, TTL: ttl}, err
 }
 
+// Fence implements Store.
+func (s *httpStore) Fence(ctx context.Context, name string) (burdockid.Fence, error) {
+	var granted Granted
+	err := s.call(ctx, callTimeout, s.request().Get("/v1/lease").QueryStruct(leaseQuery{Name: name}), &granted)
+	return granted.Fence, err
+}
+
 // Release implements Store.
 func (s *httpStore) Release(ctx context.Context, name, holder string) error {
 	q := leaseQuery{Name: name, Holder: holder}
@@ -157,12 +164,14 @@
 }
 
 func decode(status int, body []byte, req *http.Request, out any) error {
-	switch status {
-	case http.StatusOK:
-	case http.StatusNotFound:
+	switch {
+	case status == http.StatusOK:
+	case status == http.StatusNotFound:
 		return ErrNotFound.New("%s", req.URL.Query().Get("key"))
-	case http.StatusConflict:
+	case status == http.StatusConflict:
 		return ErrConflict.New("%s", body)
+	case refuses(status):
+		return ErrRefused.New("%s %s: status %d %s", req.Method, req.URL.Path, status, body)
 	default:
 		return ErrUnavailable.New("%s %s: status %d", req.Method, req.URL.Path, status)
 	}
@@ -174,3 +183,10 @@
 	}
 	return nil
 }
+
+// refuses reports whether a status says that the call itself is at fault. A
+// timeout or too many calls leave it to be tried again.
+func refuses(status int) bool {
+	return status >= http.StatusBadRequest && status < http.StatusInternalServerError &&
+		status != http.StatusRequestTimeout && status != http.StatusTooManyRequests
+}
--- a/internal/proof/burdockprograms/fleet.go
+++ b/internal/proof/burdockprograms/fleet.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -111,14 +112,18 @@
 	f := &Fleet{Config: cfg, Key: burdockkey.New(), dir: t.TempDir(), bin: Build(t)}
 	f.Store = f.standin(t, "store")
 	f.List = f.standin(t, "list", "-lag", cfg.Lag.String())
+	for i := range cfg.Entries {
+		f.Entries = append(f.Entries, newEntry(t, i))
+	}
 	for i := range cfg.Models {
 		f.addAgent(t, ModelService, "model", i, "-models", Model)
 	}
 	for i := range cfg.Plains {
 		f.addAgent(t, PlainService, "plain", i)
 	}
-	for i := range cfg.Entries {
-		f.addEntry(t, i)
+	for i, e := range f.Entries {
+		e.settings = f.write(t, e.Name, f.common(i, e.Name, e.Peer, e.Admin)+fmt.Sprintf("listen = %q\n", e.Callers))
+		f.StartEntry(t, e)
 	}
 	return f
 }
@@ -160,25 +165,25 @@
 func (f *Fleet) StartAgent(t testing.TB, a *Agent) {
 	t.Helper()
 	a.Process, _ = start(t, a.Name, f.program(agentProgram), false, "-settings", a.settings)
+	waitUp(t, a.Name, a.Admin)
 }
 
-func (f *Fleet) addEntry(t testing.TB, i int) {
+// newEntry chooses an entry's addresses, which all settings name.
+func newEntry(t testing.TB, i int) *Entry {
 	t.Helper()
-	e := &Entry{
+	return &Entry{
 		Name:    fmt.Sprintf("entry-%d", i+1),
 		Callers: FreeAddress(t),
 		Peer:    FreeAddress(t),
 		Admin:   FreeAddress(t),
 	}
-	e.settings = f.write(t, e.Name, f.common(i, e.Name, e.Peer, e.Admin)+fmt.Sprintf("listen = %q\n", e.Callers))
-	f.Entries = append(f.Entries, e)
-	f.StartEntry(t, e)
 }
 
 // StartEntry starts an entry's process, at first or again.
 func (f *Fleet) StartEntry(t testing.TB, e *Entry) {
 	t.Helper()
 	e.Process, _ = start(t, e.Name, f.program(entryProgram), false, "-settings", e.settings)
+	waitUp(t, e.Name, e.Admin)
 }
 
 func (f *Fleet) common(i int, vm, peer, admin string) string {
@@ -260,12 +265,27 @@
 	f.Operate(t, "fleet", "apply", "-store", f.Store.Address, members)
 }
 
+// Remove takes an agent's upstream out of the fleet, and says that its VM is
+// gone.
+func (f *Fleet) Remove(t testing.TB, gone *Agent) {
+	t.Helper()
+	f.Agents = slices.DeleteFunc(f.Agents, func(a *Agent) bool { return a == gone })
+	members := f.write(t, "fleet", f.FleetTOML())
+	f.Operate(t, "fleet", "apply", "-store", f.Store.Address, "-gone", gone.Name, members)
+}
+
 // ApplyProfile puts a profile file in force.
 func (f *Fleet) ApplyProfile(t testing.TB, content string) string {
 	t.Helper()
 	return f.Operate(t, "profile", "apply", "-store", f.Store.Address, f.write(t, "edit", content))
 }
 
+// ApplyFleet puts a membership file in force.
+func (f *Fleet) ApplyFleet(t testing.TB, content string) string {
+	t.Helper()
+	return f.Operate(t, "fleet", "apply", "-store", f.Store.Address, f.write(t, "members", content))
+}
+
 // Operate runs one command of the operators, which must succeed.
 func (f *Fleet) Operate(t testing.TB, args ...string) string {
 	t.Helper()
--- a/internal/serve/burdockagent/handover.go
+++ b/internal/serve/burdockagent/handover.go
@@ -1,7 +1,6 @@
 package burdockagent
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -43,12 +42,17 @@
 	view    *burdockconfig.View
 	peers   *burdocktransport.Peers
 	claimer *burdockhome.Claimer
-	// open holds handovers whose write had no clear outcome.
-	open map[burdockledger.Slot]move
 	// fruitless counts the rounds of a leaving agent in which nothing moved.
 	fruitless atomic.Int32
-	cancel    context.CancelFunc
-	done      sync.WaitGroup
+
+	mu sync.Mutex
+	// open holds handovers whose write had no clear outcome.
+	open map[burdockledger.Slot]move
+	// avoid holds agents that did not take a slot, and until when they are not
+	// asked again.
+	avoid  map[burdockid.Upstream]burdockclock.Millis
+	cancel context.CancelFunc
+	done   sync.WaitGroup
 }
 
 // move is the write that hands one slot over.
@@ -71,7 +75,7 @@
 
 // NewHomes returns a keeper of homes that is not yet running.
 func NewHomes(agent *Agent, writer *burdocksync.Writer, view *burdockconfig.View, peers *burdocktransport.Peers) *Homes {
-	return &Homes{agent: agent, writer: writer, view: view, peers: peers, open: map[burdockledger.Slot]move{}}
+	return &Homes{agent: agent, writer: writer, view: view, peers: peers, open: map[burdockledger.Slot]move{}, avoid: map[burdockid.Upstream]burdockclock.Millis{}}
 }
 
 // Start begins to look after the homes.
@@ -110,9 +114,7 @@
 	if service == "" || !a.deps.Verified() {
 		return
 	}
-	for slot, m := range h.open {
-		h.settle(ctx, service, slot, m)
-	}
+	h.settleOpen(ctx, service)
 	if draining {
 		h.leave(ctx, service)
 		return
@@ -156,9 +158,11 @@
 		return
 	}
 	members := names(fleet.Members[service])
+	var tasks []task
 	for _, claim := range h.claimer.Claims(a.deps.Clock.Boot(), a.deps.Clock.Now(), fleet.Homes[service], members) {
-		h.write(ctx, service, claim.Slot, move{base: claim.Base, home: claim.Home})
+		tasks = append(tasks, task{homes: h, service: service, slot: claim.Slot, do: claiming{move{base: claim.Base, home: claim.Home}}})
 	}
+	runAll(ctx, tasks)
 }
 
 func names(members []burdockmember.Upstream) []burdockid.Upstream {
@@ -191,19 +195,22 @@
 	}
 }
 
-// elsewhere reports whether a slot prefers another upstream to this one.
+// elsewhere reports whether a slot prefers another upstream to this one, and
+// that one may be asked.
 func (h *Homes) elsewhere(service burdockid.Service, slot burdockledger.Slot) bool {
 	members := names(h.agent.deps.Fleet.Now().Members[service])
-	return burdockhome.Rank(service, slot, members, h.agent.cfg.Upstream) > 0
+	first := burdockhome.Order(service, slot, members)[0]
+	return first != h.agent.cfg.Upstream && !h.avoids(first)
 }
 
 // successors returns the members in the order that a slot prefers.
 func (h *Homes) successors(service burdockid.Service, slot burdockledger.Slot) []burdockmember.Upstream {
-	members := slices.Clone(h.agent.deps.Fleet.Now().Members[service])
-	list := names(members)
-	slices.SortFunc(members, func(x, y burdockmember.Upstream) int {
-		return cmp.Compare(burdockhome.Rank(service, slot, list, x.Name), burdockhome.Rank(service, slot, list, y.Name))
-	})
+	fleet := h.agent.deps.Fleet.Now()
+	order := burdockhome.Order(service, slot, names(fleet.Members[service]))
+	members := make([]burdockmember.Upstream, len(order))
+	for i, name := range order {
+		members[i] = fleet.Upstreams[name]
+	}
 	return members
 }
 
@@ -215,15 +222,17 @@
 // first and the home changes afterwards in one write, so at every moment one
 // home has all of it.
 func (h *Homes) handOver(ctx context.Context, service burdockid.Service, most int, which func(burdockledger.Slot) bool) {
+	var tasks []task
 	for slot := range burdockledger.Slot(burdockledger.Slots) {
-		if most == 0 || ctx.Err() != nil || len(h.open) > 0 {
-			return // a store that leaves one write open will leave the next
+		if len(tasks) < most && h.agent.holdsIdle(slot) && which(slot) {
+			tasks = append(tasks, task{homes: h, service: service, slot: slot, do: handing{}})
 		}
-		if !h.agent.holdsIdle(slot) || !which(slot) {
-			continue
+	}
+	for group := range slices.Chunk(tasks, tasksAtOnce) {
+		if ctx.Err() != nil || h.openMoves() > 0 {
+			return // a store that leaves one write open will leave the next
 		}
-		most--
-		h.handOverSlot(ctx, service, slot)
+		runAll(ctx, group)
 	}
 }
 
@@ -251,15 +260,34 @@
 // the next home would not know of what ran here. The same write is tried
 // again over the same version, so that one of the tries decides.
 func (h *Homes) settle(ctx context.Context, service burdockid.Service, slot burdockledger.Slot, m move) {
-	switch h.write(ctx, service, slot, m) {
-	case writeDone:
-		delete(h.open, slot)
-	case writeLost:
-		delete(h.open, slot)
+	outcome := h.write(ctx, service, slot, m)
+	if outcome == writeLost {
 		h.agent.endMove(slot)
-	case writeOpen:
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if outcome == writeOpen {
 		h.open[slot] = m
+		return
 	}
+	delete(h.open, slot)
+}
+
+// settleOpen tries all open handovers again.
+func (h *Homes) settleOpen(ctx context.Context, service burdockid.Service) {
+	h.mu.Lock()
+	var tasks []task
+	for slot, m := range h.open {
+		tasks = append(tasks, task{homes: h, service: service, slot: slot, do: settling{m}})
+	}
+	h.mu.Unlock()
+	runAll(ctx, tasks)
+}
+
+func (h *Homes) openMoves() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.open)
 }
 
 // successor finds the first agent that a slot prefers and that takes its
@@ -269,9 +297,13 @@
 	for _, next := range h.successors(service, slot) {
 		switch {
 		case next.Name != h.agent.cfg.Upstream:
+			if h.avoids(next.Name) {
+				continue
+			}
 			if inc, taken := h.offer(ctx, next, offer); taken {
 				return next.Name, inc, true
 			}
+			h.avoidFor(next.Name)
 		case !h.agent.isDraining():
 			return "", "", false
 		}
@@ -279,6 +311,25 @@
 	return "", "", false
 }
 
+// avoidLength is how long an agent that did not take a slot is left alone.
+//
+// Load: the agent that a slot prefers is frozen or dead for minutes. Harm:
+// while a slot is offered to it, nothing runs there; offered twice a second,
+// its keys would be refused most of the time.
+const avoidLength = 15 * burdockclock.Second
+
+func (h *Homes) avoids(u burdockid.Upstream) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.agent.deps.Clock.Boot() < h.avoid[u]
+}
+
+func (h *Homes) avoidFor(u burdockid.Upstream) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.avoid[u] = h.agent.deps.Clock.Boot() + avoidLength
+}
+
 func (h *Homes) offer(ctx context.Context, next burdockmember.Upstream, offer *burdockwire.TakeKeysRequest) (burdockid.Incarnation, bool) {
 	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
 	defer cancel()
