--- a/internal/decide/burdockledger/ledger.go
+++ b/internal/decide/burdockledger/ledger.go
@@ -64,8 +64,9 @@
 	// RememberFor is how long a key is remembered. A repeat after more than
 	// that runs anew, unless the key says that it is older.
 	RememberFor = 24 * burdockclock.Hour
-	// MaxKeys bounds the memory: 64 bytes each, 13 MB. At the design's peak
-	// rate a replica sees 140,000 requests a day, with a key or without.
+	// MaxKeys bounds the memory: 126 bytes each, 25 MB (burdock measure
+	// capacity). At the design's peak rate a replica sees 141,000 requests a
+	// day, with a key or without.
 	MaxKeys = 200_000
 )
 
