Take over a slot's keys without moving each into its place

Cause: a home put each key that was handed over into its place among its own by moving all later ones, with the agent's lock held; and it looked each of its keys up to find those of one slot.

Ruled out: an index of keys by slot, which Forget would have to keep in order of time as well.

Change: Take appends and sorts once; Lines compares the slot before the look-up.

Before and after (burdock measure capacity, processor time, a home of 200,000 keys): taking 20,000 more 15.1 s and 42 ms; one slot's lines 20 ms and 1.8 ms. At 1,000 keys: 399 us and 69 us; 37 us and 9 us.

--- a/internal/decide/burdockledger/handover.go
+++ b/internal/decide/burdockledger/handover.go
@@ -1,6 +1,9 @@
 package burdockledger
 
 import (
+	"cmp"
+	"slices"
+
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 )
@@ -18,8 +21,11 @@
 func (l *Ledger) Lines(slot Slot) []Line {
 	var lines []Line
 	for _, a := range l.arrivals {
+		if SlotOf(a.key) != slot {
+			continue // cheaper than the look-up, and true of nearly all
+		}
 		known, ok := l.records[a.key]
-		if !ok || SlotOf(a.key) != slot {
+		if !ok {
 			continue
 		}
 		lines = append(lines, Line{
@@ -41,6 +47,9 @@
 
 // Take holds a slot with the memory that its last home handed over. Since that
 // memory is whole, keys go on to be known from the same instant on.
+//
+// Load: a home of 200,000 keys takes a slot of 20,000. Harm prevented: keys put
+// in their places one by one held up every request of the agent for 15 s.
 func (l *Ledger) Take(slot Slot, since burdockclock.Millis, lines []Line) {
 	l.Hold(slot, since)
 	for _, line := range lines {
@@ -48,14 +57,7 @@
 			continue // handed over twice
 		}
 		l.records[line.Key] = record{request: line.Request, fingerprint: line.Fingerprint, fate: line.Fate}
-		l.insert(arrival{key: line.Key, at: line.At})
-	}
-}
-
-// insert keeps the arrivals in order of time.
-func (l *Ledger) insert(a arrival) {
-	l.arrivals = append(l.arrivals, a)
-	for i := len(l.arrivals) - 1; i > 0 && l.arrivals[i-1].at > a.at; i-- {
-		l.arrivals[i-1], l.arrivals[i] = l.arrivals[i], l.arrivals[i-1]
+		l.arrivals = append(l.arrivals, arrival{key: line.Key, at: line.At})
 	}
+	slices.SortStableFunc(l.arrivals, func(a, b arrival) int { return cmp.Compare(a.at, b.at) })
 }
--- a/internal/decide/burdockledger/ledger_test.go
+++ b/internal/decide/burdockledger/ledger_test.go
@@ -189,3 +189,26 @@
 		l.Decide(noon, ask(fmt.Sprint(n), "r", 0))
 	}
 }
+
+// A home takes over a slot whose keys came in between its own. The oldest must
+// be forgotten first, whoever had them: a key that is forgotten before its time
+// is answered with "may have run" though its answer is known.
+func TestTakenKeysAreForgottenInTheirTurn(t *testing.T) {
+	l := New()
+	l.Hold(SlotOf(Key{1}), 0)
+	for i := range uint64(3) {
+		l.Decide(burdockclock.Millis(10*i+5), Ask{Key: Key{1, i}, Request: "own"})
+	}
+	// Out of order, as a sender of another release may send them.
+	var lines []Line
+	for _, i := range []uint64{2, 0, 1} {
+		lines = append(lines, Line{Key: Key{2, i}, Request: "taken", At: burdockclock.Millis(10 * i)})
+	}
+	l.Take(SlotOf(Key{2}), 0, lines)
+	for want := 5; want >= 0; want-- {
+		l.Forget(RememberFor + burdockclock.Millis(5*(5-want)+1))
+		if got := l.Len(); got != want {
+			t.Fatalf("keys that are left: got %d, want %d", got, want)
+		}
+	}
+}
--- a/internal/measure/burdockcapacitylab/command.go
+++ b/internal/measure/burdockcapacitylab/command.go
@@ -72,10 +72,10 @@
 }
 
 func printLedgers(w io.Writer) error {
-	table := newTable(w, "An agent's ledger of keys", "keys\theap KiB\trepeat µs\tlines of a slot µs\t")
+	table := newTable(w, "An agent's ledger of keys", "keys\theap KiB\trepeat µs\tlines of a slot µs\ttake a tenth more µs\t")
 	for _, n := range []int{1000, 10_000, 100_000, 200_000} {
 		c := MeasureLedger(n)
-		fmt.Fprintf(table, "%d\t%d\t%s\t%s\t\n", n, c.Bytes>>10, micros(c.Decide), micros(c.Lines))
+		fmt.Fprintf(table, "%d\t%d\t%s\t%s\t%s\t\n", n, c.Bytes>>10, micros(c.Decide), micros(c.Lines), micros(c.Take))
 	}
 	return table.Flush()
 }
--- a/internal/measure/burdockcapacitylab/fleet.go
+++ b/internal/measure/burdockcapacitylab/fleet.go
@@ -27,9 +27,6 @@
 	{Upstreams: 3800, Customers: 3800, Services: 6, Entries: 350},
 }
 
-// perService returns how many upstreams the first service has.
-func (s Size) perService() int { return (s.Upstreams + s.Services - 1) / s.Services }
-
 const dataCentreCount = 10
 
 func dataCentre(i int) burdockid.DataCentre {
--- a/internal/measure/burdockcapacitylab/serve.go
+++ b/internal/measure/burdockcapacitylab/serve.go
@@ -95,6 +95,9 @@
 	Decide time.Duration
 	// Lines is the processor time to gather one slot's keys for a handover.
 	Lines time.Duration
+	// Take is the processor time to take over a slot with as many keys again
+	// for each ten that are there, which came in the same span.
+	Take time.Duration
 }
 
 // MeasureLedger measures a ledger of n keys over all slots.
@@ -105,7 +108,7 @@
 			l.Hold(slot, 0)
 		}
 		for i := range n {
-			l.Decide(1, askOf(i))
+			l.Decide(burdockclock.Millis(i), askOf(i))
 		}
 		return l
 	})
@@ -113,10 +116,24 @@
 	repeat := askOf(0)
 	cost.Decide = processorTime(func() { l.Decide(1, repeat) })
 	cost.Lines = processorTime(func() { l.Lines(burdockledger.SlotOf(repeat.Key)) })
+	cost.Take = measureTake(l, n)
 	runtime.KeepAlive(l)
 	return cost
 }
 
+const takenShare = 10
+
+func measureTake(l *burdockledger.Ledger, n int) time.Duration {
+	lines := make([]burdockledger.Line, n/takenShare)
+	for i := range lines {
+		a := askOf(n + i)
+		lines[i] = burdockledger.Line{Key: a.Key, Request: a.Request, Fingerprint: a.Fingerprint, At: burdockclock.Millis(i * takenShare)}
+	}
+	before := used()
+	l.Take(0, 0, lines)
+	return used() - before
+}
+
 func askOf(i int) burdockledger.Ask {
 	key := burdockid.IdempotencyKey(fmt.Sprintf("key-%d", i))
 	return burdockledger.Ask{Key: burdockledger.KeyOf("amplifier-lab", key), Request: burdockid.NewRequest(), Fingerprint: 1}
