--- a/internal/proof/burdockgroupproof/group_test.go
+++ b/internal/proof/burdockgroupproof/group_test.go
@@ -154,6 +154,8 @@
 	for rank := range g.Agents {
 		if state, ok := g.State(rank); !ok || len(state.Faults) > 0 {
 			t.Errorf("rank %d: state there %v, faults %v; want none", rank, ok, state.Faults)
+		} else if state.Traffic.Orders > 0 {
+			t.Logf("rank %d sent as controller: %+v", rank, state.Traffic)
 		}
 	}
 	last, _ := burdockprograms.Last(log)
--- /dev/null
+++ b/internal/serve/burdockrank/size_test.go
@@ -0,0 +1,66 @@
+package burdockrank
+
+import (
+	"testing"
+
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/decide/burdockexpert"
+	"burdockbend.example/burdockbend/internal/group/burdockgroup"
+	"burdockbend.example/burdockbend/internal/platform/burdockengine"
+	"google.golang.org/protobuf/proto"
+)
+
+// The sizes that docs/design/mapchange.md gives, for 32 ranks and 60 layers of
+// 128 experts, six to a rank, with 48-bit versions, steps of a month and counts
+// of billions.
+func TestSizesAtTheTarget(t *testing.T) {
+	const ranks, layers, experts, slots = 32, 60, 128, 6
+	const version, at, fence, seq = 1 << 47, 600_000_000, 1 << 31, 100_000
+	popularity := burdockexpert.NewPopularity(layers, experts, popularityHalfLife)
+	group := make([]burdockexpert.Rank, ranks)
+	for r := range group {
+		group[r] = burdockexpert.Rank{Slots: slots, Speed: normalSpeed}
+	}
+	content, err := burdockexpert.Solve(popularity.Snapshot(), group).Encode()
+	if err != nil {
+		t.Fatalf("encode the map: %v", err)
+	}
+	counts := burdockengine.GroupCounts{Life: burdockengine.Life(burdockid.NewIncarnation()), Slots: slots, ExpertBytes: 44_000_000, StoreRate: 1_000_000_000}
+	for range layers {
+		tokens := make([]burdockid.Tokens, experts)
+		for e := range tokens {
+			tokens[e] = 2_000_000_000
+		}
+		counts.Tokens = append(counts.Tokens, tokens)
+	}
+	order := func(body burdockgroup.OrderBody) proto.Message {
+		return orderToWire("decks-1", burdockgroup.Order{
+			Number: burdockgroup.Number{Fence: fence, Seq: seq}, To: ranks - 1, Incarnation: burdockid.NewIncarnation(), Body: body,
+		})
+	}
+	report := reportToWire(burdockgroup.Report{
+		Number: burdockgroup.Number{Fence: fence, Seq: seq}, From: ranks - 1, Incarnation: burdockid.NewIncarnation(), Highest: fence,
+		Status: burdockgroup.EngineStatus{
+			Next: at, Base: version, Switch: burdockgroup.Switch{Map: version, At: at}, Held: true, HoldAt: at, LastStep: at, LastMap: version,
+		},
+		Kept: []burdockid.MapVersion{version, version + 1},
+	})
+	tests := []struct {
+		name string
+		msg  proto.Message
+		most int
+	}{
+		{"read", order(burdockgroup.Read{}), 64},
+		{"commit", order(burdockgroup.Commit{Map: version, At: at}), 80},
+		{"load", order(burdockgroup.Load{Map: version, Content: content}), 20_000},
+		{"report", report, 160},
+		{"counts", countsToWire(counts), 45_000},
+	}
+	for _, test := range tests {
+		got := proto.Size(test.msg)
+		t.Logf("%s: %d bytes", test.name, got)
+		if got > test.most {
+			t.Errorf("%s: got %d bytes, want at most %d", test.name, got, test.most)
+		}
+	}
+}
