--- a/internal/serve/burdockentry/offers.go
+++ b/internal/serve/burdockentry/offers.go
@@ -9,7 +9,6 @@
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/config/burdockmember"
 	"burdockbend.example/burdockbend/internal/decide/burdockeject"
-	"burdockbend.example/burdockbend/internal/decide/burdockledger"
 	"burdockbend.example/burdockbend/internal/decide/burdockplace"
 	"burdockbend.example/burdockbend/internal/decide/burdockretry"
 	"burdockbend.example/burdockbend/internal/serve/burdockapi"
@@ -36,14 +35,6 @@
 	homeTries int
 }
 
-// A home of keys that is handed over is back within the time that an edit
-// takes to reach its agent. A caller waits that long at most; with a shorter
-// deadline, until that.
-const (
-	homePause    = 250 * burdockclock.Millis(1)
-	homeTriesMax = 20
-)
-
 // result is how one offer ended.
 type result interface{ isResult() }
 
@@ -138,40 +129,6 @@
 	return target, choice, ok
 }
 
-// home returns the one upstream that may run the request's key.
-func (o *offers) home() (burdockmember.Upstream, burdockplace.Choice, bool) {
-	fleet := o.entry.deps.Fleet.Now()
-	slot := burdockledger.SlotOf(burdockledger.KeyOf(o.req.customer, o.req.key))
-	home, ok := fleet.Homes[o.req.service][slot]
-	if !ok {
-		return burdockmember.Upstream{}, burdockplace.Choice{}, false
-	}
-	target, ok := fleet.Upstreams[home.Upstream]
-	if !ok {
-		return burdockmember.Upstream{}, burdockplace.Choice{}, false
-	}
-	choice := burdockplace.Choice{Upstream: target.Name, Reason: reasonKeyHome, Candidates: 1}
-	o.pool.sent(o.now(), o, choice)
-	return target, choice, true
-}
-
-// reasonKeyHome says that the request's key allows only this upstream.
-const reasonKeyHome burdockplace.Reason = "keyHome"
-
-// waitForHome waits for a home of the request's key. It reports false when the
-// request has been given up instead.
-func (o *offers) waitForHome(ctx context.Context) bool {
-	o.homeTries++
-	if o.homeTries > homeTriesMax || o.now()+homePause > o.req.deadline {
-		o.giveUp(o.pool.noUpstream(o.now()), notRun{refusal: &burdockwire.Refused{
-			Reason:      burdockwire.RefusedReason_REFUSED_REASON_KEY_NOT_HERE,
-			Explanation: "the key has no home that answers now",
-		}})
-		return false
-	}
-	return o.pause(ctx, homePause)
-}
-
 // observe tells what the offer showed of the upstream's health.
 func (o *offers) observe(target burdockmember.Upstream, res result) {
 	switch res := res.(type) {
@@ -235,22 +192,6 @@
 	panic("burdockentry: unknown result")
 }
 
-// againAtHome decides about a request with a key that its home refused. No
-// other upstream may run it, so it is only worth another try when the home is
-// about to change.
-func (o *offers) againAtHome(ctx context.Context, res notRun) bool {
-	switch res.refusal.GetReason() {
-	case burdockwire.RefusedReason_REFUSED_REASON_KEY_NOT_HERE, burdockwire.RefusedReason_REFUSED_REASON_LEAVING:
-		return !o.waitForHome(ctx)
-	}
-	after := burdockclock.Millis(res.refusal.GetRetryAfterMillis())
-	o.giveUp(burdockretry.GiveUp{Reason: reasonHomeRefuses, RetryAfter: max(after, burdockclock.Second)}, res)
-	return true
-}
-
-// reasonHomeRefuses says that the only upstream that may run the key refused.
-const reasonHomeRefuses burdockretry.Reason = "homeRefuses"
-
 // again asks the budget whether the request may be offered again.
 func (o *offers) again(ctx context.Context, outcome burdockretry.Outcome, res result) bool {
 	d := o.pool.decide(o.now(), burdockretry.Attempt{
@@ -297,57 +238,3 @@
 	}
 	o.caller.fail(problem)
 }
-
-// problemOf says in the API's terms why a request was given up.
-func problemOf(g burdockretry.GiveUp, res result) *burdockapi.Problem {
-	problem := &burdockapi.Problem{
-		Status: http.StatusServiceUnavailable, Code: burdockapi.CodeBusy, NotRun: true, RetryAfter: g.RetryAfter,
-		Message: "not run: " + string(g.Reason),
-	}
-	switch res := res.(type) {
-	case unknown:
-		return unknownProblem(res)
-	case notRun:
-		describe(problem, res.refusal)
-	case unreached:
-		problem.Code = burdockapi.CodeNoUpstream
-		problem.Message = "not run: no upstream could be reached"
-	case nil:
-		problem.Code = burdockapi.CodeNoUpstream
-		problem.Message = "not run: no upstream can take the request now"
-	}
-	return problem
-}
-
-func unknownProblem(u unknown) *burdockapi.Problem {
-	if u.ran {
-		return &burdockapi.Problem{Status: http.StatusConflict, Code: burdockapi.CodeAnswerGone, Message: u.reason}
-	}
-	problem := &burdockapi.Problem{
-		Status: http.StatusBadGateway, Code: burdockapi.CodeOutcomeUnknown,
-		Message: "the outcome is unknown, the request may have run: " + u.reason,
-	}
-	if u.deadline {
-		problem.Status = http.StatusGatewayTimeout
-	}
-	return problem
-}
-
-// describe turns an agent's refusal into what the caller is told.
-func describe(problem *burdockapi.Problem, refusal *burdockwire.Refused) {
-	problem.Message = "not run: " + refusal.GetExplanation()
-	switch refusal.GetReason() {
-	case burdockwire.RefusedReason_REFUSED_REASON_OVER_SHARE, burdockwire.RefusedReason_REFUSED_REASON_DISPLACED:
-		problem.Status, problem.Code = http.StatusTooManyRequests, burdockapi.CodeOverShare
-	case burdockwire.RefusedReason_REFUSED_REASON_DEADLINE, burdockwire.RefusedReason_REFUSED_REASON_WAITED_TOO_LONG:
-		problem.Code = burdockapi.CodeDeadline
-	case burdockwire.RefusedReason_REFUSED_REASON_LEAVING:
-		problem.Code = burdockapi.CodeLeaving
-	case burdockwire.RefusedReason_REFUSED_REASON_UPSTREAM_DOWN:
-		problem.Code = burdockapi.CodeNoUpstream
-	case burdockwire.RefusedReason_REFUSED_REASON_KEY_NOT_HERE:
-		problem.Code = burdockapi.CodeKeyHome
-	case burdockwire.RefusedReason_REFUSED_REASON_KEY_REUSED:
-		problem.Status, problem.Code, problem.RetryAfter = http.StatusUnprocessableEntity, burdockapi.CodeKeyReused, 0
-	}
-}
