--- /dev/null
+++ b/internal/measure/burdockcapacitylab/fleet_test.go
@@ -0,0 +1,40 @@
+package burdockcapacitylab
+
+import (
+	"testing"
+
+	"burdockbend.example/burdockbend/internal/decide/burdockledger"
+)
+
+// What is measured must be a configuration that processes can read: entries
+// that they pass over would cost too little.
+func TestEntriesAreInForce(t *testing.T) {
+	for _, size := range Sizes[:2] {
+		entries, err := Entries(Fleet(size))
+		if err != nil {
+			t.Fatalf("Entries: %v", err)
+		}
+		s := newState(entries)
+		if got := s.fleet.Findings(); len(got) != 0 {
+			t.Errorf("findings: got %v, want none", got)
+		}
+		fleet := s.fleet.Now()
+		got := Size{Upstreams: len(fleet.Upstreams), Customers: len(fleet.Customers), Services: len(fleet.Services), Entries: len(fleet.Entries)}
+		if got != size {
+			t.Errorf("size in force: got %+v, want %+v", got, size)
+		}
+		for service := range fleet.Services {
+			if got, want := len(fleet.Homes[service]), burdockledger.Slots; got != want {
+				t.Errorf("homes of %s: got %d, want %d", service, got, want)
+			}
+		}
+	}
+}
+
+func TestHeapOfCountsWhatIsKept(t *testing.T) {
+	const size = 8 << 20
+	kept, got := heapOf(func() []byte { return make([]byte, size) })
+	if got < size || got > 2*size {
+		t.Errorf("heap of %d bytes: got %d", len(kept), got)
+	}
+}
