Offer a leaving agent's queued requests elsewhere without charge

Under a profile that refuses queued work, a planned stop failed callers. All requests that waited at the agent are refused in one instant, and the retry budget paid for three of them. Ruled out: a full fleet, the other agent had room for all in its queue. A refusal by an agent that leaves is now an outcome of its own, Leaving, which like Unreached adds no load and is not charged; an upstream without room still says NotRun.

--- a/internal/decide/burdockretry/decide.go
+++ b/internal/decide/burdockretry/decide.go
@@ -26,8 +26,8 @@
 		b.offers.add(now, b.cfg.Window)
 		b.refusals.add(now, b.cfg.Window)
 		return b.decideRetry(now, a, 0, outcome.RetryAfter)
-	case Unreached:
-		return b.decideUnreached(now, a)
+	case Leaving, Unreached:
+		return b.decideGone(now, a)
 	case Failed:
 		b.offers.add(now, b.cfg.Window)
 		// A broken connection never says "not run": the request may have run.
@@ -53,11 +53,13 @@
 	return Retry{}
 }
 
-// decideUnreached does not charge the budget. The budget bounds what retries
-// add to the load of upstreams, and an offer that was never sent adds none. A
-// charge would give up the callers of a lost data centre while the others
-// have room, until its upstreams are ejected.
-func (b *Budget) decideUnreached(now burdockclock.Millis, a Attempt) Decision {
+// decideGone does not charge the budget. The budget bounds what retries add to
+// the load of upstreams, and an offer that was never sent, or to an upstream
+// that leaves, adds none. A charge would give up the callers of a lost data
+// centre while the others have room, until its upstreams are ejected; and
+// those whose requests waited at an agent that is stopped as planned, all
+// refused in one instant. An upstream that has no room says NotRun.
+func (b *Budget) decideGone(now burdockclock.Millis, a Attempt) Decision {
 	switch {
 	case !b.inTime(now, a, 0):
 		return b.giveUp(now, ReasonDeadline, 0)
--- a/internal/decide/burdockretry/retry.go
+++ b/internal/decide/burdockretry/retry.go
@@ -11,8 +11,8 @@
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 )
 
-// Outcome is how an offer ended: one of NotRun, OverBound, Unreached and
-// Failed.
+// Outcome is how an offer ended: one of NotRun, Leaving, OverBound, Unreached
+// and Failed.
 type Outcome interface{ outcome() }
 
 // NotRun is a refusal by an upstream's agent, which never handed the request
@@ -22,6 +22,10 @@
 	RetryAfter burdockclock.Millis
 }
 
+// Leaving is a refusal by an upstream that is stopped as planned, of a request
+// that waited there or had just come.
+type Leaving struct{}
+
 // OverBound is a refusal only because the offer carried a bound on the load.
 // The upstream has room; another may have more.
 type OverBound struct{}
@@ -35,6 +39,7 @@
 type Failed struct{}
 
 func (NotRun) outcome()    {}
+func (Leaving) outcome()   {}
 func (OverBound) outcome() {}
 func (Unreached) outcome() {}
 func (Failed) outcome()    {}
--- a/internal/decide/burdockretry/retry_test.go
+++ b/internal/decide/burdockretry/retry_test.go
@@ -38,6 +38,8 @@
 		{"over the bound is free", Attempt{Outcome: OverBound{}, Offers: 5, OverBound: 5}, ""},
 		{"over the bound without end", Attempt{Outcome: OverBound{}, Offers: 9, OverBound: 9}, ReasonOffers},
 		{"over the bound, too late", Attempt{Outcome: OverBound{}, Offers: 1, Deadline: 1000}, ReasonDeadline},
+		{"leaving", Attempt{Outcome: Leaving{}, Offers: 1}, ""},
+		{"leaving, too late", Attempt{Outcome: Leaving{}, Offers: 1, Deadline: 1000}, ReasonDeadline},
 		{"never sent", Attempt{Outcome: Unreached{}, Offers: 1}, ""},
 		{"never sent, often", Attempt{Outcome: Unreached{}, Offers: 8}, ReasonOffers},
 		{"never sent, too late", Attempt{Outcome: Unreached{}, Offers: 1, Deadline: 1000}, ReasonDeadline},
@@ -55,6 +57,21 @@
 	}
 }
 
+// Many requests wait at an agent that is stopped as planned, and all are
+// refused in one instant. Each is offered to another upstream, however few
+// answers the budget has seen.
+func TestLeavingIsNotCharged(t *testing.T) {
+	b := testBudget(1)
+	for i := range 100 {
+		if got, want := b.Decide(1000, Attempt{Outcome: Leaving{}, Offers: 1}), (Retry{}); got != want {
+			t.Fatalf("request %d: got %#v, want %#v", i, got, want)
+		}
+	}
+	if got, want := b.Decide(1000, Attempt{Outcome: NotRun{}, Offers: 1}), (Retry{}); got != want {
+		t.Errorf("the first refusal afterwards: got %#v, want %#v", got, want)
+	}
+}
+
 // Every upstream refuses, and a hundred callers a second go on asking. Each
 // gets its refusal after one offer, at once: further offers would only add to
 // the load, since all refuse. First offers go on, so that the entry notices by
@@ -112,7 +129,7 @@
 			"pass":    func(t *rapid.T) { now += burdockclock.Millis(rapid.IntRange(0, 3000).Draw(t, "ms")) },
 			"succeed": func(*rapid.T) { b.Succeeded(now) },
 			"end": func(t *rapid.T) {
-				outcomes := []Outcome{NotRun{}, OverBound{}, Unreached{}, Failed{}}
+				outcomes := []Outcome{NotRun{}, Leaving{}, OverBound{}, Unreached{}, Failed{}}
 				a := Attempt{
 					Outcome:    rapid.SampledFrom(outcomes).Draw(t, "outcome"),
 					Offers:     rapid.IntRange(1, 6).Draw(t, "offers"),
--- a/internal/serve/burdockentry/offers.go
+++ b/internal/serve/burdockentry/offers.go
@@ -220,7 +220,7 @@
 			return o.againAtHome(ctx, res)
 		}
 		o.refusedBy[target.Name] = true
-		return o.again(ctx, burdockretry.NotRun{RetryAfter: burdockclock.Millis(res.refusal.GetRetryAfterMillis())}, res)
+		return o.again(ctx, outcomeOf(res.refusal), res)
 	case unreached:
 		if o.req.key != "" {
 			return !o.waitForHome(ctx)
@@ -234,6 +234,14 @@
 	panic("burdockentry: unknown result")
 }
 
+// outcomeOf says what a refusal means for another offer.
+func outcomeOf(refusal *burdockwire.Refused) burdockretry.Outcome {
+	if refusal.GetReason() == burdockwire.RefusedReason_REFUSED_REASON_LEAVING {
+		return burdockretry.Leaving{}
+	}
+	return burdockretry.NotRun{RetryAfter: burdockclock.Millis(refusal.GetRetryAfterMillis())}
+}
+
 // againAtHome decides about a request with a key that its home refused. No
 // other upstream may run it, so it is only worth another try when the home is
 // about to change.
