Count a key's memory from its run, not from a refusal before

A key that was refused left its arrival behind in the ledger. A slot given up left its arrivals as well, so that its keys were handed on twice. Each of the three tests failed before.

--- a/internal/decide/burdockledger/ledger.go
+++ b/internal/decide/burdockledger/ledger.go
@@ -1,6 +1,8 @@
 package burdockledger
 
 import (
+	"slices"
+
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 )
@@ -104,11 +106,13 @@
 // Drop gives a slot up, with what is remembered of its keys.
 func (l *Ledger) Drop(slot Slot) {
 	delete(l.since, slot)
-	for key := range l.records {
-		if SlotOf(key) == slot {
-			delete(l.records, key)
+	l.arrivals = slices.DeleteFunc(l.arrivals, func(a arrival) bool {
+		if SlotOf(a.key) != slot {
+			return false
 		}
-	}
+		delete(l.records, a.key)
+		return true
+	})
 }
 
 // Holds reports whether the ledger holds a slot.
@@ -160,6 +164,20 @@
 func (l *Ledger) NotRun(key Key, request burdockid.Request) {
 	if known, ok := l.records[key]; ok && known.request == request {
 		delete(l.records, key)
+		l.removeArrival(key)
+	}
+}
+
+// removeArrival removes the arrival of a key that was not run, so that each
+// key has one arrival as long as it has a record. Left behind, it would have a
+// later run of the key forgotten too early, and take the room of others. It
+// looks from the newest on, where what was just refused is.
+func (l *Ledger) removeArrival(key Key) {
+	for i := len(l.arrivals) - 1; i >= 0; i-- {
+		if l.arrivals[i].key == key {
+			l.arrivals = slices.Delete(l.arrivals, i, i+1)
+			return
+		}
 	}
 }
 
--- a/internal/decide/burdockledger/ledger_test.go
+++ b/internal/decide/burdockledger/ledger_test.go
@@ -128,6 +128,54 @@
 	}
 }
 
+// A caller's key is refused at first and runs hours later. It is remembered
+// for as long as any other from its run on, not from its first arrival.
+func TestForgetCountsFromTheRun(t *testing.T) {
+	l := holding(0)
+	l.Decide(noon, ask("k", "refused", 0))
+	l.NotRun(ask("k", "", 0).Key, "refused")
+	later := noon + RememberFor - burdockclock.Hour
+	l.Decide(later, ask("k", "run", 0))
+	l.End(ask("k", "", 0).Key, "run", FateAnswered)
+	wall := noon + RememberFor + 1
+	l.Forget(wall)
+	want := Attach{Request: "run", Fate: FateAnswered}
+	if got := l.Decide(wall, ask("k", "repeat", 0)); got != want {
+		t.Errorf("repeat an hour after the run: got %#v, want %#v", got, want)
+	}
+}
+
+// A full fleet refuses keys by the hundred thousand. Keys that ran are not
+// forgotten for them, whether they were refused here or went to another home.
+func TestRefusedKeysTakeNoRoom(t *testing.T) {
+	l := holding(0)
+	l.Decide(noon, ask("k", "run", 0))
+	for i := range MaxKeys + 1 {
+		refused := ask(fmt.Sprint("refused ", i), "refused", 0)
+		l.Decide(noon+1, refused)
+		l.NotRun(refused.Key, "refused")
+	}
+	l.Forget(noon + 2)
+	want := Attach{Request: "run", Fate: FateRunning}
+	if got := l.Decide(noon+2, ask("k", "repeat", 0)); got != want {
+		t.Errorf("repeat: got %#v, want %#v", got, want)
+	}
+}
+
+// A slot goes away and comes back with its memory. Each key is in the memory
+// that is handed on next once, as it would be had the slot stayed.
+func TestDropLeavesNothingBehind(t *testing.T) {
+	l := holding(0)
+	l.Decide(noon, ask("k", "run", 0))
+	slot := SlotOf(ask("k", "", 0).Key)
+	lines := l.Lines(slot)
+	l.Drop(slot)
+	l.Take(slot, 0, lines)
+	if got, want := len(l.Lines(slot)), 1; got != want {
+		t.Errorf("lines: got %d, want %d", got, want)
+	}
+}
+
 // Callers repeat keys at random while homes are lost, stopped as planned and
 // replaced. No key runs twice, whatever the order. Clocks are within the skew.
 func TestNoKeyRunsTwice(t *testing.T) {
