--- a/internal/serve/burdockentry/offers.go
+++ b/internal/serve/burdockentry/offers.go
@@ -178,7 +178,7 @@
 			return o.againAtHome(ctx, res)
 		}
 		o.refusedBy[target.Name] = true
-		return o.again(ctx, burdockretry.NotRun{RetryAfter: burdockclock.Millis(res.refusal.GetRetryAfterMillis())}, res)
+		return o.again(ctx, outcomeOf(res.refusal), res)
 	case unreached:
 		if o.req.key != "" {
 			return !o.waitForHome(ctx)
@@ -192,6 +192,14 @@
 	panic("burdockentry: unknown result")
 }
 
+// outcomeOf says what a refusal means for another offer.
+func outcomeOf(refusal *burdockwire.Refused) burdockretry.Outcome {
+	if refusal.GetReason() == burdockwire.RefusedReason_REFUSED_REASON_LEAVING {
+		return burdockretry.Leaving{}
+	}
+	return burdockretry.NotRun{RetryAfter: burdockclock.Millis(refusal.GetRetryAfterMillis())}
+}
+
 // again asks the budget whether the request may be offered again.
 func (o *offers) again(ctx context.Context, outcome burdockretry.Outcome, res result) bool {
 	d := o.pool.decide(o.now(), burdockretry.Attempt{
