--- a/internal/config/burdockmember/route.go
+++ b/internal/config/burdockmember/route.go
@@ -23,7 +23,7 @@
 // resolves /jobs/../letters would run a call of /letters, while the call was
 // treated as one of /jobs and may have been repeated.
 func (f Fleet) FindRoute(method, path string) (Service, Route, bool) {
-	if !isClean(path) {
+	if !IsClean(path) {
 		return Service{}, Route{}, false
 	}
 	var service Service
@@ -40,7 +40,7 @@
 }
 
 // isClean takes a path with or without a slash at its end.
-func isClean(path string) bool {
+func IsClean(path string) bool {
 	clean := pathpkg.Clean(path)
 	return strings.HasPrefix(path, "/") && (path == clean || clean != "/" && path == clean+"/")
 }
--- a/internal/serve/burdockentry/entry_test.go
+++ b/internal/serve/burdockentry/entry_test.go
@@ -229,3 +229,20 @@
 		t.Errorf("connections for %d requests one after another: got %d, want at most %d", requests, got, want)
 	}
 }
+
+// A caller names a path that an upstream would take for another one: routed as
+// /cards, it would run as /letters, which may not be repeated. It is refused.
+func TestPathThatMeansAnotherHasNoRoute(t *testing.T) {
+	agent := &scriptedAgent{script: func(id string) []*burdockwire.RunEvent {
+		return []*burdockwire.RunEvent{admitted(id), head(id), end(id, 0)}
+	}}
+	server, key := startEntry(t, agent)
+	for _, path := range []string{"/cards/../letters", "/cards/%2e%2e/letters", "/cards//1", "/cards/./1"} {
+		if status, body, err := post(server.URL+path, key); status != http.StatusNotFound || err != nil {
+			t.Errorf("%s: got status %d body %q err %v, want 404", path, status, body, err)
+		}
+	}
+	if got, want := agent.runs.Load(), int64(0); got != want {
+		t.Errorf("runs: got %d, want %d", got, want)
+	}
+}
--- a/internal/serve/burdockentry/pool.go
+++ b/internal/serve/burdockentry/pool.go
@@ -7,6 +7,7 @@
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/config/burdockmember"
+	"burdockbend.example/burdockbend/internal/config/burdockprofile"
 	"burdockbend.example/burdockbend/internal/decide/burdockeject"
 	"burdockbend.example/burdockbend/internal/decide/burdockplace"
 	"burdockbend.example/burdockbend/internal/decide/burdockretry"
@@ -34,7 +35,7 @@
 	placer  *burdockplace.Placer
 	tracker *burdockeject.Tracker
 	budget  *burdockretry.Budget
-	ratio   float64
+	retry   burdockprofile.Retry
 	random  *rand.Rand
 	members map[burdockid.Upstream]burdockmember.Upstream
 	// incarnations holds which run of its agent each upstream was last heard of.
@@ -82,9 +83,9 @@
 		return
 	}
 	p.digest = fleet.Digest
-	if ratio := fleet.Profile(p.service).Retry.BudgetRatio; ratio != p.ratio {
-		p.ratio = ratio
-		p.budget = burdockretry.New(burdockretry.Config{Fraction: ratio}, derive(p.random))
+	if retry := fleet.Profile(p.service).Retry; retry != p.retry {
+		p.retry = retry
+		p.budget = burdockretry.New(burdockretry.Config{Fraction: retry.BudgetRatio, Offers: retry.MaxAttempts}, derive(p.random))
 	}
 	p.members = map[burdockid.Upstream]burdockmember.Upstream{}
 	names := []burdockid.Upstream{}
--- a/internal/state/burdockfleet/index.go
+++ b/internal/state/burdockfleet/index.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"strings"
 
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/config/burdockmember"
@@ -46,21 +45,16 @@
 	})
 }
 
-// Route returns the route of a call to a plain service.
+// Route returns the route of a call to a plain service. A path that an upstream
+// could take for another has none, see burdockmember.Fleet.FindRoute.
 func (s *Snapshot) Route(method, path string) (Route, bool) {
+	if !burdockmember.IsClean(path) {
+		return Route{}, false
+	}
 	for _, route := range s.Routes {
-		if route.matches(method, path) {
+		if route.Matches(method, path) {
 			return route, true
 		}
 	}
 	return Route{}, false
 }
-
-func (r Route) matches(method, path string) bool {
-	if len(r.Methods) > 0 && !slices.Contains(r.Methods, method) {
-		return false
-	}
-	prefix := strings.TrimSuffix(r.PathPrefix, "/")
-	rest, ok := strings.CutPrefix(path, prefix)
-	return ok && (rest == "" || rest[0] == '/')
-}
