Tell an asked process what it was seen to lack

Agents had written homes of keys right before the outage; entries ask only each other and the store, so what an agent alone knew reached nobody until the store was back. Ruled out: a lost pull (the agents' pulls were answered). Change: after an exchange by buckets, the one who asked gives back what the other lacks.

--- a/internal/state/burdocksync/handler.go
+++ b/internal/state/burdocksync/handler.go
@@ -28,8 +28,10 @@
 	if req.Msg.GetVerified() {
 		h.source.verify()
 	}
+	h.view.Merge(fromWire(req.Msg.GetEntries()))
 	res := &burdockwire.SyncResponse{Digest: uint64(h.view.Digest()), Verified: h.source.Verified()}
 	if buckets := req.Msg.GetBucketDigests(); len(buckets) > 0 {
+		res.BucketDigests = toNumbers(h.view.Buckets())
 		res.Entries = toWire(h.view.Differing(digestsOf(buckets)))
 		return connect.NewResponse(res), nil
 	}
@@ -47,6 +49,14 @@
 	return digests
 }
 
+func toNumbers(digests []burdockconfig.Digest) []uint64 {
+	numbers := make([]uint64, len(digests))
+	for i, d := range digests {
+		numbers[i] = uint64(d)
+	}
+	return numbers
+}
+
 func toWire(entries []burdockconfig.Entry) []*burdockwire.ConfigEntry {
 	messages := make([]*burdockwire.ConfigEntry, len(entries))
 	for i, e := range entries {
--- a/internal/state/burdocksync/puller.go
+++ b/internal/state/burdocksync/puller.go
@@ -154,7 +154,7 @@
 		return false, err
 	}
 	if res.Msg.GetNeedBuckets() {
-		res, err = client.Sync(ctx, connect.NewRequest(&burdockwire.SyncRequest{BucketDigests: p.buckets()}))
+		res, err = client.Sync(ctx, connect.NewRequest(&burdockwire.SyncRequest{BucketDigests: toNumbers(p.view.Buckets())}))
 		if err != nil {
 			return false, err
 		}
@@ -168,14 +168,20 @@
 	if p.view.Len() > 0 {
 		p.source.fire(burdockcharts.ConfigurationEventReadPeer)
 	}
-	return res.Msg.GetVerified(), nil
+	return res.Msg.GetVerified(), p.giveBack(ctx, client, res.Msg)
 }
 
-func (p *Puller) buckets() []uint64 {
-	digests := p.view.Buckets()
-	buckets := make([]uint64, len(digests))
-	for i, d := range digests {
-		buckets[i] = uint64(d)
+// giveBack tells a process what it was seen to lack.
+//
+// Failure: an agent writes the home of a key, and the store goes out before any
+// watcher has read it. Symptom: entries ask only each other and the store, so
+// what one agent knows reaches nobody for as long as the outage lasts, and the
+// key's requests are led to a home that was given up.
+func (p *Puller) giveBack(ctx context.Context, client burdockwire.PeerServiceClient, answer *burdockwire.SyncResponse) error {
+	if len(answer.GetBucketDigests()) == 0 || answer.GetDigest() == uint64(p.view.Digest()) {
+		return nil
 	}
-	return buckets
+	entries := p.view.Differing(digestsOf(answer.GetBucketDigests()))
+	_, err := client.Sync(ctx, connect.NewRequest(&burdockwire.SyncRequest{Digest: uint64(p.view.Digest()), Entries: toWire(entries)}))
+	return err
 }
