--- a/internal/config/burdockmember/route.go
+++ b/internal/config/burdockmember/route.go
@@ -39,7 +39,8 @@
 	return service, route, found
 }
 
-// isClean takes a path with or without a slash at its end.
+// IsClean reports whether a path has no "..", "." or empty part. A slash at its
+// end is no such part.
 func IsClean(path string) bool {
 	clean := pathpkg.Clean(path)
 	return strings.HasPrefix(path, "/") && (path == clean || clean != "/" && path == clean+"/")
