--- a/internal/proof/burdockgroupproof/fault_test.go
+++ b/internal/proof/burdockgroupproof/fault_test.go
@@ -100,6 +100,24 @@
 	})
 }
 
+// The group steps on with one map. The store goes out while the ranks are being
+// armed, and then the agent beside a rank is replaced. The new one can't ask the
+// store for the fencing number; it learns it from all its peers. If it were slow
+// to start, the lease would lapse and the group wait until the store is back.
+func TestAgentReplacedWhileTheStoreIsOut(t *testing.T) {
+	bothKinds(t, func(t *testing.T, g *burdockprograms.Group) {
+		rank := other(inPhase(t, g, burdockgroup.ControllerArming))
+		g.Store.SetFault(t, burdockfault.Setting{Mode: burdockfault.Down})
+		g.Agents[rank].Kill()
+		g.StartAgent(t, g.Agents[rank])
+		burdockprograms.Eventually(t, "the new agent knows the fencing number", func() bool {
+			state, ok := g.State(rank)
+			return ok && state.Rank.Highest.Fence > 0
+		})
+		g.Store.SetFault(t, burdockfault.Setting{})
+	})
+}
+
 // tooSlowOrder is what the engine takes for an order that is armed in time with
 // a lead of 32 steps, and told to commit after the step of the change has come.
 const tooSlowOrder = 400
--- a/internal/proof/burdockprograms/group.go
+++ b/internal/proof/burdockprograms/group.go
@@ -31,8 +31,9 @@
 }
 
 // Group is a lock-stepped group of separate processes: a store, the exchange
-// between the engines, and an engine and an agent for each rank. It has no
-// entry, since its steps need no callers.
+// between the engines, an engine and an agent for each rank, and an entry. Its
+// steps need no callers; the entry passes on the configuration while the store
+// is out.
 type Group struct {
 	*Fleet
 	Group    GroupConfig
@@ -50,6 +51,7 @@
 	f.Store = f.standin(t, "store")
 	f.List = f.standin(t, "list")
 	g.Lockstep = f.standin(t, "lockstep", "-ranks", strconv.Itoa(cfg.Ranks))
+	f.addEntry(t, 0)
 	for i := range cfg.Ranks {
 		g.addRank(t, i)
 	}
@@ -114,6 +116,9 @@
 		fmt.Fprintf(&b, "[[upstream]]\nname = %q\nservice = %q\nvm = %q\ndataCentre = %q\nagent = %q\nfenced = %v\ngroup = %q\nrank = %d\n",
 			a.Name, a.Service, a.Name, dataCentres[i%len(dataCentres)], a.Address(), g.Group.Fenced, GroupName, i)
 	}
+	for i, e := range g.Entries {
+		fmt.Fprintf(&b, "[[entry]]\nvm = %q\ndataCentre = %q\npeer = %q\n", e.Name, dataCentres[i%len(dataCentres)], e.Peer)
+	}
 	fmt.Fprintf(&b, "[[customer]]\nname = %q\nkeyHash = %q\n", Customer, burdockkey.Hash(g.Key))
 	return b.String()
 }
