--- a/internal/proof/burdockprograms/fleet.go
+++ b/internal/proof/burdockprograms/fleet.go
@@ -119,11 +119,18 @@
 	for i := range cfg.Plains {
 		f.addAgent(t, PlainService, "plain", i)
 	}
+	f.startEntries(t)
+	return f
+}
+
+// startEntries writes the settings of all entries, which name each other, and
+// starts them.
+func (f *Fleet) startEntries(t testing.TB) {
+	t.Helper()
 	for i, e := range f.Entries {
 		e.settings = f.write(t, e.Name, f.common(i, e.Name, e.Peer, e.Admin)+fmt.Sprintf("listen = %q\n", e.Callers))
 		f.StartEntry(t, e)
 	}
-	return f
 }
 
 func (f *Fleet) program(name string) string { return filepath.Join(f.bin, name) }
--- a/internal/proof/burdockprograms/group.go
+++ b/internal/proof/burdockprograms/group.go
@@ -51,7 +51,8 @@
 	f.Store = f.standin(t, "store")
 	f.List = f.standin(t, "list")
 	g.Lockstep = f.standin(t, "lockstep", "-ranks", strconv.Itoa(cfg.Ranks))
-	f.addEntry(t, 0)
+	f.Entries = append(f.Entries, newEntry(t, 0))
+	f.startEntries(t)
 	for i := range cfg.Ranks {
 		g.addRank(t, i)
 	}
