Give test processes ports that no outgoing connection takes

One run in two of the group tests failed: an agent could not listen, since its port, found free and let go, had gone to a connection of another process. Ports now come from below the range of outgoing connections. The test that failed passes after it, once with each kind of engine.

--- a/internal/proof/burdockprograms/fleet.go
+++ b/internal/proof/burdockprograms/fleet.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -283,30 +284,34 @@
 	return string(out), cmd.ProcessState.ExitCode()
 }
 
-// given holds the addresses that FreeAddress has returned. A port that was let
-// go is free to the system, so tests that run side by side could get the same.
+// Ports below those that Linux gives to outgoing connections by default. One
+// from among those may be taken by a connection of another process before the
+// process that it was meant for listens.
+const (
+	firstPort = 20000
+	portCount = 12000
+)
+
+// given holds the addresses that FreeAddress has returned.
 var given sync.Map
 
 // FreeAddress returns an address on loopback that nobody listens on, and that
 // it has not returned before.
 func FreeAddress(t testing.TB) string {
 	t.Helper()
-	for {
-		address := freeAddress(t)
+	for range portCount {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = listener.Close()
 		if _, taken := given.LoadOrStore(address, true); !taken {
 			return address
 		}
 	}
-}
-
-func freeAddress(t testing.TB) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatalf("find a free port: %v", err)
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
 // WaitReady waits until every process is ready and all hold the same
