--- a/internal/serve/burdockentry/dump.go
+++ b/internal/serve/burdockentry/dump.go
@@ -26,6 +26,7 @@
 	Service   burdockid.Service  `json:"service"`
 	Placing   burdockplace.State `json:"placing"`
 	Ejection  burdockeject.State `json:"ejection"`
+	Health    HealthState        `json:"health"`
 	Retries   burdockretry.State `json:"retries"`
 	Decisions []decision         `json:"decisions"`
 }
@@ -56,6 +57,7 @@
 		Service:   p.service,
 		Placing:   p.placer.State(),
 		Ejection:  p.tracker.State(),
+		Health:    p.health.dump(),
 		Retries:   p.budget.State(now),
 		Decisions: slices.Clone(p.last),
 	}
--- a/internal/serve/burdockentry/pool.go
+++ b/internal/serve/burdockentry/pool.go
@@ -11,6 +11,7 @@
 	"burdockbend.example/burdockbend/internal/decide/burdockeject"
 	"burdockbend.example/burdockbend/internal/decide/burdockplace"
 	"burdockbend.example/burdockbend/internal/decide/burdockretry"
+	"burdockbend.example/burdockbend/internal/state/burdockcharts"
 	"burdockbend.example/burdockbend/internal/state/burdockconfig"
 	"burdockbend.example/burdockbend/internal/state/burdockfleet"
 	"burdockbend.example/burdockbend/internal/wire/burdockwire"
@@ -34,6 +35,7 @@
 	digest  burdockconfig.Digest
 	placer  *burdockplace.Placer
 	tracker *burdockeject.Tracker
+	health  *health
 	budget  *burdockretry.Budget
 	retry   burdockprofile.Retry
 	random  *rand.Rand
@@ -63,6 +65,7 @@
 		dataCentre: dc,
 		random:     random,
 		placer:     burdockplace.New(burdockplace.Config{}, derive(random)),
+		health:     newHealth(),
 		tracker:    burdockeject.New(burdockeject.Config{}, derive(random)),
 		budget:     burdockretry.New(burdockretry.Config{}, derive(random)),
 		leaving:    map[burdockid.Upstream]burdockid.Incarnation{},
@@ -94,6 +97,7 @@
 		names = append(names, u.Name)
 	}
 	p.tracker.SetMembers(now, names)
+	p.health.keep(now, func(u burdockid.Upstream) bool { _, ok := p.members[u]; return ok })
 	members := make([]burdockplace.Member, len(names))
 	for i, name := range names {
 		members[i] = burdockplace.Member{Upstream: name, DataCentre: p.members[name].DataCentre, Weight: p.tracker.Weight(name)}
@@ -169,7 +173,8 @@
 func (p *pool) observe(now burdockclock.Millis, u burdockid.Upstream, o burdockeject.Observation) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.change(p.tracker.Observe(now, u, o))
+	c, changed := p.tracker.Observe(now, u, o)
+	p.change(now, c, changed)
 }
 
 // presence takes in that a run of an agent's process is there, and whether it
@@ -183,10 +188,12 @@
 	switch {
 	case leaving && !left:
 		p.leaving[u] = inc
-		p.change(p.tracker.Leave(now, u))
+		c, changed := p.tracker.Leave(now, u)
+		p.change(now, c, changed)
 	case !leaving && left && last != inc:
 		delete(p.leaving, u)
-		p.change(p.tracker.Return(now, u))
+		c, changed := p.tracker.Return(now, u)
+		p.change(now, c, changed)
 	}
 }
 
@@ -204,16 +211,25 @@
 	}
 	if _, member := p.members[u]; member {
 		p.leaving[u] = p.incarnations[u]
-		p.change(p.tracker.Leave(now, u))
+		c, changed := p.tracker.Leave(now, u)
+		p.change(now, c, changed)
 	}
 }
 
-func (p *pool) change(c burdockeject.Change, changed bool) {
+func (p *pool) change(now burdockclock.Millis, c burdockeject.Change, changed bool) {
 	if changed {
 		p.placer.SetWeight(c.Upstream, c.Weight)
+		p.health.change(now, c)
 	}
 }
 
+// probeFailed takes in that a probe found an upstream as it was.
+func (p *pool) probeFailed(now burdockclock.Millis, u burdockid.Upstream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.health.fire(now, u, burdockcharts.UpstreamEventProbeFailed, "can't be reached")
+}
+
 // due returns the upstreams that get no work and are to be asked how they are.
 func (p *pool) due(now burdockclock.Millis) []burdockmember.Upstream {
 	p.mu.Lock()
@@ -224,6 +240,7 @@
 		if !ok {
 			break
 		}
+		p.health.fire(now, u, burdockcharts.UpstreamEventProbe, "")
 		due = append(due, p.members[u])
 	}
 	if now-p.askedLeaving < askLeavingEvery {
--- a/internal/serve/burdockentry/probe.go
+++ b/internal/serve/burdockentry/probe.go
@@ -32,6 +32,7 @@
 	now := p.entry.deps.Clock.Boot()
 	if err != nil || res.Msg.GetUpstream() != string(p.target.Name) || !res.Msg.GetUpstreamReachable() {
 		p.pool.observe(now, p.target.Name, burdockeject.Unreached{})
+		p.pool.probeFailed(now, p.target.Name)
 		return
 	}
 	p.pool.report(now, p.target.Name, res.Msg.GetLoad())
