Answer an offer that came twice as one that may have run

It was refused, which says that the request did not run, while its first offer may run at that moment.

--- a/internal/serve/burdockagent/rpc.go
+++ b/internal/serve/burdockagent/rpc.go
@@ -75,6 +75,11 @@
 		a.countRefusal(no.reason)
 		return nil, a.refusal(req.GetRequestId(), *no)
 	}
+	if a.cameBefore(id) {
+		a.counts.Cut++
+		a.meters.cut.Inc()
+		return nil, cutEventOf(req.GetRequestId(), cameTwice, a.load())
+	}
 	if req.GetIdempotencyKey() != "" {
 		if v := a.checkKey(req); v != (verdict{}) {
 			return a.repeat(now, req, v)
@@ -107,6 +112,18 @@
 	return j, nil
 }
 
+// cameTwice answers an offer that came before. To refuse it would say that the
+// request did not run, while the first offer of it may run right now.
+var cameTwice = cut{
+	reason:      burdockwire.CutReason_CUT_REASON_UNKNOWN_REQUEST,
+	explanation: "the same offer came before, and may have run",
+}
+
+// cameBefore reports whether an offer is a message that came twice.
+func (a *Agent) cameBefore(id burdockid.Request) bool {
+	return a.jobs[id] != nil || a.aliases[id] != nil || a.memory.fate(id) == fateMayHaveRun
+}
+
 // repeat answers a request whose key decides what becomes of it.
 func (a *Agent) repeat(now burdockclock.Millis, req *burdockwire.RunRequest, v verdict) (*job, *burdockwire.RunEvent) {
 	id := burdockid.Request(req.GetRequestId())
@@ -133,11 +150,10 @@
 	case req.GetUpstream() != string(a.cfg.Upstream):
 		// The entry's address for that upstream now belongs to this one.
 		return &refused{reason: burdockwire.RefusedReason_REFUSED_REASON_WRONG_UPSTREAM, explanation: "this is upstream " + string(a.cfg.Upstream)}
-	case a.jobs[id] != nil || a.aliases[id] != nil || a.memory.fate(id) == fateWithdrawn || a.memory.fate(id) == fateMayHaveRun:
-		// A message that came late or doubled. The entry was told that the
-		// request is withdrawn, or follows the first one; a second run would
-		// break both.
-		return &refused{reason: burdockwire.RefusedReason_REFUSED_REASON_WITHDRAWN, explanation: "the request was withdrawn or came before"}
+	case a.memory.fate(id) == fateWithdrawn:
+		// A message that came late. The entry was told "not run", and may have
+		// offered the request elsewhere.
+		return &refused{reason: burdockwire.RefusedReason_REFUSED_REASON_WITHDRAWN, explanation: "the request was withdrawn"}
 	case req.GetMaxLoad() > 0 && a.busy(req.GetMaxLoad()):
 		return &refused{reason: burdockwire.RefusedReason_REFUSED_REASON_BUSY, explanation: "loaded beyond the bound of the offer"}
 	}
