Tell no caller "not run" of a request that an earlier offer may have run

An offer of unknown outcome was followed, since the route is idempotent, by one that no upstream could take, and that refusal alone made the answer. Ruled out: the agents' own "not run" (their accounts agree). Change: a request remembers an offer of unknown outcome, and its final answer says so. TestSecondOfferRefusedAfterTheFirstMayHaveRun failed before.

--- a/internal/serve/burdockentry/entry_test.go
+++ b/internal/serve/burdockentry/entry_test.go
@@ -103,7 +103,7 @@
 	t.Helper()
 	values := map[string]any{
 		"service/cards": burdockmember.Service{
-			Name: "cards", Kind: burdockmember.KindPlain, Routes: []burdockmember.Route{{PathPrefix: "/cards"}},
+			Name: "cards", Kind: burdockmember.KindPlain, Routes: []burdockmember.Route{{PathPrefix: "/cards"}, {PathPrefix: "/prices", Idempotent: true}},
 		},
 		"upstream/cards-1": burdockmember.Upstream{Name: "cards-1", Service: "cards", Agent: agent},
 		"customer/lab":     burdockmember.Customer{Name: "lab", KeyHash: keyHash},
@@ -246,3 +246,20 @@
 		t.Errorf("runs: got %d, want %d", got, want)
 	}
 }
+
+// A caller is told the truth about a request that may be repeated. Its first
+// offer broke off and may have run; the second found no upstream. "Not run"
+// would be true of the second alone. Found by a soak of ten minutes, seed 3.
+func TestSecondOfferRefusedAfterTheFirstMayHaveRun(t *testing.T) {
+	agent := &scriptedAgent{script: func(id string) []*burdockwire.RunEvent {
+		return []*burdockwire.RunEvent{admitted(id)} // and then the stream ends
+	}}
+	server, key := startEntry(t, agent)
+	status, body, err := post(server.URL+"/prices/1", key)
+	if err != nil || status == http.StatusOK || !strings.Contains(body, `"notRun":false`) {
+		t.Errorf("got status %d body %q err %v, want an error that is not not-run", status, body, err)
+	}
+	if got, want := agent.runs.Load(), int64(1); got != want {
+		t.Errorf("offers that reached the agent: got %d, want %d", got, want)
+	}
+}
--- a/internal/serve/burdockentry/offers.go
+++ b/internal/serve/burdockentry/offers.go
@@ -30,6 +30,8 @@
 	// are asked again once no other is left.
 	overBoundAt map[burdockid.Upstream]bool
 	ending      ending
+	// mayHaveRun is the latest offer of unknown outcome.
+	mayHaveRun *unknown
 	// homeTries counts how often the home of the request's key was not known or
 	// had just moved.
 	homeTries int
@@ -186,6 +188,7 @@
 		o.refusedBy[target.Name] = true
 		return o.again(ctx, burdockretry.Unreached{}, res)
 	case unknown:
+		o.mayHaveRun = &res
 		o.refusedBy[target.Name] = true
 		return o.again(ctx, burdockretry.Failed{}, res)
 	}
@@ -238,7 +241,14 @@
 }
 
 // giveUp gives the final answer, at once.
+//
+// Failure: a request that may be repeated has an offer of unknown outcome, and
+// its next offer is refused. Symptom: the last refusal alone would tell the
+// caller "not run" of what may have run. An unknown outcome stays one.
 func (o *offers) giveUp(g burdockretry.GiveUp, res result) {
+	if o.mayHaveRun != nil {
+		res = *o.mayHaveRun
+	}
 	problem := problemOf(g, res)
 	o.ending.outcome, o.ending.reason = outcomeRefused, problem.Message
 	if !problem.NotRun {
