--- a/internal/group/burdockgroup/machine_test.go
+++ b/internal/group/burdockgroup/machine_test.go
@@ -2,16 +2,13 @@
 
 import (
 	"encoding/json"
-	"flag"
-	"os"
 	"testing"
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/base/burdockgolden"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 )
 
-var update = flag.Bool("update", false, "write golden files anew")
-
 func newTestRank() *Rank {
 	return NewRank(RankConfig{Rank: 0, Ranks: 3, Incarnation: "a", Retry: 20, Patience: 40})
 }
@@ -264,7 +261,6 @@
 }
 
 func TestStateDump(t *testing.T) {
-	const golden = "testdata/state.golden"
 	r := newTestRank()
 	answer(r, r.Handle(1, FenceFromStore{Fence: 3}), EngineStatus{Next: 5, Base: 1})
 	r.Handle(3, OrderReceived{Order{Number: Number{3, 1}, Incarnation: "a", Body: Abort{}}})
@@ -274,17 +270,5 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	got = append(got, '\n')
-	if *update {
-		if err := os.WriteFile(golden, got, 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(golden)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if string(got) != string(want) {
-		t.Errorf("state dump:\n%swant:\n%s", got, want)
-	}
+	burdockgolden.Compare(t, "state", string(got)+"\n")
 }
--- a/internal/measure/burdockplacelab/lab_test.go
+++ b/internal/measure/burdockplacelab/lab_test.go
@@ -3,13 +3,10 @@
 import (
 	"bytes"
 	"context"
-	"flag"
-	"os"
-	"path/filepath"
 	"testing"
-)
 
-var update = flag.Bool("update", false, "write the golden files anew")
+	"burdockbend.example/burdockbend/internal/base/burdockgolden"
+)
 
 func TestCommandGolden(t *testing.T) {
 	var out bytes.Buffer
@@ -17,19 +14,7 @@
 	if err := Command(&out).ParseAndRun(context.Background(), args); err != nil {
 		t.Fatal(err)
 	}
-	path := filepath.Join("testdata", "placing.golden")
-	if *update {
-		if err := os.WriteFile(path, out.Bytes(), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if got := out.Bytes(); !bytes.Equal(got, want) {
-		t.Errorf("output:\n%s\nwant:\n%s", got, want)
-	}
+	burdockgolden.Compare(t, "placing", out.String())
 }
 
 func TestCommandRejectsValuesThatNoRunCanUse(t *testing.T) {
--- a/internal/measure/burdockqueuelab/lab_test.go
+++ b/internal/measure/burdockqueuelab/lab_test.go
@@ -3,16 +3,12 @@
 import (
 	"bytes"
 	"context"
-	"flag"
-	"os"
-	"path/filepath"
 	"testing"
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/base/burdockgolden"
 )
 
-var update = flag.Bool("update", false, "write the golden files anew")
-
 // testConfig holds the command's defaults, for a shorter time.
 func testConfig(scenario string, seed uint64) config {
 	return config{
@@ -155,19 +151,7 @@
 	if err := Command(&got).ParseAndRun(context.Background(), args); err != nil {
 		t.Fatal(err)
 	}
-	golden := filepath.Join("testdata", "skew.golden")
-	if *update {
-		if err := os.WriteFile(golden, got.Bytes(), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(golden)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if !bytes.Equal(got.Bytes(), want) {
-		t.Errorf("output differs from %s (write it anew with -update); got\n%s", golden, got.String())
-	}
+	burdockgolden.Compare(t, "skew", got.String())
 }
 
 func TestCommandRefusesUnknownScenario(t *testing.T) {
--- a/internal/state/burdockchart/chart_test.go
+++ b/internal/state/burdockchart/chart_test.go
@@ -1,18 +1,16 @@
 package burdockchart
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"reflect"
 	"strings"
 	"testing"
 
+	"burdockbend.example/burdockbend/internal/base/burdockgolden"
 	"github.com/joomcode/errorx"
 )
 
-var update = flag.Bool("update", false, "write golden files anew")
-
 type (
 	doorState string
 	doorEvent string
@@ -53,24 +51,11 @@
 }
 
 func TestFindingsAreReportedTogether(t *testing.T) {
-	const golden = "testdata/bad.golden"
 	_, err := Load(os.DirFS("testdata"), "bad.chart")
 	if err == nil {
 		t.Fatal("bad.chart was accepted")
 	}
-	got := err.Error() + "\n"
-	if *update {
-		if err := os.WriteFile(golden, []byte(got), 0o644); err != nil {
-			t.Fatal(err)
-		}
-	}
-	want, err := os.ReadFile(golden)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if got != string(want) {
-		t.Errorf("findings:\n%swant:\n%s", got, want)
-	}
+	burdockgolden.Compare(t, "bad", err.Error()+"\n")
 }
 
 func TestLimits(t *testing.T) {
--- a/internal/tool/burdockcheck/check_test.go
+++ b/internal/tool/burdockcheck/check_test.go
@@ -3,19 +3,17 @@
 import (
 	"bytes"
 	"context"
-	"flag"
 	"os"
 	"path/filepath"
 	"regexp"
 	"strings"
 	"testing"
 
+	"burdockbend.example/burdockbend/internal/base/burdockgolden"
 	"burdockbend.example/burdockbend/internal/config/burdockkey"
 	"github.com/peterbourgon/ff/v3/ffcli"
 )
 
-var update = flag.Bool("update", false, "write the golden files anew")
-
 // run returns the exit status and output of a command.
 func run(cmd func(*bytes.Buffer) *ffcli.Command, args ...string) (int, string) {
 	var w bytes.Buffer
@@ -59,19 +57,7 @@
 			if status != StatusFindings {
 				t.Errorf("status = %d, want %d", status, StatusFindings)
 			}
-			golden := strings.TrimSuffix(file, ".toml") + ".golden"
-			if *update {
-				if err := os.WriteFile(golden, []byte(got), 0o644); err != nil {
-					t.Fatal(err)
-				}
-			}
-			want, err := os.ReadFile(golden)
-			if err != nil {
-				t.Fatal(err)
-			}
-			if got != string(want) {
-				t.Errorf("findings:\n%swant:\n%s", got, want)
-			}
+			burdockgolden.Compare(t, strings.TrimSuffix(filepath.Base(file), ".toml"), got)
 		})
 	}
 }
