--- a/internal/config/burdocksettings/tls_test.go
+++ b/internal/config/burdocksettings/tls_test.go
@@ -34,11 +34,19 @@
 		t.Fatal(err)
 	}
 	answered := make(chan error, 1)
-	go func() { answered <- exchange(accepted) }()
+	go acceptedEnd{accepted, answered}.run()
 	clientErr = exchange(tls.Client(dialled, client))
 	return <-answered, clientErr
 }
 
+// acceptedEnd is the server's end of one connection.
+type acceptedEnd struct {
+	conn     net.Conn
+	answered chan error
+}
+
+func (e acceptedEnd) run() { e.answered <- exchange(e.conn) }
+
 // exchange sends a byte and waits for one, as a client learns only after its
 // own part of the handshake that the server has refused it.
 func exchange(conn net.Conn) error {
--- a/internal/measure/burdockcapacitylab/handshake_test.go
+++ b/internal/measure/burdockcapacitylab/handshake_test.go
@@ -27,7 +27,7 @@
 		if err := a.Handshake(); err != nil {
 			b.Fatalf("client: %v", err)
 		}
-		go func() { _, _ = a.Read(make([]byte, 1)) }() // takes the session tickets
+		go ticketReader{a}.run()
 		if err := <-h.done; err != nil {
 			b.Fatalf("server: %v", err)
 		}
@@ -37,6 +37,11 @@
 	b.ReportMetric(float64((used()-before).Microseconds())/float64(b.N), "cpu-µs/op")
 }
 
+// ticketReader takes the session tickets that the server sends.
+type ticketReader struct{ conn *tls.Conn }
+
+func (r ticketReader) run() { _, _ = r.conn.Read(make([]byte, 1)) }
+
 // handshake is the server's side of one connection.
 type handshake struct {
 	conn *tls.Conn
--- a/internal/measure/burdockcapacitylab/process_test.go
+++ b/internal/measure/burdockcapacitylab/process_test.go
@@ -138,24 +138,34 @@
 	var done sync.WaitGroup
 	for i := range writers {
 		done.Add(1)
-		go func() {
-			defer done.Done()
-			store := burdockstore.NewHTTP([]string{s.Store.Address})
-			for j := i; j < len(entries); j += writers {
-				value, err := burdockconfig.Encode(entries[j])
-				if err == nil {
-					_, err = store.CompareAndSwap(context.Background(), burdockconfig.StorePrefix+entries[j].Key, 0, value)
-				}
-				if err != nil {
-					b.Errorf("write %s: %v", entries[j].Key, err)
-					return
-				}
-			}
-		}()
+		w := entryWriter{b: b, store: burdockstore.NewHTTP([]string{s.Store.Address}), entries: entries, first: i}
+		go w.run(&done)
 	}
 	done.Wait()
 }
 
+// entryWriter writes every one in so many entries.
+type entryWriter struct {
+	b       *testing.B
+	store   burdockstore.Store
+	entries []burdockconfig.Entry
+	first   int
+}
+
+func (w entryWriter) run(done *sync.WaitGroup) {
+	defer done.Done()
+	for i := w.first; i < len(w.entries); i += writers {
+		value, err := burdockconfig.Encode(w.entries[i])
+		if err == nil {
+			_, err = w.store.CompareAndSwap(context.Background(), burdockconfig.StorePrefix+w.entries[i].Key, 0, value)
+		}
+		if err != nil {
+			w.b.Errorf("write %s: %v", w.entries[i].Key, err)
+			return
+		}
+	}
+}
+
 // metric reads one metric of a process.
 func metric(b *testing.B, admin, name string) float64 {
 	b.Helper()
--- a/internal/measure/burdockpathlab/lab_test.go
+++ b/internal/measure/burdockpathlab/lab_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net/http/httptest"
 	"os"
 	"strings"
@@ -29,6 +30,16 @@
 	}
 }
 
+// bareHop runs the bare hop's command, which prints its addresses to w.
+type bareHop struct {
+	w      io.Writer
+	target string
+}
+
+func (h bareHop) run(ctx context.Context) {
+	_ = burdockpassthrough.Command(h.w).ParseAndRun(ctx, []string{"-target", h.target})
+}
+
 // The whole command, with a bare hop in place of entry and agent: every path
 // and phase is printed, and every request is answered.
 func TestCommandMeasuresEachPath(t *testing.T) {
@@ -41,8 +52,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	hop := burdockpassthrough.Command(w)
-	go func() { _ = hop.ParseAndRun(ctx, []string{"-target", address}) }()
+	go bareHop{w, address}.run(ctx)
 	line := make([]byte, 256)
 	n, err := r.Read(line)
 	if err != nil {
--- a/internal/proof/burdockconfigproof/operator_test.go
+++ b/internal/proof/burdockconfigproof/operator_test.go
@@ -117,6 +117,17 @@
 	}
 }
 
+// together is one of several commands that run at the same time.
+type together struct {
+	command *applying
+	done    *sync.WaitGroup
+}
+
+func (r together) run() {
+	defer r.done.Done()
+	r.command.run()
+}
+
 // Two operators apply different edits of one profile at the same moment. The
 // store is slow to write, so both have read version 1 before either writes.
 // One is told version 2; the other is told that it lost, and which field now
@@ -128,10 +139,7 @@
 	var done sync.WaitGroup
 	for _, a := range both {
 		done.Add(1)
-		go func() {
-			defer done.Done()
-			a.run()
-		}()
+		go together{a, &done}.run()
 	}
 	done.Wait()
 	f.Store.SetFault(t, burdockfault.Setting{})
