Tell callers no inner address

Cause: the reason of an unknown outcome was the network's error, which names the addresses of entry and agent (seen in the entries' accounts of a soak). The caller now gets the kind of failure, and the log the error.

--- a/internal/serve/burdockagent/run.go
+++ b/internal/serve/burdockagent/run.go
@@ -14,6 +14,7 @@
 	"burdockbend.example/burdockbend/internal/state/burdockcharts"
 	"burdockbend.example/burdockbend/internal/wire/burdockwire"
 	"github.com/joomcode/errorx"
+	"go.uber.org/zap"
 )
 
 const (
@@ -144,7 +145,9 @@
 			explanation: "no connection to the upstream",
 		}
 	default:
-		return cut{reason: burdockwire.CutReason_CUT_REASON_UPSTREAM_BROKE, explanation: err.Error()}
+		// The error names inner addresses, which callers must not see.
+		r.agent.deps.Log.Warn("upstream broke off", zap.String("requestId", string(r.job.id)), zap.Error(err))
+		return cut{reason: burdockwire.CutReason_CUT_REASON_UPSTREAM_BROKE, explanation: "the upstream broke off"}
 	}
 }
 
--- a/internal/serve/burdockentry/attempt.go
+++ b/internal/serve/burdockentry/attempt.go
@@ -13,6 +13,7 @@
 	"burdockbend.example/burdockbend/internal/decide/burdockeject"
 	"burdockbend.example/burdockbend/internal/wire/burdockwire"
 	"connectrpc.com/connect"
+	"go.uber.org/zap"
 )
 
 const (
@@ -100,10 +101,10 @@
 
 // lost is the result when the agent can't be asked any longer.
 func (a *attempt) lost() result {
-	reason := "the agent does not answer"
-	if a.last != nil {
-		reason = a.last.Error()
-	}
+	// An error of the network names inner addresses, which callers must not see.
+	a.offers.entry.deps.Log.Warn("agent lost",
+		zap.String("requestId", string(a.offers.req.id)), zap.String("upstream", string(a.target.Name)), zap.Error(a.last))
+	const reason = "the connection to the upstream's agent was lost"
 	if a.offers.caller.begun {
 		return broken{reason: reason}
 	}
--- a/internal/serve/burdockentry/entry_test.go
+++ b/internal/serve/burdockentry/entry_test.go
@@ -259,6 +259,9 @@
 	if err != nil || status == http.StatusOK || !strings.Contains(body, `"notRun":false`) {
 		t.Errorf("got status %d body %q err %v, want an error that is not not-run", status, body, err)
 	}
+	if strings.Contains(body, "127.0.0.1") {
+		t.Errorf("body %q names an inner address", body)
+	}
 	if got, want := agent.runs.Load(), int64(1); got != want {
 		t.Errorf("offers that reached the agent: got %d, want %d", got, want)
 	}
