Hash a keyed request's body once, and keep one set of exit statuses

A request with an idempotency key had its body hashed again for its slot, its end and its being forgotten, where the key alone is wanted. The daemons' exit statuses and how errors map to them stood beside those of the checks; one serves both now. A test's wrapper is gone.

--- a/internal/proof/burdockpromise/key_test.go
+++ b/internal/proof/burdockpromise/key_test.go
@@ -47,15 +47,12 @@
 	})
 }
 
-// runsTotal returns how many runs all upstreams have begun.
-func runsTotal(f *burdockprograms.Fleet) int { return started(f) }
-
 // A caller that asks again with the same key gets the first answer, byte by
 // byte, through either entry, while the first run is under way and afterwards.
 // There is one run.
 func TestKeyRepeatedGetsFirstAnswer(t *testing.T) {
 	f := keyFleet(t, slowStep)
-	before := runsTotal(f)
+	before := started(f)
 	const prompt, tokens = "letter to a composer", 50
 	call := keyedChat("letter-1", prompt, tokens, true)
 	first := send(context.Background(), t, f, call)
@@ -67,7 +64,7 @@
 			t.Errorf("%s: got status %d err %v body %q, want the first answer", name, answer.Status, answer.Err, answer.Body)
 		}
 	}
-	if got, want := runsTotal(f)-before, 1; got != want {
+	if got, want := started(f)-before, 1; got != want {
 		t.Errorf("runs: got %d, want %d", got, want)
 	}
 	other := keyedChat("letter-1", "another letter", tokens, true)
@@ -80,7 +77,7 @@
 // the other entry and gets all of it, from the one run that went on.
 func TestKeyRepeatedAfterEntryDied(t *testing.T) {
 	f := keyFleet(t, slowStep)
-	before := runsTotal(f)
+	before := started(f)
 	const prompt, tokens = "letter through a dying entry", 100
 	call := keyedChat("letter-2", prompt, tokens, true)
 	first := send(context.Background(), t, f, call)
@@ -91,7 +88,7 @@
 	if got := f.Send(context.Background(), f.Entries[1], call); !got.WholeStream(prompt, tokens) {
 		t.Errorf("repeat: got status %d err %v body %q, want the whole answer", got.Status, got.Err, got.Body)
 	}
-	if got, want := runsTotal(f)-before, 1; got != want {
+	if got, want := started(f)-before, 1; got != want {
 		t.Errorf("runs: got %d, want %d", got, want)
 	}
 }
@@ -101,7 +98,7 @@
 // and is told that the outcome is unknown; never is it run a second time.
 func TestKeyRepeatedAfterHomeDied(t *testing.T) {
 	f := keyFleet(t, slowStep)
-	before := runsTotal(f)
+	before := started(f)
 	call := keyedChat("letter-3", "letter at a dying home", longAnswer, false)
 	first := send(context.Background(), t, f, call)
 	home := running(t, f)
@@ -124,7 +121,7 @@
 			t.Errorf("repeat %d: got status 200, want no second run", i)
 		}
 	}
-	if got, want := runsTotal(f)-before, 1; got != want {
+	if got, want := started(f)-before, 1; got != want {
 		t.Errorf("runs: got %d, want %d", got, want)
 	}
 }
@@ -135,7 +132,7 @@
 // one answer.
 func TestKeyRepeatedWhileHomeFrozen(t *testing.T) {
 	f := keyFleet(t, slowStep)
-	before := runsTotal(f)
+	before := started(f)
 	const prompt, tokens = "letter at a frozen home", 100
 	call := keyedChat("letter-4", prompt, tokens, true)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -158,7 +155,7 @@
 	if !last.WholeStream(prompt, tokens) {
 		t.Errorf("after waking: got err %v body %q, want the whole answer", last.Err, last.Body)
 	}
-	if got, want := runsTotal(f)-before, 1; got != want {
+	if got, want := started(f)-before, 1; got != want {
 		t.Errorf("runs: got %d, want %d", got, want)
 	}
 }
@@ -174,7 +171,7 @@
 	if got := <-first.answer; !got.Whole() {
 		t.Fatalf("first: got status %d err %v, want 200", got.Status, got.Err)
 	}
-	before := runsTotal(f)
+	before := started(f)
 	home.Terminate()
 	if got, want := home.Wait(t, stopTimeout), 0; got != want {
 		t.Errorf("exit status: got %d, want %d", got, want)
@@ -182,7 +179,7 @@
 	if got := f.Send(context.Background(), f.Entries[1], call); got.Status != http.StatusConflict {
 		t.Errorf("repeat: got status %d body %q, want 409", got.Status, got.Body)
 	}
-	if got, want := runsTotal(f)-before, 0; got != want {
+	if got, want := started(f)-before, 0; got != want {
 		t.Errorf("runs after the stop: got %d, want %d", got, want)
 	}
 	for i := range 24 {
--- a/internal/serve/burdockagent/job.go
+++ b/internal/serve/burdockagent/job.go
@@ -90,7 +90,7 @@
 		unread:   now,
 	}
 	if j.keyed() {
-		j.slot = burdockledger.SlotOf(askOf(req).Key)
+		j.slot = burdockledger.SlotOf(keyOf(req))
 	}
 	j.room = sync.NewCond(&j.mu)
 	return j
--- a/internal/serve/burdockagent/keys.go
+++ b/internal/serve/burdockagent/keys.go
@@ -108,7 +108,13 @@
 	return lines
 }
 
-// askOf converts a request with a key.
+// keyOf returns the key of a request that has one.
+func keyOf(req *burdockwire.RunRequest) burdockledger.Key {
+	return burdockledger.KeyOf(burdockid.Customer(req.GetCustomer()), burdockid.IdempotencyKey(req.GetIdempotencyKey()))
+}
+
+// askOf converts a request with a key. It hashes the whole body, so it is for
+// the one moment in which the ledger decides; elsewhere keyOf is enough.
 func askOf(req *burdockwire.RunRequest) burdockledger.Ask {
 	key := burdockid.IdempotencyKey(req.GetIdempotencyKey())
 	birth, _ := burdockledger.Birth(key)
@@ -119,7 +125,7 @@
 	}
 	_, _ = print.Write(req.GetBody())
 	return burdockledger.Ask{
-		Key:         burdockledger.KeyOf(burdockid.Customer(req.GetCustomer()), key),
+		Key:         keyOf(req),
 		Request:     burdockid.Request(req.GetRequestId()),
 		Fingerprint: burdockledger.Fingerprint(print.Sum64()),
 		Birth:       birth,
@@ -186,7 +192,7 @@
 // forgetKey lets the key of a request that was not run come again.
 func (a *Agent) forgetKey(req *burdockwire.RunRequest) {
 	if req.GetIdempotencyKey() != "" {
-		a.keyed.ledger.NotRun(askOf(req).Key, burdockid.Request(req.GetRequestId()))
+		a.keyed.ledger.NotRun(keyOf(req), burdockid.Request(req.GetRequestId()))
 	}
 }
 
@@ -195,7 +201,7 @@
 	if j.request.GetIdempotencyKey() == "" {
 		return
 	}
-	key := askOf(j.request).Key
+	key := keyOf(j.request)
 	switch o.(type) {
 	case ended:
 		a.keyed.ledger.End(key, j.id, burdockledger.FateAnswered)
--- a/internal/tool/burdockmain/main.go
+++ b/internal/tool/burdockmain/main.go
@@ -12,7 +12,7 @@
 	"syscall"
 
 	"burdockbend.example/burdockbend"
-	"burdockbend.example/burdockbend/internal/base/burdockfinding"
+	"burdockbend.example/burdockbend/internal/tool/burdockcheck"
 	"github.com/peterbourgon/ff/v3"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
@@ -20,11 +20,11 @@
 
 // Exit statuses of every program.
 const (
-	ExitOK      = 0
-	ExitFailure = 1
+	ExitOK      = burdockcheck.StatusOK
+	ExitFailure = burdockcheck.StatusFailed
 	// ExitUsage says that arguments, settings or input were wrong and nothing
 	// was done.
-	ExitUsage = 2
+	ExitUsage = burdockcheck.StatusFindings
 )
 
 const envPrefix = "BURDOCK"
@@ -70,22 +70,13 @@
 	process, err := burdockbend.New(role(*file, data), log)
 	if err != nil {
 		_, _ = fmt.Fprintln(stderr, err)
-		return statusOf(err)
+		return burdockcheck.Status(err)
 	}
 	<-signals
 	process.Stop()
 	return ExitOK
 }
 
-// statusOf tells settings that are wrong from a start that failed.
-func statusOf(err error) int {
-	var findings *burdockfinding.Error
-	if errors.As(err, &findings) {
-		return ExitUsage
-	}
-	return ExitFailure
-}
-
 // NewLog returns a log of JSON lines at the level that the settings name.
 func NewLog(w zapcore.WriteSyncer, level string) *zap.Logger {
 	parsed, err := zapcore.ParseLevel(level)
