Serve callers straight from the entry on the users' platform

The platform keeps routes and membership, so an entry needs no agent to reach an upstream: burdockdirect admits, places and retries with the same packages under internal/decide, and platform/ translates names and calls.

--- /dev/null
+++ b/cmd/burdock-hosted/main.go
@@ -0,0 +1,45 @@
+// Command burdock-hosted runs an entry or an agent on the users' platform, by
+// the settings that the platform gives. See docs/OPERATIONS.md.
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"burdockbend.example/burdockbend/internal/serve/burdockhosted"
+	"burdockbend.example/burdockbend/internal/tool/burdockmain"
+	"burdockbend.example/burdockbend/platform/burdockplatform"
+)
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	// First of all, so that a stop that comes while the process starts is a
+	// planned one too.
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	settings, err := burdockplatform.LoadSettings()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return burdockmain.ExitUsage
+	}
+	log := burdockmain.NewLog(os.Stdout, settings.LogLevel)
+	client := burdockplatform.NewClient(settings.StoreAddress)
+	process, err := burdockhosted.StartEntry(settings, burdockhosted.Platform{
+		Source: burdockplatform.NewSource(client), Dialect: burdockplatform.Dialect{},
+	}, log)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return burdockmain.ExitFailure
+	}
+	for sig := range signals {
+		if sig != syscall.SIGHUP {
+			break
+		}
+		log.Info("settings are read at the start; a change takes effect with the next")
+	}
+	process.Stop()
+	return burdockmain.ExitOK
+}
--- /dev/null
+++ b/internal/config/burdocksettings/hosted.go
@@ -0,0 +1,82 @@
+package burdocksettings
+
+import (
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/base/burdockfinding"
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/config/burdockrule"
+)
+
+// Hosted is the settings of a process on a site whose platform keeps routes and
+// membership: an entry when CallerListen is set, else the agent beside an
+// upstream.
+type Hosted struct {
+	VM         burdockid.VM         `toml:"vm" json:"vm"`
+	DataCentre burdockid.DataCentre `toml:"dataCentre" json:"dataCentre"`
+	// IP is the VM's own address.
+	IP string `toml:"ip" json:"ip"`
+	// CallerListen and ReadyListen are an entry's IP:port for callers and for
+	// the platform's question whether it is ready.
+	CallerListen string `toml:"callerListen" json:"callerListen,omitempty"`
+	ReadyListen  string `toml:"readyListen" json:"readyListen,omitempty"`
+	// UpstreamAddress is the IP:port of the upstream beside an agent.
+	UpstreamAddress string            `toml:"upstreamAddress" json:"upstreamAddress,omitempty"`
+	UpstreamService burdockid.Service `toml:"upstreamService" json:"upstreamService,omitempty"`
+	// PeerPort is for the system's own processes, the same on all VMs.
+	PeerPort     int    `toml:"peerPort" json:"peerPort"`
+	AdminPort    int    `toml:"adminPort" json:"adminPort"`
+	StoreAddress string `toml:"storeAddress" json:"storeAddress"`
+	// GraceMillis is the time from the signal to stop to the end.
+	GraceMillis burdockclock.Millis `toml:"graceMillis" json:"graceMillis"`
+	// StallMillis is how long engines of a group wait for one that is lost.
+	StallMillis burdockclock.Millis `toml:"stallMillis" json:"stallMillis"`
+	LogLevel    string              `toml:"logLevel" json:"logLevel"`
+}
+
+const (
+	defaultAdminPort   = 9464
+	defaultHostedGrace = 8 * burdockclock.Second
+	defaultStall       = 1500 * burdockclock.Millis(1)
+	maxPort            = 1<<16 - 1
+)
+
+// SetDefaults fills in what holds when a file leaves a key out.
+func (h *Hosted) SetDefaults() {
+	h.AdminPort = defaultAdminPort
+	h.GraceMillis = defaultHostedGrace
+	h.StallMillis = defaultStall
+	h.LogLevel = defaultLogLevel
+}
+
+// LoadHosted reads the settings of a process on a site that is hosted. The
+// error is a *burdockfinding.Error that holds every finding with its place.
+func LoadHosted(file string, data []byte) (Hosted, error) {
+	var h Hosted
+	if err := load(file, data, &h); err != nil {
+		return Hosted{}, err
+	}
+	return h, nil
+}
+
+// Check returns what is wrong with the settings, by key.
+func (h *Hosted) Check() []burdockfinding.Finding {
+	c := &checker{}
+	burdockrule.Name(&c.Checker, "vm", h.VM)
+	burdockrule.Name(&c.Checker, "dataCentre", h.DataCentre)
+	c.Address("storeAddress", h.StoreAddress)
+	burdockrule.Between(&c.Checker, "peerPort", h.PeerPort, 1, maxPort)
+	burdockrule.Between(&c.Checker, "adminPort", h.AdminPort, 1, maxPort)
+	burdockrule.Between(&c.Checker, "graceMillis", h.GraceMillis, 1, maxDrain)
+	burdockrule.Between(&c.Checker, "stallMillis", h.StallMillis, 1, maxTimeout)
+	burdockrule.OneOf(&c.Checker, "logLevel", h.LogLevel, "debug", "info", "warn", "error")
+	switch {
+	case h.CallerListen != "":
+		c.listen("callerListen", h.CallerListen)
+		c.listen("readyListen", h.ReadyListen)
+	case h.UpstreamAddress != "":
+		c.Address("upstreamAddress", h.UpstreamAddress)
+	default:
+		c.Add("callerListen", "missing, and upstreamAddress too", "one of the two")
+	}
+	return c.Findings()
+}
--- /dev/null
+++ b/internal/serve/burdockdirect/entry.go
@@ -0,0 +1,122 @@
+// Package burdockdirect is an entry that speaks to upstreams itself, for sites
+// whose platform keeps routes and membership. Requests pass no agent: plain
+// services have none, and an agent that is replaced would cut sound streams.
+//
+// Admission, placing, retries and ejection are the packages under
+// internal/decide that the entry beside agents uses too.
+package burdockdirect
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/state/burdocksite"
+	"burdockbend.example/burdockbend/internal/wire/burdocktransport"
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+)
+
+// Config says where an entry stands.
+type Config struct {
+	DataCentre burdockid.DataCentre
+	// GraceMillis is how long a planned stop may take.
+	GraceMillis burdockclock.Millis
+}
+
+// Deps is what an entry works with.
+type Deps struct {
+	Clock   burdockclock.Clock
+	Site    *burdocksite.Site
+	Dialect Dialect
+	Log     *zap.Logger
+	Metrics *metrics.Set
+	Seed    uint64
+}
+
+// Entry serves callers.
+type Entry struct {
+	cfg    Config
+	deps   Deps
+	client *http.Client
+	meters *meters
+
+	drainingAt atomic.Int64 // boot time of the planned stop; 0 before it
+	active     atomic.Int64
+
+	mu    sync.Mutex
+	pools map[burdockid.Service]*pool
+}
+
+const (
+	// upstreamDial bounds the opening of a connection, some two hundred times
+	// the way between data centres: what takes longer is dark, and another
+	// upstream can still answer in time since nothing was sent.
+	upstreamDial = 400 * time.Millisecond
+	// upstreamIdle is how long an unused connection is kept. Upstreams close
+	// theirs after seconds; one that is closed as a request is on its way
+	// leaves its outcome unknown.
+	upstreamIdle = 3 * time.Second
+	// upstreamsIdle is the number of connections kept for one upstream: as many
+	// as one entry has there at a time when requests come in a burst.
+	upstreamsIdle = 16
+)
+
+// New returns an entry that knows no upstream yet.
+func New(cfg Config, deps Deps) *Entry {
+	e := &Entry{cfg: cfg, deps: deps, pools: map[burdockid.Service]*pool{}, meters: newMeters(deps.Metrics)}
+	e.client = &http.Client{
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		Transport: burdocktransport.NewOnce(&http.Transport{
+			DialContext:         (&net.Dialer{Timeout: upstreamDial}).DialContext,
+			MaxIdleConnsPerHost: upstreamsIdle,
+			IdleConnTimeout:     upstreamIdle,
+			DisableCompression:  true,
+		}),
+	}
+	return e
+}
+
+// Ready returns why the entry should get no new connections, or "".
+func (e *Entry) Ready() string {
+	switch {
+	case e.drainingAt.Load() != 0:
+		return "stopping"
+	case e.deps.Site.Now().Config == nil:
+		return "no configuration yet"
+	}
+	return ""
+}
+
+// Drain begins a planned stop: answers end their connections from now on.
+func (e *Entry) Drain() { e.drainingAt.CompareAndSwap(0, int64(e.now())) }
+
+// Idle reports whether no request is in flight.
+func (e *Entry) Idle() bool { return e.active.Load() == 0 }
+
+func (e *Entry) now() burdockclock.Millis { return e.deps.Clock.Boot() }
+
+// pool returns what is known of the upstreams of a service.
+func (e *Entry) pool(name burdockid.Service) *pool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	p, ok := e.pools[name]
+	if !ok {
+		p = newPool(name, e)
+		e.pools[name] = p
+	}
+	return p
+}
+
+// Follow hands a change of the site to the pools.
+func (e *Entry) Follow(snap *burdocksite.Snapshot) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, p := range e.pools {
+		p.follow(e.now(), snap)
+	}
+}
--- /dev/null
+++ b/internal/serve/burdockdirect/offers.go
@@ -0,0 +1,250 @@
+package burdockdirect
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/decide/burdockeject"
+	"burdockbend.example/burdockbend/internal/decide/burdockretry"
+	"burdockbend.example/burdockbend/internal/state/burdocksite"
+	"go.uber.org/zap"
+)
+
+// result is how one offer ended.
+type result interface{ isResult() }
+
+// answered: the caller has the whole answer.
+type answered struct{}
+
+// notRun: the upstream refused and will never run the request.
+type notRun struct{ status int }
+
+// unreached: no connection could be made, so nothing was sent.
+type unreached struct{ err error }
+
+// unknown: the request may have run; nothing of an answer was passed on.
+type unknown struct {
+	reason string
+	// failure is the upstream's own answer, if it failed the request.
+	failure *whole
+}
+
+// broken: a stream broke off after part of it was passed on.
+type broken struct{ reason string }
+
+// ended: the time is over, or the caller went away.
+type ended struct{}
+
+func (answered) isResult()  {}
+func (notRun) isResult()    {}
+func (unreached) isResult() {}
+func (unknown) isResult()   {}
+func (broken) isResult()    {}
+func (ended) isResult()     {}
+
+// offers serves one request: it offers it to one upstream after another until
+// it is answered or given up.
+type offers struct {
+	entry     *Entry
+	pool      *pool
+	req       *request
+	caller    *caller
+	sent      int // offers that an upstream may have seen
+	unreached int
+	refusedBy map[burdockid.Upstream]bool
+	// mayHaveRun is the latest offer of unknown outcome.
+	mayHaveRun *unknown
+	lastEvent  string
+	events     int
+	upstream   burdockid.Upstream
+}
+
+// mostUnreached bounds the offers of one request that could not be sent.
+const mostUnreached = 6
+
+// serve admits a request and follows it to its end.
+func (e *Entry) serve(r *http.Request, req *request, c *caller) {
+	p := e.pool(req.service)
+	ctx, cancel := context.WithTimeout(r.Context(), (req.deadline - req.arrived).Duration())
+	defer cancel()
+	// Callers choose their ids, so two may come with one; the queue tells its
+	// work apart by an id of the entry's own.
+	id := burdockid.NewRequest()
+	refuse, err := p.gate.enter(ctx, req, id)
+	switch {
+	case err != nil && r.Context().Err() != nil:
+		e.logEnd(req, "caller gone while waiting")
+		return
+	case err != nil:
+		c.refuse(req, refusal{http.StatusServiceUnavailable, "not run: no time left", 0})
+		return
+	case refuse != nil:
+		c.refuse(req, refusal{http.StatusServiceUnavailable, "not run: " + refuse.Reason.String(), refuse.RetryAfter})
+		return
+	}
+	o := &offers{entry: e, pool: p, req: req, caller: c, refusedBy: map[burdockid.Upstream]bool{}, lastEvent: req.LastEvent}
+	served := burdockid.Tokens(0)
+	defer func() { p.gate.leave(id, served) }()
+	if o.run(r.Context(), ctx) {
+		served = req.cost
+	}
+}
+
+// run makes offers until one is answered or the request is given up. It
+// reports whether the caller has its answer.
+func (o *offers) run(caller, ctx context.Context) bool {
+	for {
+		target, reason, ok := o.pool.choose(o.entry.now(), o.req, o.refusedBy)
+		if !ok {
+			o.giveUp(o.pool.noUpstream(o.entry.now()))
+			return false
+		}
+		o.upstream = target.ID
+		began := o.entry.now()
+		res := (&attempt{offers: o, target: target, began: began}).follow(ctx)
+		o.pool.done(o.entry.now(), target.ID, o.req.cost)
+		o.observe(target, res, began)
+		if _, good := res.(answered); good {
+			return true
+		}
+		o.entry.logEnd(o.req, "offer failed", zap.String("upstream", string(target.ID)), zap.String("placed", string(reason)),
+			zap.String("result", describe(res)), zap.Int64("offerMillis", int64(o.entry.now()-began)))
+		if o.settle(caller, ctx, target, res) {
+			return false
+		}
+	}
+}
+
+func describe(res result) string {
+	switch res := res.(type) {
+	case notRun:
+		return "not run: " + http.StatusText(res.status)
+	case unreached:
+		return "unreached: " + res.err.Error()
+	case unknown:
+		return "unknown: " + res.reason
+	case broken:
+		return "broken: " + res.reason
+	case ended:
+		return "ended"
+	}
+	return "answered"
+}
+
+// observe tells what the offer showed of the upstream's health. A stream that
+// broke shows nothing: all ranks of a group stall when one of them fails.
+func (o *offers) observe(target burdocksite.Upstream, res result, began burdockclock.Millis) {
+	now := o.entry.now()
+	switch res := res.(type) {
+	case answered:
+		o.pool.succeeded(now)
+		if o.req.route.Stream {
+			o.pool.observe(now, target.ID, burdockeject.Began{})
+			return
+		}
+		o.pool.observe(now, target.ID, burdockeject.Answered{Took: now - began, Work: 1})
+	case unreached:
+		o.pool.observe(now, target.ID, burdockeject.Unreached{})
+	case unknown:
+		if !o.req.route.Stream || res.failure != nil {
+			o.pool.observe(now, target.ID, burdockeject.Failed{})
+		}
+	}
+}
+
+// settle ends the request, or reports false when it is to be offered again.
+func (o *offers) settle(caller, ctx context.Context, target burdocksite.Upstream, res result) bool {
+	o.refusedBy[target.ID] = true
+	switch res := res.(type) {
+	case ended:
+		o.end(caller)
+		return true
+	case notRun:
+		o.sent++
+		return o.again(ctx, burdockretry.NotRun{})
+	case unreached:
+		o.unreached++
+		return o.again(ctx, burdockretry.Unreached{})
+	case unknown:
+		o.sent++
+		o.mayHaveRun = &res
+		return o.again(ctx, burdockretry.Failed{})
+	case broken:
+		o.sent++
+		if !o.req.route.Resumable {
+			o.caller.abort()
+		}
+		return o.again(ctx, burdockretry.Failed{})
+	}
+	return true
+}
+
+// end is the end of a request whose time is over or whose caller has gone.
+func (o *offers) end(caller context.Context) {
+	switch {
+	case caller.Err() != nil:
+		// Nobody reads an answer.
+		o.caller.abort()
+	case o.caller.begun:
+		o.caller.abort()
+	default:
+		o.caller.refuse(o.req, refusal{status: http.StatusGatewayTimeout, reason: "no answer within the time allowed"})
+	}
+}
+
+// again asks the budget whether the request may be offered again.
+func (o *offers) again(ctx context.Context, outcome burdockretry.Outcome) bool {
+	_, reached := outcome.(burdockretry.Unreached)
+	d := o.pool.decide(o.entry.now(), burdockretry.Attempt{
+		Outcome: outcome, Offers: o.sent + o.unreached,
+		Idempotent: o.req.route.Repeatable(), Deadline: o.req.deadline,
+	})
+	retry, ok := d.(burdockretry.Retry)
+	if !ok {
+		o.giveUp(d.(burdockretry.GiveUp))
+		return true
+	}
+	if o.sent >= o.req.route.Attempts || reached && o.unreached >= mostUnreached {
+		o.giveUp(burdockretry.GiveUp{Reason: burdockretry.ReasonOffers, RetryAfter: retrySpread})
+		return true
+	}
+	o.entry.meters.retries.Inc()
+	return !pause(ctx, retry.After)
+}
+
+// pause waits before a retry. It reports false when the time is over.
+func pause(ctx context.Context, d burdockclock.Millis) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d.Duration())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// giveUp gives the final answer, at once.
+//
+// Failure: a request that may be repeated has an offer of unknown outcome, and
+// its next offer is refused. Symptom: the last refusal alone would tell the
+// caller "not run" of what may have run. An unknown outcome stays one.
+func (o *offers) giveUp(g burdockretry.GiveUp) {
+	switch {
+	case o.caller.begun:
+		o.caller.abort()
+	case o.mayHaveRun != nil && o.mayHaveRun.failure != nil:
+		o.caller.whole(o.mayHaveRun.failure)
+		o.entry.logEnd(o.req, "failed by upstream", zap.Int("status", o.mayHaveRun.failure.status))
+	case o.mayHaveRun != nil:
+		o.caller.refuse(o.req, refusal{status: http.StatusBadGateway, reason: "outcome unknown: " + o.mayHaveRun.reason})
+	default:
+		o.caller.refuse(o.req, refusal{http.StatusServiceUnavailable, "not run: " + string(g.Reason), g.RetryAfter})
+	}
+}
--- /dev/null
+++ b/internal/serve/burdockdirect/pool.go
@@ -0,0 +1,190 @@
+package burdockdirect
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/decide/burdockeject"
+	"burdockbend.example/burdockbend/internal/decide/burdockplace"
+	"burdockbend.example/burdockbend/internal/decide/burdockretry"
+	"burdockbend.example/burdockbend/internal/state/burdocksite"
+	"go.uber.org/zap"
+)
+
+// retryFraction is the number of retries for each recent success: half of what
+// the platform allows all entries together, as some see more failures than
+// others.
+const retryFraction = 0.1
+
+// pool is what an entry knows of the upstreams of one service. It puts a lock
+// around the pure decisions.
+type pool struct {
+	service burdockid.Service
+	entry   *Entry
+	gate    *gate
+	random  *rand.Rand
+
+	mu      sync.Mutex
+	placer  *burdockplace.Placer
+	tracker *burdockeject.Tracker
+	budget  *burdockretry.Budget
+	members map[burdockid.Upstream]burdocksite.Upstream
+	engine  *burdocksite.Engine
+	// progressAt is when any stream of the service last had an event.
+	progressAt burdockclock.Millis
+}
+
+func newPool(service burdockid.Service, e *Entry) *pool {
+	random := rand.New(rand.NewPCG(e.deps.Seed, uint64(time.Now().UnixNano())))
+	p := &pool{
+		service: service, entry: e, random: random,
+		placer:  burdockplace.New(burdockplace.Config{}, derive(random)),
+		tracker: burdockeject.New(burdockeject.Config{}, derive(random)),
+		budget:  burdockretry.New(burdockretry.Config{Fraction: retryFraction}, derive(random)),
+	}
+	snap := e.deps.Site.Now()
+	p.engine = engineOf(snap, service)
+	p.gate = newGate(e.deps.Clock, p.engine != nil, snap.Members(service), p)
+	p.follow(e.now(), snap)
+	return p
+}
+
+func derive(random *rand.Rand) *rand.Rand {
+	return rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))
+}
+
+func engineOf(snap *burdocksite.Snapshot, service burdockid.Service) *burdocksite.Engine {
+	if snap.Config == nil {
+		return nil
+	}
+	return snap.Config.Services[service].Engine
+}
+
+// follow takes up the members that the site shows now.
+func (p *pool) follow(now burdockclock.Millis, snap *burdocksite.Snapshot) {
+	members := snap.Members(p.service)
+	if !p.takeUp(now, members) {
+		return
+	}
+	p.gate.follow(members)
+}
+
+func (p *pool) takeUp(now burdockclock.Millis, members []burdocksite.Upstream) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.members != nil && p.same(members) {
+		return false
+	}
+	p.members = map[burdockid.Upstream]burdocksite.Upstream{}
+	var names []burdockid.Upstream
+	for _, u := range members {
+		p.members[u.ID] = u
+		names = append(names, u.ID)
+	}
+	p.tracker.SetMembers(now, names)
+	placed := make([]burdockplace.Member, len(names))
+	for i, name := range names {
+		placed[i] = burdockplace.Member{Upstream: name, DataCentre: p.members[name].DataCentre, Weight: p.tracker.Weight(name)}
+	}
+	p.placer.SetMembers(now, placed)
+	return true
+}
+
+func (p *pool) same(members []burdocksite.Upstream) bool {
+	if len(members) != len(p.members) {
+		return false
+	}
+	for _, u := range members {
+		if p.members[u.ID] != u {
+			return false
+		}
+	}
+	return true
+}
+
+// choose places one offer.
+func (p *pool) choose(now burdockclock.Millis, req *request, refused map[burdockid.Upstream]bool) (burdocksite.Upstream, burdockplace.Reason, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	choice, ok := p.placer.Choose(now, burdockplace.Request{
+		DataCentre: p.entry.cfg.DataCentre,
+		Cost:       req.cost,
+		Exclude:    func(u burdockid.Upstream) bool { return refused[u] },
+	})
+	if probe, due := p.tracker.Probe(now); due && !refused[probe] && req.route.Repeatable() {
+		if _, member := p.members[probe]; member {
+			choice.Upstream, choice.Reason, ok = probe, "probe", true
+		}
+	}
+	if !ok {
+		return burdocksite.Upstream{}, "", false
+	}
+	p.placer.Sent(now, choice.Upstream, req.cost)
+	return p.members[choice.Upstream], choice.Reason, true
+}
+
+// done ends an offer.
+func (p *pool) done(now burdockclock.Millis, u burdockid.Upstream, cost burdockid.Tokens) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.placer.Done(now, u, cost)
+}
+
+// report takes in the load that an upstream told.
+func (p *pool) report(now burdockclock.Millis, u burdockid.Upstream, l *Load) {
+	if l == nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.placer.Report(now, u, burdockplace.Report{Running: l.Running, Queued: l.Waiting, Slots: l.Slots})
+}
+
+// observe takes in what an offer showed of an upstream's health.
+func (p *pool) observe(now burdockclock.Millis, u burdockid.Upstream, o burdockeject.Observation) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	change, changed := p.tracker.Observe(now, u, o)
+	if !changed {
+		return
+	}
+	p.placer.SetWeight(change.Upstream, change.Weight)
+	p.entry.deps.Log.Info("upstream weighted", zap.String("upstream", string(change.Upstream)),
+		zap.String("service", string(p.service)), zap.String("cause", string(change.Cause)), zap.Float64("weight", change.Weight))
+}
+
+func (p *pool) decide(now burdockclock.Millis, a burdockretry.Attempt) burdockretry.Decision {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.budget.Decide(now, a)
+}
+
+func (p *pool) noUpstream(now burdockclock.Millis) burdockretry.GiveUp {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.budget.NoUpstream(now)
+}
+
+func (p *pool) succeeded(now burdockclock.Millis) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.budget.Succeeded(now)
+}
+
+// progress notes an event of any stream.
+func (p *pool) progress(now burdockclock.Millis) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.progressAt = now
+}
+
+// progressed reports whether another stream of the service has had an event
+// since an instant.
+func (p *pool) progressed(since burdockclock.Millis) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.progressAt > since
+}
--- /dev/null
+++ b/internal/serve/burdockdirect/request.go
@@ -0,0 +1,184 @@
+package burdockdirect
+
+import (
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/decide/burdockqueue"
+	"burdockbend.example/burdockbend/internal/state/burdocksite"
+	"go.uber.org/zap"
+)
+
+const (
+	// defaultBody bounds a body when the configuration doesn't.
+	defaultBody = 8 << 20
+	// bodyTimeout bounds the reading of a body: a caller that trickles would
+	// hold a connection and memory as long as it likes.
+	bodyTimeout = 10 * time.Second
+	// defaultTimeout holds where neither route nor caller says how long.
+	defaultTimeout = burdockclock.Minute
+	// noConfigRetry is when to come back to an entry that has just started: its
+	// first reading of the store takes tens of milliseconds.
+	noConfigRetry burdockclock.Millis = 300
+	// stopRetry is when to come back to the site when this entry stops: at
+	// once, since other entries serve.
+	stopRetry burdockclock.Millis = 20
+	// answerWeight is how many prompt tokens one token of an answer costs an
+	// engine that reads some ten tokens in the time of writing one.
+	answerWeight = 10
+)
+
+// request is one caller's request once it has been read and checked.
+type request struct {
+	CallerHeaders
+	method   string
+	target   string // path and query as the caller wrote them
+	host     string
+	header   http.Header
+	body     []byte
+	route    *burdocksite.Route
+	service  burdockid.Service
+	customer burdockid.Customer
+	class    burdockqueue.Class
+	arrived  burdockclock.Millis
+	deadline burdockclock.Millis
+	cost     burdockid.Tokens
+}
+
+// refusal is an answer of the entry's own.
+type refusal struct {
+	status     int
+	reason     string
+	retryAfter burdockclock.Millis
+}
+
+// ServeHTTP implements http.Handler.
+func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.active.Add(1)
+	defer e.active.Add(-1)
+	if e.drainingAt.Load() != 0 {
+		w.Header().Set("Connection", "close")
+	}
+	req, no := e.read(w, r)
+	c := &caller{entry: e, w: w, control: http.NewResponseController(w)}
+	if no != nil {
+		c.refuse(req, *no)
+		return
+	}
+	e.meters.requests.Inc()
+	e.serve(r, req, c)
+}
+
+// read checks a request in the order in which it costs the entry least.
+func (e *Entry) read(w http.ResponseWriter, r *http.Request) (*request, *refusal) {
+	req := &request{
+		CallerHeaders: e.deps.Dialect.Request(r.Header),
+		method:        r.Method, target: r.RequestURI, host: r.Host, header: r.Header, arrived: e.now(),
+	}
+	cfg := e.deps.Site.Now().Config
+	if cfg == nil {
+		return req, &refusal{http.StatusServiceUnavailable, "no configuration yet", noConfigRetry}
+	}
+	route, ok := cfg.Match(hostOnly(r.Host), r.URL.EscapedPath())
+	if !ok {
+		return req, &refusal{status: http.StatusNotFound, reason: "no route"}
+	}
+	req.route = route
+	if no := req.authenticate(cfg); no != nil {
+		return req, no
+	}
+	if no := req.readBody(w, r, cfg.Limits.BodyBytes); no != nil {
+		return req, no
+	}
+	req.service = pick(route.Shares)
+	req.cost = max(req.Prompt+answerWeight*req.Answer, 1)
+	timeout := defaultTimeout
+	if route.Timeout > 0 {
+		timeout = route.Timeout
+	}
+	if req.Budget > 0 {
+		timeout = min(timeout, req.Budget)
+	}
+	req.deadline = req.arrived + timeout
+	return req, nil
+}
+
+func hostOnly(host string) string {
+	name, _, _ := strings.Cut(host, ":")
+	return name
+}
+
+func (req *request) authenticate(cfg *burdocksite.Config) *refusal {
+	req.class = burdockqueue.Class(max(req.route.Priority, 0))
+	if len(cfg.Customers) == 0 || req.route.Public {
+		return nil
+	}
+	customer, ok := cfg.ByKey(req.Key)
+	if !ok {
+		return &refusal{status: http.StatusUnauthorized, reason: "unknown key"}
+	}
+	req.customer = customer.Name
+	if customer.Priority != nil {
+		req.class = burdockqueue.Class(max(*customer.Priority, 0))
+	}
+	return nil
+}
+
+func (req *request) readBody(w http.ResponseWriter, r *http.Request, limit int64) *refusal {
+	if limit <= 0 {
+		limit = defaultBody
+	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	_ = control.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
+	case err != nil:
+		return &refusal{status: http.StatusBadRequest, reason: "body not read: " + err.Error()}
+	}
+	req.body = body
+	return nil
+}
+
+// pick draws the service of a route that is split, by the weights of its shares.
+func pick(shares []burdocksite.Share) burdockid.Service {
+	total := 0.0
+	for _, s := range shares {
+		total += max(s.Weight, 0)
+	}
+	at := rand.Float64() * total
+	for _, s := range shares {
+		if at -= max(s.Weight, 0); at < 0 {
+			return s.Service
+		}
+	}
+	if len(shares) > 0 {
+		return shares[len(shares)-1].Service
+	}
+	return ""
+}
+
+// logEnd writes the one line of a request that ended otherwise than well.
+func (e *Entry) logEnd(req *request, outcome string, fields ...zap.Field) {
+	var service burdockid.Service
+	var route string
+	if req != nil {
+		service = req.service
+		if req.route != nil {
+			route = req.route.Name
+		}
+	}
+	e.deps.Log.Info(outcome, append([]zap.Field{
+		zap.String("requestId", string(req.ID)), zap.String("route", route), zap.String("service", string(service)),
+		zap.Int64("tookMillis", int64(e.now()-req.arrived)),
+	}, fields...)...)
+}
--- /dev/null
+++ b/internal/serve/burdockdirect/stream.go
@@ -0,0 +1,122 @@
+package burdockdirect
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+)
+
+const (
+	// streamBuffer holds some events at a time.
+	streamBuffer = 8 << 10
+	// maxEvent bounds one event.
+	maxEvent = 1 << 20
+	// silenceCheck is how often a stream is looked at for silence.
+	silenceCheck = 250 * time.Millisecond
+	// silence is how long a stream may have no event while others of the same
+	// service have some: many passes, and still within what callers bear.
+	silence = burdockclock.Second
+)
+
+var (
+	eventEnd  = []byte("\n\n")
+	idField   = []byte("id:")
+	errSilent = errors.New("the connection went silent")
+)
+
+// stream passes the events of an answer on as they come, whole ones only, so
+// that a stream that breaks off within one can go on at another upstream.
+type stream struct {
+	attempt *attempt
+	res     *http.Response
+	cancel  context.CancelCauseFunc
+	rest    []byte // of an event that is not whole yet
+	lastAt  burdockclock.Millis
+	first   bool
+}
+
+// follow passes events on until the stream ends.
+func (s *stream) follow(ctx context.Context) result {
+	s.lastAt = s.attempt.offers.entry.now()
+	s.first = true
+	watch := time.AfterFunc(silenceCheck, func() {})
+	defer watch.Stop()
+	buf := make([]byte, streamBuffer)
+	for {
+		n, err := s.res.Body.Read(buf)
+		if n > 0 && !s.take(buf[:n]) {
+			return ended{}
+		}
+		if err == io.EOF {
+			return s.end()
+		}
+		if err != nil {
+			return s.breakOff(ctx, err)
+		}
+	}
+}
+
+// take passes on the events that are whole now. It reports false when the
+// caller can't be written to.
+func (s *stream) take(b []byte) bool {
+	s.rest = append(s.rest, b...)
+	at := bytes.LastIndex(s.rest, eventEnd)
+	if at < 0 {
+		return len(s.rest) < maxEvent
+	}
+	events := s.rest[:at+len(eventEnd)]
+	s.note(events)
+	o := s.attempt.offers
+	if !o.caller.begun {
+		o.caller.head(s.res.StatusCode, s.res.Header, -1)
+	}
+	if o.caller.write(events) != nil {
+		return false
+	}
+	s.rest = append(s.rest[:0], s.rest[at+len(eventEnd):]...)
+	return true
+}
+
+// note remembers the last event's id and the pause before it.
+func (s *stream) note(events []byte) {
+	o := s.attempt.offers
+	now := o.entry.now()
+	for line := range bytes.SplitSeq(events, []byte("\n")) {
+		if id, ok := bytes.CutPrefix(line, idField); ok {
+			o.lastEvent = string(bytes.TrimSpace(id))
+			o.events++
+		}
+	}
+	if !s.first {
+		o.pool.gate.pause(now-s.lastAt, o.req.route.Gap)
+	}
+	s.first = false
+	s.lastAt = now
+	o.pool.progress(now)
+}
+
+func (s *stream) end() result {
+	if len(s.rest) > 0 || !s.attempt.offers.caller.begun {
+		return s.cut("it ended within an event")
+	}
+	return answered{}
+}
+
+func (s *stream) breakOff(ctx context.Context, err error) result {
+	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errSilent) {
+		return ended{}
+	}
+	return s.cut(err.Error())
+}
+
+func (s *stream) cut(reason string) result {
+	if s.attempt.offers.caller.begun {
+		return broken{reason: reason}
+	}
+	return unknown{reason: reason}
+}
