--- a/cmd/burdock-hosted/main.go
+++ b/cmd/burdock-hosted/main.go
@@ -27,9 +27,13 @@
 	}
 	log := burdockmain.NewLog(os.Stdout, settings.LogLevel)
 	client := burdockplatform.NewClient(settings.StoreAddress)
-	process, err := burdockhosted.StartEntry(settings, burdockhosted.Platform{
-		Source: burdockplatform.NewSource(client), Dialect: burdockplatform.Dialect{},
-	}, log)
+	platform := burdockhosted.Platform{Store: client, Records: burdockplatform.Records{}, Dialect: burdockplatform.Dialect{}}
+	start := burdockhosted.StartEntry
+	if settings.CallerListen == "" {
+		platform.Rank = burdockplatform.NewRank(settings.UpstreamAddress)
+		start = burdockhosted.StartAgent
+	}
+	process, err := start(settings, platform, log)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return burdockmain.ExitFailure
--- a/internal/decide/burdockexpert/input.go
+++ b/internal/decide/burdockexpert/input.go
@@ -17,6 +17,10 @@
 	// Speed is the rank's speed against its peers: 1 is normal, 0.5 takes
 	// twice the time for the same load.
 	Speed float64
+	// MaxLoads is the number of new experts of one layer that the rank can load
+	// beside those in use; 0 is no bound. It does not hold for a rank that is
+	// Empty or a map that has to be repaired.
+	MaxLoads int
 	// Empty marks a rank that was replaced and holds nothing, whatever the
 	// present map says.
 	Empty bool
--- a/internal/decide/burdockexpert/layer.go
+++ b/internal/decide/burdockexpert/layer.go
@@ -8,6 +8,8 @@
 type layerState struct {
 	shape   Shape
 	slots   []int
+	most    []int     // by rank: loads that it can take, see Rank.MaxLoads
+	news    []int     // by rank: what it has to load to get here from origin
 	inverse []float64 // time that a unit of share takes on the rank
 	usable  int       // ranks with slots
 
@@ -34,6 +36,8 @@
 		freeChange: freeChanges[0],
 		shape:      s,
 		slots:      make([]int, s.Ranks),
+		most:       make([]int, s.Ranks),
+		news:       make([]int, s.Ranks),
 		inverse:    make([]float64, s.Ranks),
 		parts:      make([]float64, s.Experts),
 		held:       make([][]uint16, s.Ranks),
@@ -49,6 +53,10 @@
 	speeds := 0.0
 	for r, rank := range ranks {
 		st.slots[r] = min(max(0, rank.Slots), s.Experts)
+		st.most[r] = rank.MaxLoads
+		if rank.MaxLoads <= 0 {
+			st.most[r] = s.Experts
+		}
 		if st.slots[r] > 0 {
 			speeds += rank.Speed
 			st.usable++
@@ -78,6 +86,7 @@
 		st.repart(e)
 	}
 	copy(st.origin, st.has)
+	clear(st.news)
 	clear(st.pinned)
 	st.kicks = layerKicks
 	st.loads = 0
@@ -88,6 +97,7 @@
 // repair's own fetches may still go elsewhere at no further price.
 func (st *layerState) startFrom(held [][]uint16) {
 	clear(st.origin)
+	clear(st.news)
 	st.loads = 0
 	for r, list := range held {
 		for _, e := range list {
@@ -97,6 +107,7 @@
 	for at, has := range st.has {
 		if has && !st.origin[at] {
 			st.loads++
+			st.news[at/st.shape.Experts]++
 		}
 	}
 }
@@ -131,6 +142,7 @@
 	st.repart(e)
 	if !st.origin[at] {
 		st.loads++
+		st.news[r]++
 	}
 }
 
@@ -143,6 +155,7 @@
 	st.repart(e)
 	if !st.origin[at] {
 		st.loads--
+		st.news[r]--
 	}
 }
 
@@ -160,6 +173,11 @@
 	return 1
 }
 
+// mayAdd reports whether a rank can load an expert if it has not got it.
+func (st *layerState) mayAdd(r, e int) bool {
+	return st.news[r]+st.price(r, e) <= st.most[r]
+}
+
 // slowest returns the rank with the largest time.
 func (st *layerState) slowest() int {
 	at := 0
--- a/internal/decide/burdockexpert/search.go
+++ b/internal/decide/burdockexpert/search.go
@@ -94,6 +94,9 @@
 
 // considerTarget weighs the ways in which rank q can take over expert e.
 func (st *layerState) considerTarget(slow, e, q, evict int, consider func(change, float64, int)) {
+	if !st.mayAdd(q, e) {
+		return
+	}
 	price := st.price(q, e)
 	if st.free(q) || evict != none {
 		if st.free(q) {
@@ -113,7 +116,7 @@
 		}
 		slowTime := st.time[slow] - (out-in)*st.inverse[slow]
 		targetTime := st.time[q] + (out-in)*st.inverse[q]
-		if targetTime >= st.time[slow] || st.holds(slow, f) {
+		if targetTime >= st.time[slow] || st.holds(slow, f) || !st.mayAdd(slow, f) {
 			continue
 		}
 		gain := st.power[slow] + st.power[q] - potential(slowTime) - potential(targetTime)
--- a/internal/platform/burdockengine/group.go
+++ b/internal/platform/burdockengine/group.go
@@ -28,7 +28,10 @@
 	Life   Life                 `json:"life"`
 	Tokens [][]burdockid.Tokens `json:"tokens"`
 	// Slots is the number of experts that the rank has memory for in each layer.
-	Slots       int                      `json:"slots"`
+	Slots int `json:"slots"`
+	// MaxLoads is the number of new experts of one layer that a rank can load
+	// for one map; 0 is no bound.
+	MaxLoads    int                      `json:"maxLoads,omitempty"`
 	ExpertBytes burdockid.Bytes          `json:"expertBytes"`
 	StoreRate   burdockid.BytesPerSecond `json:"storeRate"`
 }
--- /dev/null
+++ b/internal/serve/burdockhosted/agent.go
@@ -0,0 +1,132 @@
+package burdockhosted
+
+import (
+	"net"
+	"net/http"
+	"strconv"
+
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/config/burdocksettings"
+	"burdockbend.example/burdockbend/internal/group/burdockgroup"
+	"burdockbend.example/burdockbend/internal/serve/burdockrank"
+	"burdockbend.example/burdockbend/internal/state/burdockfollow"
+	"burdockbend.example/burdockbend/internal/state/burdockkv"
+	"burdockbend.example/burdockbend/internal/state/burdocksite"
+	"burdockbend.example/burdockbend/internal/wire/burdocktransport"
+	"burdockbend.example/burdockbend/internal/wire/burdockwire"
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+)
+
+// How a group on the platform follows its popularity. Popularity turns within
+// seconds there, and engines copy experts from each other within tenths of one.
+const (
+	// skewWeight and costWeight weigh time lost to uneven ranks against time
+	// spent copying. Ranks copy beside each other while the group runs, at
+	// passes 15 in 100 longer: a copy by one of some tens of ranks costs far
+	// less than its own time.
+	skewWeight = 1.0
+	costWeight = 0.02
+	// expectedHold is how long a turn of popularity is expected to last.
+	expectedHold = 3 * burdockclock.Second
+	// popularityHalfLife is a few windows: a turn is to be seen at once.
+	popularityHalfLife burdockclock.Millis = 600
+	countsEvery        burdockclock.Millis = 250
+	// changeGap is the least time between two changes.
+	changeGap burdockclock.Millis = 100
+	tick      burdockclock.Millis = 25
+	// leaseTTL is how long a group may stand when its controller dies in a
+	// change; renewals cost a tenth of a call.
+	leaseTTL     = 1500 * burdockclock.Millis(1)
+	leaseEvery   = 400 * burdockclock.Millis(1)
+	leaseStagger = 20 * burdockclock.Millis(1)
+	// groupPoll finds what nobody noticed, such as a hold that came late.
+	groupPoll = burdockclock.Second
+	loadPoll  = 60 * burdockclock.Millis(1)
+	// changeLead is two passes of some tens of milliseconds: about what the
+	// orders to a group of some tens of ranks take.
+	changeLead    burdockid.Step = 2
+	changeLeadMax burdockid.Step = 8
+	// armBudget is several times what a change takes from the first order to
+	// the last.
+	armBudget = 500 * burdockclock.Millis(1)
+)
+
+func pace() burdockrank.Pace {
+	return burdockrank.Pace{
+		HalfLife: popularityHalfLife, CountsEvery: countsEvery, Gap: changeGap, Tick: tick,
+		LeaseTTL: leaseTTL, LeaseEvery: leaseEvery, LeaseStagger: leaseStagger,
+		Watch: burdockclock.Second,
+		Controller: func(cfg *burdockgroup.ControllerConfig) {
+			cfg.Poll, cfg.LoadPoll, cfg.ArmBudget = groupPoll, loadPoll, armBudget
+			cfg.Lead, cfg.MaxLead = changeLead, changeLeadMax
+		},
+	}
+}
+
+type agent struct {
+	log       *zap.Logger
+	host      *burdockrank.Host
+	directory *directory
+	followers []*burdockkv.Follower
+	peers     *http.Server
+	admin     *http.Server
+}
+
+// StartAgent starts the agent beside an upstream.
+func StartAgent(settings burdocksettings.Hosted, p Platform, log *zap.Logger) (Process, error) {
+	clock := burdockclock.System()
+	site := burdocksite.New()
+	mirror := burdockkv.NewMirror()
+	spec := func() *burdocksite.Engine {
+		cfg := site.Now().Config
+		if cfg == nil {
+			return nil
+		}
+		return cfg.Services[settings.UpstreamService].Engine
+	}
+	address := net.JoinHostPort(settings.IP, strconv.Itoa(settings.PeerPort))
+	a := &agent{log: log}
+	a.directory = newDirectory(p.Rank, address, p.Store, mirror, spec, log)
+	a.host = burdockrank.NewHost(burdockid.Upstream(settings.UpstreamAddress), burdockrank.Deps{
+		Clock: clock, Engines: a.directory.engine, Store: newLeases(p.Store, mirror, log),
+		Directory: a.directory, Peers: burdocktransport.NewPeers(nil), Log: log, Pace: pace(),
+		First: func(ranks int) (burdockid.MapVersion, []byte, error) {
+			content, err := firstContent(spec(), ranks)
+			return firstMap, content, err
+		},
+	})
+	config := burdockfollow.New(burdockfollow.TopicConfig, p.Records, site, clock, log)
+	a.followers = []*burdockkv.Follower{
+		burdockkv.NewFollower(p.Store, p.Records.Prefix(burdockfollow.TopicConfig), config, clock, log),
+		burdockkv.NewFollower(p.Store, prefixOwn, mirror, clock, log),
+	}
+	mux := http.NewServeMux()
+	mux.Handle(burdockwire.NewGroupServiceHandler(a.host, burdocktransport.HandlerOptions(maxHeader, maxHeader)...))
+	a.peers, a.admin = newServer(mux), newServer(adminHandler(metrics.NewSet()))
+	err := listenAll(log,
+		listening{a.peers, address},
+		listening{a.admin, net.JoinHostPort(settings.IP, strconv.Itoa(settings.AdminPort))})
+	if err != nil {
+		return nil, err
+	}
+	for _, f := range a.followers {
+		f.Start()
+	}
+	a.directory.start()
+	a.host.Start()
+	log.Info("agent started", zap.String("vm", string(settings.VM)), zap.String("upstream", settings.UpstreamAddress))
+	return a, nil
+}
+
+// Stop implements Process.
+func (a *agent) Stop() {
+	a.log.Info("stopping")
+	a.host.Close()
+	a.directory.close()
+	for _, f := range a.followers {
+		f.Close()
+	}
+	a.log.Info("stopped")
+}
--- /dev/null
+++ b/internal/serve/burdockhosted/directory.go
@@ -0,0 +1,160 @@
+package burdockhosted
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/config/burdockprofile"
+	"burdockbend.example/burdockbend/internal/platform/burdockengine"
+	"burdockbend.example/burdockbend/internal/serve/burdockrank"
+	"burdockbend.example/burdockbend/internal/state/burdockkv"
+	"burdockbend.example/burdockbend/internal/state/burdocksite"
+	"go.uber.org/zap"
+)
+
+const (
+	// prefixOwn is that of all keys that the system writes itself.
+	prefixOwn = "burdock/"
+	// prefixRank is that of the keys that tell where the agent of a rank is.
+	prefixRank = prefixOwn + "rank/"
+	// epochMark stands between a group's name and its epoch in the name of a
+	// seat's group. Each epoch is a group of its own to the machines: nothing
+	// that was known, ordered or leased in one holds in the next.
+	epochMark = "@"
+	// reportEvery is how often an agent asks its engine in which group it is.
+	// A group that was formed anew runs with its first map for as long.
+	reportEvery = 150 * time.Millisecond
+	// publishAgain is the wait before an address is written again without an
+	// answer.
+	publishAgain = time.Second
+)
+
+// directory tells the seat by the engine's own report, and the other agents by
+// the keys that each writes for itself. It implements burdockrank.Directory.
+type directory struct {
+	rank    Rank
+	address string // of this agent, for its peers
+	store   burdockkv.Store
+	mirror  *burdockkv.Mirror
+	spec    func() *burdocksite.Engine
+	log     *zap.Logger
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+
+	mu          sync.Mutex
+	seat        burdockrank.Seat
+	publishedAt time.Time
+}
+
+func newDirectory(rank Rank, address string, store burdockkv.Store, mirror *burdockkv.Mirror, spec func() *burdocksite.Engine, log *zap.Logger) *directory {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &directory{rank: rank, address: address, store: store, mirror: mirror, spec: spec, log: log, ctx: ctx, cancel: cancel}
+}
+
+func (d *directory) start() {
+	d.done.Add(1)
+	go d.loop()
+}
+
+func (d *directory) close() {
+	d.cancel()
+	d.done.Wait()
+}
+
+func (d *directory) loop() {
+	defer d.done.Done()
+	ticker := time.NewTicker(reportEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-ticker.C:
+			d.look()
+		}
+	}
+}
+
+// look asks the engine where it is. An engine that doesn't answer may be slow;
+// its seat stands until it says otherwise, as orders to it fail by themselves.
+func (d *directory) look() {
+	report, err := d.rank.Report(d.ctx)
+	if err != nil {
+		return
+	}
+	seat := burdockrank.Seat{}
+	if report.Open && report.Ranks > 1 && d.spec() != nil && d.spec().Layers > 0 {
+		seat = burdockrank.Seat{
+			Group: report.Group + epochMark + strconv.FormatInt(report.Epoch, 10),
+			Rank:  report.Rank, Ranks: report.Ranks,
+		}
+	}
+	d.sit(seat)
+	if report.Group != "" {
+		d.publish(rankKey(report.Group, report.Rank))
+	}
+}
+
+func (d *directory) sit(seat burdockrank.Seat) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if seat != d.seat {
+		d.log.Info("seat", zap.String("group", seat.Group), zap.Int("rank", int(seat.Rank)), zap.Int("ranks", seat.Ranks),
+			zap.String("before", d.seat.Group))
+		d.seat = seat
+	}
+}
+
+func rankKey(group string, rank burdockid.Rank) string {
+	return prefixRank + group + "/" + strconv.Itoa(int(rank))
+}
+
+// publish writes this agent's address where its peers look, unless it is there.
+func (d *directory) publish(key string) {
+	item, ok := d.mirror.Get(key)
+	if !d.mirror.Known() || ok && string(item.Value) == d.address || time.Since(d.publishedAt) < publishAgain {
+		return
+	}
+	d.publishedAt = time.Now()
+	if _, err := d.store.Write(d.ctx, nil, []burdockkv.Put{{Key: key, Value: []byte(d.address)}}); err != nil {
+		d.log.Warn("the agent's address was not written", zap.String("key", key), zap.Error(err))
+	}
+}
+
+// Seat implements burdockrank.Directory.
+func (d *directory) Seat() burdockrank.Seat {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.seat
+}
+
+// Agent implements burdockrank.Directory.
+func (d *directory) Agent(group string, rank burdockid.Rank) string {
+	name, _, _ := strings.Cut(group, epochMark)
+	item, ok := d.mirror.Get(rankKey(name, rank))
+	if !ok {
+		return ""
+	}
+	return string(item.Value)
+}
+
+// engine returns the engine of a seat.
+func (d *directory) engine(seat burdockrank.Seat) burdockengine.GroupEngine {
+	_, epoch, _ := strings.Cut(seat.Group, epochMark)
+	n, err := strconv.ParseInt(epoch, 10, 64)
+	if err != nil {
+		d.log.Error("a seat without an epoch", zap.String("group", seat.Group))
+	}
+	return &engine{rank: d.rank, spec: d.spec, epoch: n}
+}
+
+// Experts implements burdockrank.Directory.
+func (d *directory) Experts() burdockprofile.Experts {
+	return burdockprofile.Experts{SkewWeight: skewWeight, CostWeight: costWeight, HoldMillis: expectedHold}
+}
--- /dev/null
+++ b/internal/serve/burdockhosted/engine.go
@@ -0,0 +1,193 @@
+package burdockhosted
+
+import (
+	"context"
+	"strconv"
+	"sync"
+
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/decide/burdockexpert"
+	"burdockbend.example/burdockbend/internal/group/burdockgroup"
+	"burdockbend.example/burdockbend/internal/platform/burdockengine"
+	"burdockbend.example/burdockbend/internal/state/burdocksite"
+	"github.com/joomcode/errorx"
+)
+
+// firstMap is the version of the map with which each epoch begins. Versions
+// that controllers give out are far higher: a fencing number is part of them.
+const firstMap burdockid.MapVersion = 1
+
+// engine is a Rank as the machines of burdockgroup see it.
+//
+// An order without an answer may be carried out seconds later. Each order
+// names the count of orders begun that the agent has read, and the epoch: so
+// of all orders that were given after one reading one at most takes effect,
+// and as soon as any has, the others are void. The machines repeat an order
+// until the status shows its effect, so none is left that could come late.
+type engine struct {
+	rank Rank
+	spec func() *burdocksite.Engine
+
+	mu      sync.Mutex
+	epoch   int64 // of the seat that the orders are for
+	loading burdockid.MapVersion
+	failed  burdockid.MapVersion
+}
+
+// Order implements burdockengine.GroupEngine.
+func (e *engine) Order(ctx context.Context, _ burdockid.Fence, order burdockgroup.EngineOrder) (burdockgroup.EngineStatus, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	before, err := e.read(ctx)
+	if err != nil {
+		return burdockgroup.EngineStatus{}, err
+	}
+	out, err := translate(order, before)
+	if err != nil || out == nil {
+		return e.status(before), err
+	}
+	given := e.rank.Order(ctx, e.epoch, before.Orders, out)
+	if errorx.IsOfType(given, ErrNoAnswer) {
+		return burdockgroup.EngineStatus{}, given
+	}
+	after, err := e.read(ctx)
+	if err != nil {
+		return burdockgroup.EngineStatus{}, err
+	}
+	if load, ok := order.(burdockgroup.LoadMap); ok {
+		e.noteLoad(load.Map, given, before.Orders == after.Orders)
+	}
+	return e.status(after), nil
+}
+
+// noteLoad remembers a load that was begun, or one that the engine won't take.
+// A refusal after which other orders were begun may be due to them alone.
+func (e *engine) noteLoad(v burdockid.MapVersion, given error, untouched bool) {
+	switch {
+	case given == nil:
+		e.loading = v
+	case untouched:
+		e.failed = v
+	}
+}
+
+// read returns the engine's report if it is of the seat's epoch.
+func (e *engine) read(ctx context.Context) (RankReport, error) {
+	report, err := e.rank.Report(ctx)
+	if err != nil {
+		return report, err
+	}
+	if !report.Open || report.Epoch != e.epoch {
+		return report, ErrNoGroup.New("epoch %d, open %t; the seat is in epoch %d", report.Epoch, report.Open, e.epoch)
+	}
+	return report, nil
+}
+
+// translate returns the rank's order for an engine order; nil if there is
+// nothing to do.
+func translate(order burdockgroup.EngineOrder, now RankReport) (RankOrder, error) {
+	switch o := order.(type) {
+	case burdockgroup.LoadMap:
+		if v := int64(o.Map); v == now.Map || v == now.Prepared || v == now.ArmedMap || o.Map == firstMap {
+			return nil, nil
+		}
+		experts, err := expertsOf(o.Content)
+		return Prepare{Version: int64(o.Map), Experts: experts}, err
+	case burdockgroup.HoldAt:
+		if now.Step >= o.Step || now.Held && now.HeldStep == o.Step {
+			return nil, nil
+		}
+		return Hold(o), nil
+	case burdockgroup.UseFrom:
+		if !now.Held || now.HeldStep != o.Step || now.ArmedMap != 0 {
+			return nil, nil
+		}
+		return Arm{Version: int64(o.Map), Step: o.Step}, nil
+	case burdockgroup.Resume:
+		if !now.Held || now.HeldStep != o.Step || burdockid.MapVersion(now.ArmedMap) != o.Switch.Map {
+			return nil, nil
+		}
+		return Go{Step: o.Step}, nil
+	}
+	return nil, nil
+}
+
+func expertsOf(content []byte) ([][][]int, error) {
+	m, err := burdockexpert.Decode(content)
+	if err != nil {
+		return nil, err
+	}
+	shape := m.Shape()
+	experts := make([][][]int, shape.Layers)
+	for l := range experts {
+		experts[l] = make([][]int, shape.Ranks)
+		for r := range experts[l] {
+			experts[l][r] = []int{}
+			for _, e := range m.Experts(burdockid.Layer(l), burdockid.Rank(r)) {
+				experts[l][r] = append(experts[l][r], int(e))
+			}
+		}
+	}
+	return experts, nil
+}
+
+// status is the report in the machines' terms.
+func (e *engine) status(r RankReport) burdockgroup.EngineStatus {
+	s := burdockgroup.EngineStatus{
+		Next: r.Step + 1, Base: burdockid.MapVersion(r.Map),
+		Switch: burdockgroup.Switch{Map: burdockid.MapVersion(r.ArmedMap), At: r.ArmedStep},
+		Held:   r.Held, HoldAt: r.HeldStep, Failed: e.failed,
+		LastStep: r.Step, LastMap: burdockid.MapVersion(r.Map),
+	}
+	if r.ArmedMap == 0 {
+		s.Switch = burdockgroup.Switch{}
+		s.Spare = burdockid.MapVersion(r.Prepared)
+	}
+	if r.Map == 0 {
+		s.Base, s.LastMap = firstMap, firstMap
+	}
+	if s.Base == e.loading || s.Spare == e.loading || s.Switch.Map == e.loading {
+		e.loading = 0
+	}
+	s.Loading = e.loading
+	return s
+}
+
+// Steps implements burdockengine.GroupEngine. Steps are not told one by one; an
+// engine that starts again breaks its group, which begins another epoch.
+func (e *engine) Steps(context.Context, burdockid.Step) (burdockengine.GroupSteps, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return burdockengine.GroupSteps{Life: burdockengine.Life(strconv.FormatInt(e.epoch, 10))}, nil
+}
+
+// Counts implements burdockengine.GroupEngine.
+func (e *engine) Counts(ctx context.Context) (burdockengine.GroupCounts, error) {
+	spec := e.spec()
+	if spec == nil || spec.Layers == 0 {
+		return burdockengine.GroupCounts{}, ErrNoGroup.New("the service's experts are not known")
+	}
+	epoch, counts, err := e.rank.Counts(ctx)
+	if err != nil {
+		return burdockengine.GroupCounts{}, err
+	}
+	out := burdockengine.GroupCounts{
+		Life: burdockengine.Life(strconv.FormatInt(epoch, 10)), Slots: spec.Places, MaxLoads: spec.Spare,
+		ExpertBytes: spec.ExpertBytes, StoreRate: spec.CopyRate,
+	}
+	for l := 0; l < spec.Layers && (l+1)*spec.Experts <= len(counts); l++ {
+		out.Tokens = append(out.Tokens, counts[l*spec.Experts:(l+1)*spec.Experts])
+	}
+	return out, nil
+}
+
+// firstContent is the map that each epoch begins with: experts in turn.
+func firstContent(spec *burdocksite.Engine, ranks int) ([]byte, error) {
+	m := burdockexpert.NewMap(burdockexpert.Shape{Layers: spec.Layers, Ranks: ranks, Experts: spec.Experts})
+	for l := range spec.Layers {
+		for e := range spec.Experts {
+			m.Hold(burdockid.Layer(l), burdockid.Rank(e%ranks), burdockid.Expert(e))
+		}
+	}
+	return m.Encode()
+}
--- a/internal/serve/burdockhosted/entry.go
+++ b/internal/serve/burdockhosted/entry.go
@@ -13,16 +13,19 @@
 	"burdockbend.example/burdockbend/internal/config/burdocksettings"
 	"burdockbend.example/burdockbend/internal/serve/burdockdirect"
 	"burdockbend.example/burdockbend/internal/state/burdockfollow"
+	"burdockbend.example/burdockbend/internal/state/burdockkv"
 	"burdockbend.example/burdockbend/internal/state/burdocksite"
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 )
 
 // Platform is what a process needs of the platform's adapter.
 type Platform struct {
-	Source  burdockfollow.Source
+	Store   burdockkv.Store
+	Records burdockfollow.Decoder
 	Dialect burdockdirect.Dialect
+	// Rank is the engine beside an agent; an entry has none.
+	Rank Rank
 }
 
 // Process is a running entry or agent.
@@ -33,12 +36,6 @@
 }
 
 const (
-	// headerTimeout and idleTimeout are longer than any caller needs; callers
-	// close first.
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 2 * time.Minute
-	// maxHeader is several times what the platform lets callers send.
-	maxHeader = 64 << 10
 	// idleCheck is how often a stopping process looks whether it is idle.
 	idleCheck = 20 * time.Millisecond
 	// leastLinger is how long a stopping entry goes on even when it is idle:
@@ -57,7 +54,7 @@
 	callers   *http.Server
 	ready     *http.Server
 	admin     *http.Server
-	followers []*burdockfollow.Follower
+	followers []*burdockkv.Follower
 }
 
 // StartEntry starts an entry.
@@ -71,13 +68,18 @@
 		burdockdirect.Deps{Clock: clock, Site: site, Dialect: p.Dialect, Log: log, Metrics: set, Seed: rand.Uint64()},
 	)
 	site.Subscribe(e.entry.Follow)
-	for _, topic := range []burdockfollow.Topic{burdockfollow.TopicConfig, burdockfollow.TopicUpstreams} {
-		e.followers = append(e.followers, burdockfollow.New(topic, p.Source, site, clock, log))
+	for _, topic := range burdockfollow.Topics() {
+		sink := burdockfollow.New(topic, p.Records, site, clock, log)
+		e.followers = append(e.followers, burdockkv.NewFollower(p.Store, p.Records.Prefix(topic), sink, clock, log))
 	}
 	e.callers = newServer(e.entry)
 	e.ready = newServer(http.HandlerFunc(e.serveReady))
 	e.admin = newServer(adminHandler(set))
-	if err := e.listen(); err != nil {
+	err := listenAll(log,
+		listening{e.callers, settings.CallerListen},
+		listening{e.ready, settings.ReadyListen},
+		listening{e.admin, net.JoinHostPort(settings.IP, strconv.Itoa(settings.AdminPort))})
+	if err != nil {
 		return nil, err
 	}
 	for _, f := range e.followers {
@@ -88,46 +90,6 @@
 	return e, nil
 }
 
-func newServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
-}
-
-func adminHandler(set *metrics.Set) http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { set.WritePrometheus(w) })
-	return mux
-}
-
-func (e *entry) listen() error {
-	for _, l := range []struct {
-		server  *http.Server
-		address string
-	}{
-		{e.callers, e.settings.CallerListen},
-		{e.ready, e.settings.ReadyListen},
-		{e.admin, net.JoinHostPort(e.settings.IP, strconv.Itoa(e.settings.AdminPort))},
-	} {
-		listener, err := net.Listen("tcp", l.address)
-		if err != nil {
-			return errorx.Decorate(err, "listen")
-		}
-		go server{l.server, listener, e.log}.run()
-	}
-	return nil
-}
-
-type server struct {
-	server   *http.Server
-	listener net.Listener
-	log      *zap.Logger
-}
-
-func (s server) run() {
-	if err := s.server.Serve(s.listener); err != nil && err != http.ErrServerClosed {
-		s.log.Error("listener failed", zap.Error(err))
-	}
-}
-
 func (e *entry) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if why := e.entry.Ready(); why != "" {
 		http.Error(w, why, http.StatusServiceUnavailable)
--- /dev/null
+++ b/internal/serve/burdockhosted/leases.go
@@ -0,0 +1,148 @@
+package burdockhosted
+
+import (
+	"context"
+	"sync"
+
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/platform/burdockstore"
+	"burdockbend.example/burdockbend/internal/state/burdockkv"
+	"github.com/joomcode/errorx"
+	"go.uber.org/zap"
+)
+
+// prefixLease is that of the keys of duties. A key is there while somebody holds
+// the duty; its value names the holder and its creation is the fencing number,
+// which grows since the store's revisions do.
+const prefixLease = prefixOwn + "lease/"
+
+// leases makes leases with a holder and a fencing number out of a store that
+// has leases on keys. It implements burdockrank.Leases.
+//
+// All agents of a group try again and again. While the mirror shows a holder, a
+// try costs no call.
+type leases struct {
+	store  burdockkv.Store
+	mirror *burdockkv.Mirror
+	log    *zap.Logger
+
+	mu   sync.Mutex
+	held map[string]heldLease
+}
+
+type heldLease struct {
+	id    burdockkv.LeaseID
+	fence burdockid.Fence
+}
+
+func newLeases(store burdockkv.Store, mirror *burdockkv.Mirror, log *zap.Logger) *leases {
+	return &leases{store: store, mirror: mirror, log: log, held: map[string]heldLease{}}
+}
+
+// Acquire implements burdockrank.Leases.
+func (l *leases) Acquire(ctx context.Context, name, holder string, ttl burdockclock.Millis) (burdockstore.Lease, error) {
+	own, ok := l.own(name)
+	if !ok {
+		own, ok = l.adopt(name, holder)
+	}
+	var err error
+	if ok {
+		err = l.renew(ctx, name, own)
+	} else {
+		own, err = l.take(ctx, name, holder, ttl)
+	}
+	return burdockstore.Lease{Name: name, Holder: holder, Fence: own.fence, TTL: ttl}, err
+}
+
+func (l *leases) own(name string) (heldLease, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	own, ok := l.held[name]
+	return own, ok
+}
+
+// adopt finds a lease whose writing had no answer and took effect.
+func (l *leases) adopt(name, holder string) (heldLease, bool) {
+	item, ok := l.mirror.Get(prefixLease + name)
+	if !ok || string(item.Value) != holder || item.Lease == 0 {
+		return heldLease{}, false
+	}
+	own := heldLease{id: item.Lease, fence: burdockid.Fence(item.Created)}
+	l.keep(name, own)
+	return own, true
+}
+
+func (l *leases) keep(name string, own heldLease) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.held[name] = own
+}
+
+func (l *leases) forget(name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.held, name)
+}
+
+func (l *leases) renew(ctx context.Context, name string, own heldLease) error {
+	err := l.store.Renew(ctx, own.id)
+	if errorx.IsOfType(err, burdockkv.ErrNotFound) {
+		l.forget(name)
+		return burdockstore.ErrConflict.Wrap(err, "the lease %s has ended", name)
+	}
+	return err
+}
+
+func (l *leases) take(ctx context.Context, name, holder string, ttl burdockclock.Millis) (heldLease, error) {
+	if !l.mirror.Known() {
+		return heldLease{}, burdockstore.ErrUnavailable.New("the store has not been read yet")
+	}
+	key := prefixLease + name
+	if item, ok := l.mirror.Get(key); ok {
+		return heldLease{}, burdockstore.ErrConflict.New("%s is held by %s", name, item.Value)
+	}
+	id, err := l.store.Grant(ctx, ttl)
+	if err != nil {
+		return heldLease{}, burdockstore.ErrUnavailable.Wrap(err, "lease %s", name)
+	}
+	rev, err := l.store.Write(ctx, []burdockkv.Condition{{Key: key}}, []burdockkv.Put{{Key: key, Value: []byte(holder), Lease: id}})
+	switch {
+	case err == nil:
+		own := heldLease{id: id, fence: burdockid.Fence(rev)}
+		l.keep(name, own)
+		return own, nil
+	case errorx.IsOfType(err, burdockkv.ErrConflict):
+		// It would lapse by itself; nothing is under it.
+		_ = l.store.Revoke(ctx, id)
+		return heldLease{}, burdockstore.ErrConflict.Wrap(err, "lease %s", name)
+	}
+	return heldLease{}, burdockstore.ErrUnavailable.Wrap(err, "lease %s", name)
+}
+
+// Fence implements burdockrank.Leases. A key that is not there has left its
+// number behind nowhere; the store's revision is at least as high, and lower
+// than that of any later holder.
+func (l *leases) Fence(ctx context.Context, name string) (burdockid.Fence, error) {
+	key := prefixLease + name
+	items, rev, err := l.store.List(ctx, key)
+	if err != nil {
+		return 0, burdockstore.ErrUnavailable.Wrap(err, "fence of %s", name)
+	}
+	for _, item := range items {
+		if item.Key == key {
+			return burdockid.Fence(item.Created), nil
+		}
+	}
+	return burdockid.Fence(rev), nil
+}
+
+// Release implements burdockrank.Leases.
+func (l *leases) Release(ctx context.Context, name, _ string) error {
+	own, ok := l.own(name)
+	if !ok {
+		return nil
+	}
+	l.forget(name)
+	return l.store.Revoke(ctx, own.id)
+}
--- /dev/null
+++ b/internal/serve/burdockhosted/server.go
@@ -0,0 +1,60 @@
+package burdockhosted
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/joomcode/errorx"
+	"go.uber.org/zap"
+)
+
+const (
+	// headerTimeout and idleTimeout are longer than any caller needs; callers
+	// close first.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+	// maxHeader is several times what the platform lets callers send.
+	maxHeader = 64 << 10
+)
+
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
+}
+
+func adminHandler(set *metrics.Set) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { set.WritePrometheus(w) })
+	return mux
+}
+
+// listening is a server and where it listens.
+type listening struct {
+	server  *http.Server
+	address string
+}
+
+func listenAll(log *zap.Logger, all ...listening) error {
+	for _, l := range all {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return errorx.Decorate(err, "listen")
+		}
+		go server{l.server, listener, log}.run()
+	}
+	return nil
+}
+
+// server serves one listener.
+type server struct {
+	server   *http.Server
+	listener net.Listener
+	log      *zap.Logger
+}
+
+func (s server) run() {
+	if err := s.server.Serve(s.listener); err != nil && err != http.ErrServerClosed {
+		s.log.Error("listener failed", zap.Error(err))
+	}
+}
--- a/internal/serve/burdockprocess/agent.go
+++ b/internal/serve/burdockprocess/agent.go
@@ -49,12 +49,12 @@
 		},
 	)
 	a.rank = burdockrank.NewHost(settings.Upstream, burdockrank.Deps{
-		Clock:  n.clock,
-		Engine: burdockengine.NewGroupHTTP(settings.EngineAddress),
-		Store:  n.store,
-		Fleet:  n.fleet,
-		Peers:  n.peers,
-		Log:    log,
+		Clock:     n.clock,
+		Engine:    burdockengine.NewGroupHTTP(settings.EngineAddress),
+		Store:     n.store,
+		Directory: burdockrank.NewFleetDirectory(n.fleet, settings.Upstream),
+		Peers:     n.peers,
+		Log:       log,
 	})
 	if err := n.listen(a.peerHandler(), a); err != nil {
 		return nil, err
--- a/internal/serve/burdockrank/asking.go
+++ b/internal/serve/burdockrank/asking.go
@@ -65,7 +65,7 @@
 func (q storeQuestion) run() {
 	defer q.asking.settle(askStore)
 	m := q.asking.member
-	if fence, err := m.deps.Store.Fence(m.ctx, leaseName(m.seat.group)); err == nil {
+	if fence, err := m.deps.Store.Fence(m.ctx, leaseName(m.seat.Group)); err == nil {
 		m.handle(burdockgroup.FenceFromStore{Fence: fence})
 	}
 }
@@ -91,7 +91,7 @@
 	if !ok {
 		return
 	}
-	res, err := client.AskFence(ctx, connect.NewRequest(&burdockwire.AskFenceRequest{Group: m.seat.group, From: int32(m.seat.rank)}))
+	res, err := client.AskFence(ctx, connect.NewRequest(&burdockwire.AskFenceRequest{Group: m.seat.Group, From: int32(m.seat.Rank)}))
 	if err != nil {
 		return
 	}
@@ -110,7 +110,7 @@
 // sayWaiting tells all agents of the group, one of which holds the lease. The
 // rank spaces these calls out itself.
 func (a *asking) sayWaiting(out burdockgroup.SayWaiting) {
-	for rank := range burdockid.Rank(a.member.seat.ranks) {
+	for rank := range burdockid.Rank(a.member.seat.Ranks) {
 		if a.member.enter() {
 			go waitingCall{a.member, rank, out}.run()
 		}
@@ -125,7 +125,7 @@
 
 func (c waitingCall) run() {
 	defer c.member.done.Done()
-	if c.to == c.member.seat.rank {
+	if c.to == c.member.seat.Rank {
 		c.member.duty.handle(burdockgroup.RankWaiting(c.out))
 		return
 	}
@@ -133,6 +133,6 @@
 	defer cancel()
 	if client, ok := c.member.client(c.to); ok {
 		// The rank says it again for as long as it waits.
-		_, _ = client.SayWaiting(ctx, connect.NewRequest(&burdockwire.SayWaitingRequest{Group: c.member.seat.group, From: int32(c.out.From)}))
+		_, _ = client.SayWaiting(ctx, connect.NewRequest(&burdockwire.SayWaitingRequest{Group: c.member.seat.Group, From: int32(c.out.From)}))
 	}
 }
--- a/internal/serve/burdockrank/dump.go
+++ b/internal/serve/burdockrank/dump.go
@@ -47,8 +47,8 @@
 		return nil
 	}
 	s := &State{
-		Group:      m.seat.group,
-		Ranks:      m.seat.ranks,
+		Group:      m.seat.Group,
+		Ranks:      m.seat.Ranks,
 		Controller: m.duty.state(),
 		Planner:    m.duty.plan.state(),
 		Traffic:    m.traffic.state(),
--- a/internal/serve/burdockrank/duty.go
+++ b/internal/serve/burdockrank/duty.go
@@ -31,10 +31,11 @@
 }
 
 func newDuty(m *member, random *rand.Rand) *duty {
-	d := &duty{
-		member:     m,
-		controller: burdockgroup.NewController(burdockgroup.DefaultControllerConfig(m.seat.ranks)),
+	cfg := burdockgroup.DefaultControllerConfig(m.seat.Ranks)
+	if adjust := m.deps.Pace.Controller; adjust != nil {
+		adjust(&cfg)
 	}
+	d := &duty{member: m, controller: burdockgroup.NewController(cfg)}
 	d.lease = newLeaseKeeper(m, random)
 	d.plan = newPlanning(d)
 	return d
@@ -43,7 +44,7 @@
 // loop lets the controller and the planner look at the time.
 func (d *duty) loop() {
 	defer d.member.done.Done()
-	ticker := time.NewTicker(rankTick)
+	ticker := time.NewTicker(d.member.deps.Pace.Tick.Duration())
 	defer ticker.Stop()
 	for {
 		select {
@@ -83,12 +84,13 @@
 		d.plan.need(out.Map)
 	case burdockgroup.MapInForce:
 		d.plan.inForce(out.Map)
-		m.deps.Log.Info("map in force", zap.String("group", m.seat.group), zap.Uint64("map", uint64(out.Map)))
+		m.deps.Log.Info("map in force", zap.String("group", m.seat.Group), zap.Uint64("map", uint64(out.Map)))
 	case burdockgroup.MapRefused:
+		d.plan.refused()
 		m.deps.Log.Warn("a rank could not load the map", zap.Uint64("map", uint64(out.Map)), zap.Int("rank", int(out.Rank)))
 	case burdockgroup.SteppedDown:
 		d.plan.reset()
-		m.deps.Log.Info("no longer controls the group", zap.String("group", m.seat.group), zap.String("reason", string(out.Reason)))
+		m.deps.Log.Info("no longer controls the group", zap.String("group", m.seat.Group), zap.String("reason", string(out.Reason)))
 	case burdockgroup.SplitSeen:
 		d.splitSeen(out)
 	}
@@ -124,7 +126,7 @@
 // have waited for its turn, and the VM may have been suspended meanwhile.
 func (s sending) send(ctx context.Context) (burdockgroup.Report, bool) {
 	m, order := s.duty.member, s.out.Order
-	if order.To == m.seat.rank {
+	if order.To == m.seat.Rank {
 		if !s.mayWrite() {
 			return burdockgroup.Report{}, false
 		}
@@ -135,7 +137,7 @@
 	if !ok {
 		return burdockgroup.Report{}, false
 	}
-	msg := orderToWire(m.seat.group, order)
+	msg := orderToWire(m.seat.Group, order)
 	if !s.mayWrite() {
 		return burdockgroup.Report{}, false
 	}
--- a/internal/serve/burdockrank/engine.go
+++ b/internal/serve/burdockrank/engine.go
@@ -116,17 +116,12 @@
 	q.member.handle(burdockgroup.EngineLost{})
 }
 
-// watchEvery is how often the agent asks its engine, on the same VM, for the
-// steps that it finished. An engine that was restarted stands still until its
-// agent notices.
-const watchEvery = 250 * time.Millisecond
-
 // engineWatch follows the steps of an engine, and sees when it is another one.
 type engineWatch struct{ member *member }
 
 func (w engineWatch) loop() {
 	defer w.member.done.Done()
-	ticker := time.NewTicker(watchEvery)
+	ticker := time.NewTicker(w.member.deps.Pace.Watch.Duration())
 	defer ticker.Stop()
 	var seen watched
 	for {
--- a/internal/serve/burdockrank/host.go
+++ b/internal/serve/burdockrank/host.go
@@ -11,10 +11,7 @@
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
-	"burdockbend.example/burdockbend/internal/config/burdockmember"
 	"burdockbend.example/burdockbend/internal/platform/burdockengine"
-	"burdockbend.example/burdockbend/internal/platform/burdockstore"
-	"burdockbend.example/burdockbend/internal/state/burdockfleet"
 	"burdockbend.example/burdockbend/internal/wire/burdocktransport"
 	"go.uber.org/zap"
 )
@@ -26,10 +23,19 @@
 type Deps struct {
 	Clock  burdockclock.Clock
 	Engine burdockengine.GroupEngine
-	Store  burdockstore.Store
-	Fleet  *burdockfleet.Fleet
-	Peers  *burdocktransport.Peers
-	Log    *zap.Logger
+	// Engines, if set, returns the engine of a seat, in place of Engine.
+	Engines func(Seat) burdockengine.GroupEngine
+	Store   Leases
+	// Directory tells the seat and the peers.
+	Directory Directory
+	Peers     *burdocktransport.Peers
+	Log       *zap.Logger
+	// First returns the version and content of the map that engines of a group
+	// begin with; nil where they begin without one.
+	First func(ranks int) (burdockid.MapVersion, []byte, error)
+	// Pace is how fast the group follows its popularity. Fields that are zero
+	// take their defaults.
+	Pace Pace
 }
 
 // Host speaks for the rank that the fleet's membership gives its upstream, if
@@ -46,6 +52,7 @@
 
 // NewHost returns the host of an upstream. Its loop must be started with Start.
 func NewHost(upstream burdockid.Upstream, deps Deps) *Host {
+	deps.Pace.setDefaults()
 	return &Host{upstream: upstream, deps: deps, stop: make(chan struct{}), stopped: make(chan struct{})}
 }
 
@@ -73,20 +80,12 @@
 	}
 }
 
-// seat is a place in a group. A machine that was made for one seat knows
-// nothing that holds for another.
-type seat struct {
-	group string
-	rank  burdockid.Rank
-	ranks int
-}
-
 func (h *Host) follow() {
-	want := seatOf(h.deps.Fleet.Now(), h.upstream)
+	want := h.deps.Directory.Seat()
 	m := h.member()
 	switch {
-	case m == nil && want.group == "", m != nil && m.seat == want:
-	case want.group == "":
+	case m == nil && want.Group == "", m != nil && m.seat == want:
+	case want.Group == "":
 		h.replace(nil)
 	default:
 		// The old machines end before the new ones begin: an engine has one door.
@@ -95,25 +94,6 @@
 	}
 }
 
-func seatOf(fleet *burdockfleet.Snapshot, name burdockid.Upstream) seat {
-	u, ok := fleet.Upstreams[name]
-	if !ok || u.Group == "" {
-		return seat{}
-	}
-	return seat{group: u.Group, rank: u.Rank, ranks: len(groupOf(fleet, u))}
-}
-
-// groupOf returns the members of an upstream's group.
-func groupOf(fleet *burdockfleet.Snapshot, of burdockmember.Upstream) []burdockmember.Upstream {
-	var members []burdockmember.Upstream
-	for _, u := range fleet.Members[of.Service] {
-		if u.Group == of.Group {
-			members = append(members, u)
-		}
-	}
-	return members
-}
-
 func (h *Host) member() *member {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -122,7 +102,7 @@
 
 // memberOf returns the member of a group, nil if the upstream is not in it.
 func (h *Host) memberOf(group string) *member {
-	if m := h.member(); m != nil && m.seat.group == group {
+	if m := h.member(); m != nil && m.seat.Group == group {
 		return m
 	}
 	return nil
--- a/internal/serve/burdockrank/lease.go
+++ b/internal/serve/burdockrank/lease.go
@@ -13,18 +13,9 @@
 )
 
 const (
-	// leaseTTL is how long a group may be without a controller after one died.
-	// A shorter one costs the store more renewals: 240 groups at one in 5 s are
-	// 48 writes a second already.
-	leaseTTL = 10 * burdockclock.Second
-	// leaseEvery leaves room for one lost renewal.
-	leaseEvery = 5 * burdockclock.Second
 	// leaseSpread is the part of leaseEvery by which it varies, so that a store
 	// that comes back isn't met by all groups at once.
 	leaseSpread = 0.2
-	// leaseStagger lets the lowest rank try first when a group starts, which
-	// keeps the rest from asking a store that has answered already.
-	leaseStagger burdockclock.Millis = 300
 	// mostStagger bounds that for large groups.
 	mostStagger    = 3 * burdockclock.Second
 	releaseTimeout = time.Second
@@ -46,7 +37,7 @@
 
 func (k *leaseKeeper) loop() {
 	defer k.member.done.Done()
-	wait := min(burdockclock.Millis(k.member.seat.rank)*leaseStagger, mostStagger)
+	wait := min(burdockclock.Millis(k.member.seat.Rank)*k.member.deps.Pace.LeaseStagger, mostStagger)
 	for k.member.sleep(wait) {
 		k.try()
 		wait = k.pause()
@@ -55,7 +46,7 @@
 
 // pause is the time to the next try: leaseEvery, give or take its spread.
 func (k *leaseKeeper) pause() burdockclock.Millis {
-	return burdockclock.Millis(float64(leaseEvery) * (1 + leaseSpread*(k.random.Float64()-0.5)))
+	return burdockclock.Millis(float64(k.member.deps.Pace.LeaseEvery) * (1 + leaseSpread*(k.random.Float64()-0.5)))
 }
 
 // try gets or renews the lease. It counts from before the request: the store
@@ -64,14 +55,14 @@
 func (k *leaseKeeper) try() {
 	m := k.member
 	before := m.deps.Clock.Boot()
-	lease, err := m.deps.Store.Acquire(m.ctx, leaseName(m.seat.group), k.holder, leaseTTL)
+	lease, err := m.deps.Store.Acquire(m.ctx, leaseName(m.seat.Group), k.holder, m.deps.Pace.LeaseTTL)
 	switch {
 	case err == nil:
 		if !k.held {
-			m.deps.Log.Info("controls the group", zap.String("group", m.seat.group), zap.Uint64("fence", uint64(lease.Fence)))
+			m.deps.Log.Info("controls the group", zap.String("group", m.seat.Group), zap.Uint64("fence", uint64(lease.Fence)))
 		}
 		k.held = true
-		m.duty.handle(burdockgroup.LeaseHeld{Lease: burdockgroup.Lease{Fence: lease.Fence, Until: before + leaseTTL}})
+		m.duty.handle(burdockgroup.LeaseHeld{Lease: burdockgroup.Lease{Fence: lease.Fence, Until: before + m.deps.Pace.LeaseTTL}})
 	case errorx.IsOfType(err, burdockstore.ErrConflict):
 		k.held = false
 		m.duty.handle(burdockgroup.LeaseLost{})
@@ -87,5 +78,5 @@
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
 	// Without an answer the lease lapses.
-	_ = k.member.deps.Store.Release(ctx, leaseName(k.member.seat.group), k.holder)
+	_ = k.member.deps.Store.Release(ctx, leaseName(k.member.seat.Group), k.holder)
 }
--- a/internal/serve/burdockrank/member.go
+++ b/internal/serve/burdockrank/member.go
@@ -10,13 +10,10 @@
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/group/burdockgroup"
-	"burdockbend.example/burdockbend/internal/state/burdockconfig"
 	"go.uber.org/zap"
 )
 
 const (
-	// rankTick is RankConfig.Retry and ControllerConfig.Retry of the defaults.
-	rankTick = 50 * time.Millisecond
 	// memberLoops is how many loops a member starts.
 	memberLoops = 5
 	// mostFaults is how many faults the state dump keeps.
@@ -28,7 +25,7 @@
 
 // member is one stay in a group: the rank's machine and all that it works with.
 type member struct {
-	seat        seat
+	seat        Seat
 	upstream    burdockid.Upstream
 	incarnation burdockid.Incarnation
 	deps        Deps
@@ -46,9 +43,8 @@
 	rank     *burdockgroup.Rank
 	waiters  map[burdockgroup.Number][]chan burdockgroup.Report
 	contents []mapContent
+	first    mapContent // without content where engines begin without a map
 	faults   []string
-	peers    map[burdockid.Rank]string
-	peersAt  burdockconfig.Digest
 }
 
 // mapContent is a map that the agent was given.
@@ -57,7 +53,10 @@
 	content []byte
 }
 
-func newMember(s seat, upstream burdockid.Upstream, deps Deps, random *rand.Rand) *member {
+func newMember(s Seat, upstream burdockid.Upstream, deps Deps, random *rand.Rand) *member {
+	if deps.Engines != nil {
+		deps.Engine = deps.Engines(s)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	m := &member{
 		seat:     s,
@@ -70,7 +69,8 @@
 		cancel:      cancel,
 		waiters:     map[burdockgroup.Number][]chan burdockgroup.Report{},
 	}
-	m.rank = burdockgroup.NewRank(burdockgroup.DefaultRankConfig(s.rank, s.ranks, m.incarnation))
+	m.rememberFirst()
+	m.rank = burdockgroup.NewRank(burdockgroup.DefaultRankConfig(s.Rank, s.Ranks, m.incarnation))
 	m.engine = newEngineQueue(m)
 	m.asking = newAsking(m)
 	m.duty = newDuty(m, random)
@@ -78,8 +78,8 @@
 }
 
 func (m *member) start() {
-	m.deps.Log.Info("rank of a lock-stepped group", zap.String("group", m.seat.group),
-		zap.Int("rank", int(m.seat.rank)), zap.Int("ranks", m.seat.ranks))
+	m.deps.Log.Info("rank of a lock-stepped group", zap.String("group", m.seat.Group),
+		zap.Int("rank", int(m.seat.Rank)), zap.Int("ranks", m.seat.Ranks))
 	m.done.Add(memberLoops)
 	go m.loop()
 	go m.engine.loop()
@@ -112,7 +112,7 @@
 // loop lets the rank look at the time.
 func (m *member) loop() {
 	defer m.done.Done()
-	ticker := time.NewTicker(rankTick)
+	ticker := time.NewTicker(m.deps.Pace.Tick.Duration())
 	defer ticker.Stop()
 	for {
 		select {
@@ -164,7 +164,7 @@
 
 // fault notes a broken invariant. The lock must be held.
 func (m *member) fault(what string, fields ...zap.Field) {
-	m.deps.Log.Error(what, append(fields, zap.String("group", m.seat.group), zap.Int("rank", int(m.seat.rank)))...)
+	m.deps.Log.Error(what, append(fields, zap.String("group", m.seat.Group), zap.Int("rank", int(m.seat.Rank)))...)
 	m.faults = append(m.faults, what)
 	if len(m.faults) > mostFaults {
 		m.faults = slices.Delete(m.faults, 0, len(m.faults)-mostFaults)
@@ -234,10 +234,27 @@
 	}
 }
 
+// rememberFirst keeps the map that the engines begin with, which no controller
+// gives them.
+func (m *member) rememberFirst() {
+	if m.deps.First == nil {
+		return
+	}
+	version, content, err := m.deps.First(m.seat.Ranks)
+	if err != nil {
+		m.deps.Log.Error("the first map is not known", zap.Error(err))
+		return
+	}
+	m.first = mapContent{version: version, content: content}
+}
+
 // content returns the content of a map that the agent was given, or nil.
 func (m *member) content(v burdockid.MapVersion) []byte {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.first.version == v {
+		return m.first.content
+	}
 	for _, c := range m.contents {
 		if c.version == v {
 			return c.content
@@ -261,17 +278,8 @@
 
 // peer returns the base address of the agent of a rank, or "".
 func (m *member) peer(rank burdockid.Rank) string {
-	fleet := m.deps.Fleet.Now()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.peers == nil || m.peersAt != fleet.Digest {
-		m.peers, m.peersAt = map[burdockid.Rank]string{}, fleet.Digest
-		for _, u := range groupOf(fleet, fleet.Upstreams[m.upstream]) {
-			m.peers[u.Rank] = u.Agent
-		}
-	}
-	address, ok := m.peers[rank]
-	if !ok {
+	address := m.deps.Directory.Agent(m.seat.Group, rank)
+	if address == "" {
 		return ""
 	}
 	return m.deps.Peers.URL(address)
--- a/internal/serve/burdockrank/planning.go
+++ b/internal/serve/burdockrank/planning.go
@@ -16,20 +16,9 @@
 )
 
 const (
-	// popularityHalfLife is short against drifts through the day, and long
-	// against the noise of single batches.
-	popularityHalfLife = burdockclock.Minute
-	// countsEvery is the least time between two questions for counts.
-	countsEvery = 2 * burdockclock.Second
 	// countsRetry is the time after a question that failed.
-	countsRetry burdockclock.Millis = 500
-	// countsBytesPerSecond bounds what a controller receives for its planner to
-	// half of the 3 KB a second that a node may spend on control. The counts of
-	// 60 layers of 128 experts take tens of kilobytes, so at that size one rank
-	// is asked each half minute. All ranks draw from the same requests, so each
-	// is a sample of the group.
-	countsBytesPerSecond = 1500
-	millisPerSecond      = 1000
+	countsRetry     burdockclock.Millis = 500
+	millisPerSecond                     = 1000
 	// wishMost is how long a wanted map may take to come into force before the
 	// planner looks again.
 	wishMost = burdockclock.Minute
@@ -67,7 +56,7 @@
 
 // clear forgets what was counted. The lock must be held, if it is shared yet.
 func (p *planning) clear() {
-	ranks := p.duty.member.seat.ranks
+	ranks := p.duty.member.seat.Ranks
 	p.popularity = nil
 	p.counts = make([]burdockengine.GroupCounts, ranks)
 	p.observed = make([]bool, ranks)
@@ -81,6 +70,13 @@
 	p.clear()
 }
 
+// refused notes that a wanted map was given up.
+func (p *planning) refused() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.wishedAt = 0
+}
+
 // need notes which map the controller asks for; 0 stands for any.
 func (p *planning) need(v burdockid.MapVersion) {
 	p.mu.Lock()
@@ -137,6 +133,10 @@
 		return
 	}
 	p.asking = true
+	if p.duty.member.deps.Pace.CountsBytesPerSecond == 0 {
+		go round{p}.run()
+		return
+	}
 	go question{p, p.nextRank()}.run()
 }
 
@@ -170,7 +170,7 @@
 
 func (q question) ask(ctx context.Context) (burdockengine.GroupCounts, int, error) {
 	m := q.planning.duty.member
-	if q.rank == m.seat.rank {
+	if q.rank == m.seat.Rank {
 		counts, err := m.deps.Engine.Counts(ctx)
 		return counts, 0, err
 	}
@@ -178,7 +178,7 @@
 	if !ok {
 		return burdockengine.GroupCounts{}, 0, ErrNotMember.New("no agent is known for rank %d", q.rank)
 	}
-	res, err := client.Counts(ctx, connect.NewRequest(&burdockwire.GroupCountsRequest{Group: m.seat.group}))
+	res, err := client.Counts(ctx, connect.NewRequest(&burdockwire.GroupCountsRequest{Group: m.seat.Group}))
 	if err != nil {
 		return burdockengine.GroupCounts{}, 0, err
 	}
@@ -215,7 +215,8 @@
 			return 0
 		}
 	}
-	return max(countsEvery, burdockclock.Millis(size)*millisPerSecond/countsBytesPerSecond)
+	pace := p.duty.member.deps.Pace
+	return max(pace.CountsEvery, burdockclock.Millis(size)*millisPerSecond/burdockclock.Millis(pace.CountsBytesPerSecond))
 }
 
 // shape starts the popularity afresh when the model's shape is another.
@@ -227,7 +228,7 @@
 			return
 		}
 	}
-	p.popularity = burdockexpert.NewPopularity(layers, experts, popularityHalfLife)
+	p.popularity = burdockexpert.NewPopularity(layers, experts, p.duty.member.deps.Pace.HalfLife)
 }
 
 func since(before, now []burdockid.Tokens) []burdockid.Tokens {
@@ -271,7 +272,7 @@
 		return nil
 	}
 	p.wishedAt, p.needFirst = now, false
-	p.duty.member.deps.Log.Info("another map is wanted", zap.String("group", p.duty.member.seat.group),
+	p.duty.member.deps.Log.Info("another map is wanted", zap.String("group", p.duty.member.seat.Group),
 		zap.String("reason", string(move.Reason)), zap.Int("moves", len(move.Moves)), zap.Int("bytes", len(content)))
 	return content
 }
@@ -294,7 +295,15 @@
 	for _, o := range p.observed {
 		news = news || o
 	}
-	return news && now-p.changedAt >= experts.HoldMillis
+	return news && now-p.changedAt >= p.gap(experts)
+}
+
+// gap is the least time between two changes.
+func (p *planning) gap(experts burdockprofile.Experts) burdockclock.Millis {
+	if gap := p.duty.member.deps.Pace.Gap; gap > 0 {
+		return gap
+	}
+	return experts.HoldMillis
 }
 
 func (p *planning) input(state burdockgroup.ControllerState, experts burdockprofile.Experts) burdockexpert.Input {
@@ -305,9 +314,11 @@
 		StoreRate:   p.counts[0].StoreRate,
 		Hold:        experts.HoldMillis,
 	}
+	// All ranks of a group have engines of one kind.
+	most := p.counts[p.duty.member.seat.Rank].MaxLoads
 	for r, c := range p.counts {
 		in.Ranks = append(in.Ranks, burdockexpert.Rank{
-			Slots: c.Slots,
+			Slots: c.Slots, MaxLoads: most,
 			Speed: normalSpeed,
 			Empty: r < len(state.Ranks) && state.Ranks[r].Engine.Base == 0,
 		})
@@ -337,7 +348,4 @@
 }
 
 // experts returns the exchange rate of the profile that the group runs under.
-func (m *member) experts() burdockprofile.Experts {
-	fleet := m.deps.Fleet.Now()
-	return fleet.Profile(fleet.Upstreams[m.upstream].Service).Experts
-}
+func (m *member) experts() burdockprofile.Experts { return m.deps.Directory.Experts() }
--- /dev/null
+++ b/internal/serve/burdockrank/round.go
@@ -0,0 +1,95 @@
+package burdockrank
+
+import (
+	"context"
+	"sync"
+
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/platform/burdockengine"
+	"go.uber.org/zap"
+)
+
+// round asks all ranks for their counts at once.
+//
+// Load: popularity that turns within seconds. Harm: asked one after another,
+// the ranks would tell of different times, and a turn would be seen only when
+// most of them had been asked again. What all ranks counted between two rounds
+// makes one window, in which chance weighs least.
+type round struct{ planning *planning }
+
+func (r round) run() {
+	p := r.planning
+	m := p.duty.member
+	defer m.done.Done()
+	answers := make([]burdockengine.GroupCounts, m.seat.Ranks)
+	var asked sync.WaitGroup
+	for rank := range burdockid.Rank(m.seat.Ranks) {
+		asked.Add(1)
+		go (&roundQuestion{question{p, rank}, &answers[rank], &asked}).run()
+	}
+	asked.Wait()
+	p.takeRound(answers)
+}
+
+// roundQuestion asks one rank.
+type roundQuestion struct {
+	question question
+	answer   *burdockengine.GroupCounts
+	asked    *sync.WaitGroup
+}
+
+func (q *roundQuestion) run() {
+	defer q.asked.Done()
+	m := q.question.planning.duty.member
+	ctx, cancel := context.WithTimeout(m.ctx, (2 * m.deps.Pace.CountsEvery).Duration())
+	defer cancel()
+	counts, _, err := q.question.ask(ctx)
+	if err != nil {
+		m.deps.Log.Debug("no counts", zap.Int("rank", int(q.question.rank)), zap.Error(err))
+		return
+	}
+	*q.answer = counts
+}
+
+// takeRound adds what the ranks that answered counted since they were asked
+// before.
+func (p *planning) takeRound(answers []burdockengine.GroupCounts) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.duty.sinceBoot()
+	p.asking = false
+	p.askAt = now + p.duty.member.deps.Pace.CountsEvery
+	var sum [][]burdockid.Tokens
+	for rank, counts := range answers {
+		if len(counts.Tokens) == 0 || len(counts.Tokens[0]) == 0 {
+			continue
+		}
+		p.shape(counts)
+		before := p.counts[rank]
+		p.counts[rank] = counts
+		if before.Life == counts.Life && len(before.Tokens) == len(counts.Tokens) {
+			sum = addSince(sum, before.Tokens, counts.Tokens)
+			p.observed[rank] = true
+		}
+	}
+	for l := range sum {
+		p.popularity.Observe(now, burdockid.Layer(l), sum[l])
+	}
+}
+
+func addSince(sum, before, now [][]burdockid.Tokens) [][]burdockid.Tokens {
+	if sum == nil {
+		sum = make([][]burdockid.Tokens, len(now))
+		for l := range now {
+			sum[l] = make([]burdockid.Tokens, len(now[l]))
+		}
+	}
+	for l := range min(len(now), len(sum)) {
+		for e, n := range since(before[l], now[l]) {
+			if e < len(sum[l]) {
+				sum[l][e] += n
+			}
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/state/burdockkv/follower.go
@@ -0,0 +1,138 @@
+package burdockkv
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"github.com/joomcode/errorx"
+	"go.uber.org/zap"
+)
+
+const (
+	// watchWait is how long one watch waits. Each call costs; a connection that
+	// went silent is found by the transport's own probes well before.
+	watchWait = 25 * burdockclock.Second
+	// firstPause and mostPause bound the wait after a failed call: doubled each
+	// time, and drawn from half of it to all of it, so that the processes don't
+	// greet a store that returns at one instant. The longest leaves a second of
+	// the two in which a configuration has to be in force.
+	firstPause burdockclock.Millis = 100
+	mostPause  burdockclock.Millis = 800
+)
+
+// Sink takes in what a Follower reads. Calls don't overlap.
+type Sink interface {
+	// Listed tells all keys that there are.
+	Listed(items []Item)
+	// Changed tells changes in their order.
+	Changed(items []Item)
+	// Returned tells that the store answers again after a time without.
+	Returned(silent burdockclock.Millis)
+}
+
+// Follower keeps a Sink up to date with the keys under a prefix: it lists,
+// watches, and lists again when the history was lost.
+type Follower struct {
+	store  Store
+	prefix string
+	sink   Sink
+	clock  burdockclock.Clock
+	log    *zap.Logger
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+
+	lostAt burdockclock.Millis // when the store was lost; 0 while it answers
+	pause  burdockclock.Millis
+}
+
+// NewFollower returns a follower that begins with Start.
+func NewFollower(store Store, prefix string, sink Sink, clock burdockclock.Clock, log *zap.Logger) *Follower {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Follower{
+		store: store, prefix: prefix, sink: sink, clock: clock,
+		log: log.With(zap.String("prefix", prefix)), ctx: ctx, cancel: cancel,
+	}
+}
+
+// Start begins to follow.
+func (f *Follower) Start() {
+	f.done.Add(1)
+	go f.loop()
+}
+
+// Close ends following.
+func (f *Follower) Close() {
+	f.cancel()
+	f.done.Wait()
+}
+
+func (f *Follower) loop() {
+	defer f.done.Done()
+	for f.ctx.Err() == nil {
+		rev, ok := f.list()
+		for ok {
+			rev, ok = f.watch(rev)
+		}
+	}
+}
+
+func (f *Follower) list() (Revision, bool) {
+	items, rev, err := f.store.List(f.ctx, f.prefix)
+	if err != nil {
+		f.failed(err)
+		return 0, false
+	}
+	f.answered()
+	f.sink.Listed(items)
+	return rev, true
+}
+
+// watch returns the revision to go on from, and false when the keys must be
+// listed again.
+func (f *Follower) watch(rev Revision) (Revision, bool) {
+	items, next, err := f.store.Watch(f.ctx, f.prefix, rev, watchWait)
+	switch {
+	case errorx.IsOfType(err, ErrCompacted):
+		f.log.Info("store dropped its history; listing again", zap.Int64("after", int64(rev)))
+		return 0, false
+	case err != nil:
+		f.failed(err)
+		return rev, f.ctx.Err() == nil
+	}
+	f.answered()
+	f.sink.Changed(items)
+	return max(rev, next), true
+}
+
+func (f *Follower) answered() {
+	if f.lostAt != 0 {
+		silent := f.clock.Boot() - f.lostAt
+		f.log.Info("store regained", zap.Int64("silentMillis", int64(silent)))
+		f.sink.Returned(silent)
+	}
+	f.lostAt, f.pause = 0, 0
+}
+
+// failed notes a call without an answer and waits before the next one.
+func (f *Follower) failed(err error) {
+	if f.ctx.Err() != nil {
+		return
+	}
+	if f.lostAt == 0 {
+		f.lostAt = f.clock.Boot()
+		f.log.Warn("store lost", zap.Error(err))
+	}
+	f.pause = min(max(2*f.pause, firstPause), mostPause)
+	drawn := f.pause/2 + burdockclock.Millis(rand.Int64N(int64(f.pause/2)+1))
+	timer := time.NewTimer(drawn.Duration())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-f.ctx.Done():
+	}
+}
