--- a/internal/decide/burdockexpert/input.go
+++ b/internal/decide/burdockexpert/input.go
@@ -21,6 +21,9 @@
 	// beside those in use; 0 is no bound. It does not hold for a rank that is
 	// Empty or a map that has to be repaired.
 	MaxLoads int
+	// MaxTotal is the same over all layers together; 0 is no bound. A change is
+	// in force only when the last rank has loaded.
+	MaxTotal int
 	// Empty marks a rank that was replaced and holds nothing, whatever the
 	// present map says.
 	Empty bool
--- a/internal/decide/burdockexpert/layer.go
+++ b/internal/decide/burdockexpert/layer.go
@@ -53,10 +53,7 @@
 	speeds := 0.0
 	for r, rank := range ranks {
 		st.slots[r] = min(max(0, rank.Slots), s.Experts)
-		st.most[r] = rank.MaxLoads
-		if rank.MaxLoads <= 0 {
-			st.most[r] = s.Experts
-		}
+		st.most[r] = s.Experts
 		if st.slots[r] > 0 {
 			speeds += rank.Speed
 			st.usable++
--- a/internal/decide/burdockexpert/state.go
+++ b/internal/decide/burdockexpert/state.go
@@ -35,6 +35,14 @@
 	Decisions    []Record `json:"decisions"` // the oldest first
 }
 
+// Last returns the newest decision, and the zero value if there is none.
+func (p *Planner) Last() Record {
+	if len(p.history) == 0 {
+		return Record{}
+	}
+	return p.history[len(p.history)-1]
+}
+
 // State returns the planner's settings and its last decisions.
 func (p *Planner) State() State {
 	return State{
--- a/internal/decide/burdockexpert/work.go
+++ b/internal/decide/burdockexpert/work.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/base/burdockid"
 )
 
 // work is one decision in the making.
@@ -19,6 +20,7 @@
 	after    []float64 // imbalance of each layer of next
 	holds    []float64 // by layer, in milliseconds
 	improved []bool    // by layer
+	taken    []int     // by rank: loads of the layers improved so far
 	saved    float64   // milliseconds, less the noise's part
 	refused  Reason    // why the layer that came closest was left alone
 	state    *layerState
@@ -32,6 +34,7 @@
 		held:     in.Present.clone(),
 		holds:    holds,
 		improved: make([]bool, len(holds)),
+		taken:    make([]int, len(in.Ranks)),
 		state:    newLayerState(in.shape(), in.Ranks),
 		refused:  ReasonEven,
 	}
@@ -85,10 +88,36 @@
 		if budget <= 0 {
 			break
 		}
+		w.bound()
 		budget -= w.improveLayer(l, min(budget, w.cfg.LayerChanges), evictable)
 	}
 }
 
+// bound sets how many loads each rank can take in the next layer.
+func (w *work) bound() {
+	for r, rank := range w.in.Ranks {
+		most := w.base.shape.Experts
+		if rank.MaxLoads > 0 {
+			most = rank.MaxLoads
+		}
+		if rank.MaxTotal > 0 {
+			most = min(most, rank.MaxTotal-w.taken[r])
+		}
+		w.state.most[r] = most
+	}
+}
+
+// take counts the loads that a layer's new map brings each rank.
+func (w *work) take(l int) {
+	for r, held := range w.next.layer(l) {
+		for _, e := range held {
+			if !w.held.Holds(burdockid.Layer(l), burdockid.Rank(r), burdockid.Expert(e)) {
+				w.taken[r]++
+			}
+		}
+	}
+}
+
 // improveLayer tries up to limit changes and keeps the state on the way that
 // is worth most. It returns the number of changes tried.
 func (w *work) improveLayer(l, limit int, evictable []int) int {
@@ -110,6 +139,7 @@
 	if best > 0 {
 		w.saved += (w.before[l] - w.after[l] - noise) * w.unit(l)
 		w.improved[l] = true
+		w.take(l)
 	}
 	return tried
 }
--- a/internal/platform/burdockengine/group.go
+++ b/internal/platform/burdockengine/group.go
@@ -49,6 +49,13 @@
 	Counts(ctx context.Context) (GroupCounts, error)
 }
 
+// HeldTeller is a GroupEngine that tells what it holds.
+type HeldTeller interface {
+	// Held returns the map in use and the experts that the engine holds of it,
+	// by layer.
+	Held(ctx context.Context) (burdockid.MapVersion, [][]burdockid.Expert, error)
+}
+
 // ErrOldFence says that the engine has seen a higher fencing number and did not
 // carry out the order.
 var ErrOldFence = Errors.NewType("oldFence")
--- a/internal/serve/burdockdirect/gate.go
+++ b/internal/serve/burdockdirect/gate.go
@@ -10,6 +10,7 @@
 	"burdockbend.example/burdockbend/internal/decide/burdockpace"
 	"burdockbend.example/burdockbend/internal/decide/burdockqueue"
 	"burdockbend.example/burdockbend/internal/state/burdocksite"
+	"go.uber.org/zap"
 )
 
 const (
@@ -19,38 +20,82 @@
 	// or a few each it is some megabytes; the queue refuses by deadline long
 	// before.
 	maxQueued = 1024
-	// startPerUpstream is the number of streams that an entry begins with for
-	// each upstream: with some entries about half of an engine's places.
-	startPerUpstream = 2.0
+	// ranksOfClass is the number of the queue's classes for each priority: work
+	// that can be in time, and work that can't any more.
+	ranksOfClass = 2
+	// startFirstEvent is the usual time to a stream's first event until one has
+	// been seen: some passes.
+	startFirstEvent burdockclock.Millis = 200
+	// firstEventWeight makes a mean over as many streams.
+	firstEventWeight = 16
+	// tokensPerContext is the unit in which engines count context.
+	tokensPerContext = 1000
+	// patiencePart is the part of the time that callers wait for a first event
+	// which a request may spend waiting to be started. The rest is for placing
+	// it and for the engine to read its prompt beside the work that it has: a
+	// stream that is started as its caller gives up has cost every other stream
+	// time and brings nothing.
+	patiencePart = 0.7
 	// plainSlots is taken for a plain upstream that doesn't tell its slots.
 	plainSlots = 8
 	// retrySpread is the least span over which refused callers come back.
 	retrySpread burdockclock.Millis = 200
+	// logEvery bounds how often changes of the limit are logged.
+	logEvery = burdockclock.Second
 	// mostRetryAfter bounds the time to come back: callers wait seconds.
 	mostRetryAfter = 3 * burdockclock.Second
 )
 
+// waiter is a request that waits to be started.
+type waiter struct {
+	work burdockqueue.Work
+	told chan burdockqueue.Event
+	// lateAt is the instant from which it can't be in time any more.
+	lateAt burdockclock.Millis
+}
+
 // gate admits the requests of one service at this entry: it starts them, lets
 // them wait in order, or refuses them at once. The decisions are burdockqueue's
 // and burdockpace's; the gate holds the lock and the time.
 type gate struct {
 	clock burdockclock.Clock
+	log   *zap.Logger
 
 	mu      sync.Mutex
 	queue   *burdockqueue.Queue
 	pace    *burdockpace.Limit // nil for a plain service
 	slots   int
-	waiting map[burdockid.Request]chan burdockqueue.Event
-	timer   *time.Timer
+	maxWait burdockclock.Millis
+	waiting map[burdockid.Request]*waiter
+	// firstEvent is the usual time from a stream's start to its first event.
+	firstEvent burdockclock.Millis
+	timer      *time.Timer
+	logAt      burdockclock.Millis // when a change of the limit is logged again
+}
+
+// gateConfig is what a gate depends on when it is made.
+type gateConfig struct {
+	engine *burdocksite.Engine // nil for a plain service
+	// patience is how long callers wait for a first event, longest the pause
+	// between events that they accept; 0 where there are no streams.
+	patience burdockclock.Millis
+	longest  burdockclock.Millis
+	members  []burdocksite.Upstream
 }
 
-func newGate(clock burdockclock.Clock, engine bool, members []burdocksite.Upstream, p *pool) *gate {
-	g := &gate{clock: clock, waiting: map[burdockid.Request]chan burdockqueue.Event{}}
-	places := placesOf(members)
-	g.slots = places
-	if engine {
-		g.pace = burdockpace.New(burdockpace.Config{}, startPerUpstream*float64(len(members)), float64(places))
-		g.slots = g.pace.Update(clock.Boot(), 0, 0)
+func newGate(clock burdockclock.Clock, cfg gateConfig, p *pool) *gate {
+	g := &gate{
+		clock: clock, log: p.entry.deps.Log.With(zap.String("service", string(p.service))),
+		waiting: map[burdockid.Request]*waiter{}, firstEvent: startFirstEvent,
+		maxWait: burdockclock.Millis(patiencePart * float64(cfg.patience)),
+		slots:   placesOf(cfg.members),
+	}
+	if e := cfg.engine; e != nil && cfg.longest > 0 {
+		g.pace = burdockpace.New(burdockpace.Config{}, burdockpace.Engine{
+			Slots: e.Slots, Stride: e.Stride, StepMillis: e.StepMillis,
+			SequenceMillis: e.SequenceMillis + e.ContextMillis*float64(e.UsualPrompt)/tokensPerContext,
+		}, len(cfg.members), cfg.longest)
+		g.slots = g.pace.Streams(clock.Boot(), 0)
 	}
 	g.queue = burdockqueue.New(g.config(), derive(p.random))
 	return g
@@ -73,8 +118,8 @@
 		Slots: max(g.slots, 1), MaxQueued: maxQueued,
 		RetrySpread: retrySpread, MaxRetryAfter: mostRetryAfter,
 	}
-	for range classes {
-		cfg.Classes = append(cfg.Classes, burdockqueue.ClassConfig{})
+	for range classes * ranksOfClass {
+		cfg.Classes = append(cfg.Classes, burdockqueue.ClassConfig{MaxWait: g.maxWait})
 	}
 	return cfg
 }
@@ -83,11 +128,10 @@
 func (g *gate) follow(members []burdocksite.Upstream) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	places := placesOf(members)
 	if g.pace != nil {
-		g.pace.SetMost(float64(places))
+		g.pace.SetEngines(len(members))
 	} else {
-		g.resize(places)
+		g.resize(placesOf(members))
 	}
 	g.advance()
 }
@@ -99,30 +143,42 @@
 	}
 }
 
-// pause tells of the time between two events of a stream.
-func (g *gate) pause(pause, longest burdockclock.Millis) {
+// report takes in the load that an engine told.
+func (g *gate) report(l Load, own int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.pace == nil {
-		return
+	if g.pace != nil {
+		g.pace.Report(g.clock.Boot(), l.Running+l.Waiting, own)
+		g.advance()
 	}
-	g.pace.Pause(pause, longest)
-	load := g.queue.Load()
-	before := g.slots
-	g.resize(g.pace.Update(g.clock.Boot(), load.Running, load.Queued))
-	if g.slots > before {
+}
+
+// pause tells of the time between two events of a stream.
+func (g *gate) pause(pause burdockclock.Millis) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.pace != nil {
+		g.pace.Pause(g.clock.Boot(), pause)
 		g.advance()
 	}
 }
 
+// began tells of the time from a stream's start to its first event.
+func (g *gate) began(took burdockclock.Millis) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.firstEvent += (took - g.firstEvent) / firstEventWeight
+}
+
 // enter waits until the request may start. It returns a refusal, or nil; the
 // error is the context's when the caller went away.
 func (g *gate) enter(ctx context.Context, req *request, id burdockid.Request) (*burdockqueue.Refuse, error) {
 	work := burdockqueue.Work{
-		ID: id, Customer: req.customer, Class: req.class, Cost: req.cost,
+		ID: id, Customer: req.customer, Class: ranksOfClass * min(req.class, classes-1), Cost: req.cost,
 		Arrived: req.arrived, Deadline: req.deadline,
 	}
 	g.mu.Lock()
+	g.fit()
 	switch d := g.queue.Offer(g.clock.Boot(), work).(type) {
 	case burdockqueue.Start:
 		g.advance()
@@ -133,22 +189,62 @@
 		g.mu.Unlock()
 		return &d, nil
 	}
-	told := make(chan burdockqueue.Event, 1)
-	g.waiting[id] = told
+	wait := &waiter{work: work, told: make(chan burdockqueue.Event, 1), lateAt: req.arrived + req.route.Objective - g.firstEvent}
+	g.waiting[id] = wait
 	g.advance()
 	g.mu.Unlock()
-	select {
-	case event := <-told:
-		if dropped, ok := event.(burdockqueue.Dropped); ok {
-			return &burdockqueue.Refuse{Reason: dropped.Reason, RetryAfter: dropped.RetryAfter}, nil
+	return g.wait(ctx, wait)
+}
+
+// wait waits for the queue's word.
+//
+// Load: more streams than can be started, for seconds. Harm prevented: served
+// in the order of their coming, all of them would be late. One that can't be in
+// time any more gives way to those that can; it still goes before nothing.
+func (g *gate) wait(ctx context.Context, w *waiter) (*burdockqueue.Refuse, error) {
+	late := time.NewTimer(max(w.lateAt-g.clock.Boot(), 1).Duration())
+	defer late.Stop()
+	for {
+		select {
+		case event := <-w.told:
+			if dropped, ok := event.(burdockqueue.Dropped); ok {
+				return &burdockqueue.Refuse{Reason: dropped.Reason, RetryAfter: dropped.RetryAfter}, nil
+			}
+			return nil, nil
+		case <-late.C:
+			if refuse := g.demote(w); refuse != nil {
+				return refuse, nil
+			}
+		case <-ctx.Done():
+			g.cancel(w.work.ID)
+			return nil, ctx.Err()
 		}
-		return nil, nil
-	case <-ctx.Done():
-		g.cancel(id)
-		return nil, ctx.Err()
 	}
 }
 
+// demote lets work that will be late wait behind work of its class that won't.
+func (g *gate) demote(w *waiter) *burdockqueue.Refuse {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, waits := g.waiting[w.work.ID]; !waits {
+		return nil // told already
+	}
+	now := g.clock.Boot()
+	g.queue.Cancel(now, w.work.ID)
+	w.work.Class++
+	switch d := g.queue.Offer(now, w.work).(type) {
+	case burdockqueue.Start:
+		delete(g.waiting, w.work.ID)
+		w.told <- burdockqueue.Started{ID: w.work.ID}
+	case burdockqueue.Refuse:
+		delete(g.waiting, w.work.ID)
+		g.advance()
+		return &d
+	}
+	g.advance()
+	return nil
+}
+
 // leave ends a request that was started.
 func (g *gate) leave(id burdockid.Request, served burdockid.Tokens) {
 	g.mu.Lock()
@@ -174,6 +270,7 @@
 
 // advance tells those who wait what became of them. The lock must be held.
 func (g *gate) advance() {
+	g.fit()
 	for _, event := range g.queue.Next(g.clock.Boot()) {
 		var id burdockid.Request
 		switch e := event.(type) {
@@ -182,14 +279,33 @@
 		case burdockqueue.Dropped:
 			id = e.ID
 		}
-		if told, ok := g.waiting[id]; ok {
+		if w, ok := g.waiting[id]; ok {
 			delete(g.waiting, id)
-			told <- event
+			w.told <- event
 		}
 	}
 	g.arm()
 }
 
+// fit takes over how many streams may run now. The lock must be held.
+func (g *gate) fit() {
+	if g.pace == nil {
+		return
+	}
+	load := g.queue.Load()
+	before := g.slots
+	now := g.clock.Boot()
+	g.resize(g.pace.Streams(now, load.Running))
+	if g.slots == before || now < g.logAt {
+		return
+	}
+	g.logAt = now + logEvery
+	state := g.pace.State()
+	g.log.Info("admission limit", zap.Int("limit", g.slots), zap.Int("running", load.Running), zap.Int("waiting", load.Queued),
+		zap.Float64("engineLoad", state.Load), zap.Float64("engineMost", state.Fitting),
+		zap.Float64("passFactor", state.Factor), zap.Float64("worstFactor", state.Peak))
+}
+
 // arm sets the timer for the next instant at which the queue has something to
 // tell by itself. The lock must be held.
 func (g *gate) arm() {
--- a/internal/serve/burdockdirect/pool.go
+++ b/internal/serve/burdockdirect/pool.go
@@ -33,6 +33,7 @@
 	budget  *burdockretry.Budget
 	members map[burdockid.Upstream]burdocksite.Upstream
 	engine  *burdocksite.Engine
+	own     map[burdockid.Upstream]int // offers in flight
 	// progressAt is when any stream of the service last had an event.
 	progressAt burdockclock.Millis
 }
@@ -40,14 +41,16 @@
 func newPool(service burdockid.Service, e *Entry) *pool {
 	random := rand.New(rand.NewPCG(e.deps.Seed, uint64(time.Now().UnixNano())))
 	p := &pool{
-		service: service, entry: e, random: random,
+		service: service, entry: e, random: random, own: map[burdockid.Upstream]int{},
 		placer:  burdockplace.New(burdockplace.Config{}, derive(random)),
 		tracker: burdockeject.New(burdockeject.Config{}, derive(random)),
 		budget:  burdockretry.New(burdockretry.Config{Fraction: retryFraction}, derive(random)),
 	}
 	snap := e.deps.Site.Now()
 	p.engine = engineOf(snap, service)
-	p.gate = newGate(e.deps.Clock, p.engine != nil, snap.Members(service), p)
+	cfg := gateConfig{engine: p.engine, members: snap.Members(service)}
+	cfg.patience, cfg.longest = streamsOf(snap, service)
+	p.gate = newGate(e.deps.Clock, cfg, p)
 	p.follow(e.now(), snap)
 	return p
 }
@@ -63,6 +66,31 @@
 	return snap.Config.Services[service].Engine
 }
 
+// streamsOf returns how long callers of a service's streams wait for a first
+// event, and the pause between events that they accept: the least of all routes.
+func streamsOf(snap *burdocksite.Snapshot, service burdockid.Service) (patience, longest burdockclock.Millis) {
+	if snap.Config == nil {
+		return 0, 0
+	}
+	for _, route := range snap.Config.Routes {
+		for _, share := range route.Shares {
+			if share.Service == service && route.Stream {
+				patience = leastOf(patience, route.Patience)
+				longest = leastOf(longest, route.Gap)
+			}
+		}
+	}
+	return patience, longest
+}
+
+// leastOf returns the lesser of two spans, of which 0 stands for none.
+func leastOf(a, b burdockclock.Millis) burdockclock.Millis {
+	if a == 0 || b != 0 && b < a {
+		return b
+	}
+	return a
+}
+
 // follow takes up the members that the site shows now.
 func (p *pool) follow(now burdockclock.Millis, snap *burdocksite.Snapshot) {
 	members := snap.Members(p.service)
@@ -123,6 +151,7 @@
 		return burdocksite.Upstream{}, "", false
 	}
 	p.placer.Sent(now, choice.Upstream, req.cost)
+	p.own[choice.Upstream]++
 	return p.members[choice.Upstream], choice.Reason, true
 }
 
@@ -131,6 +160,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.placer.Done(now, u, cost)
+	if p.own[u]--; p.own[u] <= 0 {
+		delete(p.own, u)
+	}
 }
 
 // report takes in the load that an upstream told.
@@ -139,6 +171,10 @@
 		return
 	}
 	p.mu.Lock()
+	own := p.own[u]
+	p.mu.Unlock()
+	p.gate.report(*l, own)
+	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.placer.Report(now, u, burdockplace.Report{Running: l.Running, Queued: l.Waiting, Slots: l.Slots})
 }
--- a/internal/serve/burdockdirect/stream.go
+++ b/internal/serve/burdockdirect/stream.go
@@ -44,8 +44,6 @@
 func (s *stream) follow(ctx context.Context) result {
 	s.lastAt = s.attempt.offers.entry.now()
 	s.first = true
-	watch := time.AfterFunc(silenceCheck, func() {})
-	defer watch.Stop()
 	buf := make([]byte, streamBuffer)
 	for {
 		n, err := s.res.Body.Read(buf)
@@ -92,8 +90,10 @@
 			o.events++
 		}
 	}
-	if !s.first {
-		o.pool.gate.pause(now-s.lastAt, o.req.route.Gap)
+	if s.first {
+		o.pool.gate.began(now - s.attempt.began)
+	} else {
+		o.pool.gate.pause(now - s.lastAt)
 	}
 	s.first = false
 	s.lastAt = now
--- a/internal/serve/burdockhosted/agent.go
+++ b/internal/serve/burdockhosted/agent.go
@@ -32,7 +32,10 @@
 	expectedHold = 3 * burdockclock.Second
 	// popularityHalfLife is a few windows: a turn is to be seen at once.
 	popularityHalfLife burdockclock.Millis = 600
-	countsEvery        burdockclock.Millis = 250
+	countsEvery        burdockclock.Millis = 100
+	// rankLoads keeps the copying of one change to some tenths of a second; what
+	// is left to gain follows with the next.
+	rankLoads = 2
 	// changeGap is the least time between two changes.
 	changeGap burdockclock.Millis = 100
 	tick      burdockclock.Millis = 25
@@ -46,7 +49,7 @@
 	loadPoll  = 60 * burdockclock.Millis(1)
 	// changeLead is two passes of some tens of milliseconds: about what the
 	// orders to a group of some tens of ranks take.
-	changeLead    burdockid.Step = 2
+	changeLead    burdockid.Step = 1
 	changeLeadMax burdockid.Step = 8
 	// armBudget is several times what a change takes from the first order to
 	// the last.
@@ -55,7 +58,7 @@
 
 func pace() burdockrank.Pace {
 	return burdockrank.Pace{
-		HalfLife: popularityHalfLife, CountsEvery: countsEvery, Gap: changeGap, Tick: tick,
+		HalfLife: popularityHalfLife, CountsEvery: countsEvery, RankLoads: rankLoads, Gap: changeGap, Tick: tick,
 		LeaseTTL: leaseTTL, LeaseEvery: leaseEvery, LeaseStagger: leaseStagger,
 		Watch: burdockclock.Second,
 		Controller: func(cfg *burdockgroup.ControllerConfig) {
--- a/internal/serve/burdockhosted/engine.go
+++ b/internal/serve/burdockhosted/engine.go
@@ -134,18 +134,15 @@
 // status is the report in the machines' terms.
 func (e *engine) status(r RankReport) burdockgroup.EngineStatus {
 	s := burdockgroup.EngineStatus{
-		Next: r.Step + 1, Base: burdockid.MapVersion(r.Map),
+		Next: r.Step + 1, Base: mapVersion(r.Map),
 		Switch: burdockgroup.Switch{Map: burdockid.MapVersion(r.ArmedMap), At: r.ArmedStep},
 		Held:   r.Held, HoldAt: r.HeldStep, Failed: e.failed,
-		LastStep: r.Step, LastMap: burdockid.MapVersion(r.Map),
+		LastStep: r.Step, LastMap: mapVersion(r.Map),
 	}
 	if r.ArmedMap == 0 {
 		s.Switch = burdockgroup.Switch{}
 		s.Spare = burdockid.MapVersion(r.Prepared)
 	}
-	if r.Map == 0 {
-		s.Base, s.LastMap = firstMap, firstMap
-	}
 	if s.Base == e.loading || s.Spare == e.loading || s.Switch.Map == e.loading {
 		e.loading = 0
 	}
@@ -181,6 +178,26 @@
 	return out, nil
 }
 
+// Held implements burdockengine.HeldTeller.
+func (e *engine) Held(ctx context.Context) (burdockid.MapVersion, [][]burdockid.Expert, error) {
+	epoch, version, experts, err := e.rank.Held(ctx)
+	if err != nil {
+		return 0, nil, err
+	}
+	if epoch != e.epoch {
+		return 0, nil, ErrNoGroup.New("epoch %d; the seat is in epoch %d", epoch, e.epoch)
+	}
+	return mapVersion(version), experts, nil
+}
+
+// mapVersion is the version of a map in use.
+func mapVersion(v int64) burdockid.MapVersion {
+	if v == 0 {
+		return firstMap
+	}
+	return burdockid.MapVersion(v)
+}
+
 // firstContent is the map that each epoch begins with: experts in turn.
 func firstContent(spec *burdocksite.Engine, ranks int) ([]byte, error) {
 	m := burdockexpert.NewMap(burdockexpert.Shape{Layers: spec.Layers, Ranks: ranks, Experts: spec.Experts})
--- a/internal/serve/burdockhosted/rank.go
+++ b/internal/serve/burdockhosted/rank.go
@@ -64,6 +64,9 @@
 	// Counts returns the epoch and how often each expert was chosen since the
 	// engine started, by layer and expert in one row.
 	Counts(ctx context.Context) (epoch int64, counts []burdockid.Tokens, err error)
+	// Held returns the epoch, the map in use, and the experts that the engine
+	// holds of it, by layer.
+	Held(ctx context.Context) (epoch, version int64, experts [][]burdockid.Expert, err error)
 	// Order gives an order that is void in another epoch, and once the engine
 	// has begun more orders than after. An ErrRefused says that it was not
 	// carried out and won't be; after an ErrNoAnswer it may have been, or may
--- a/internal/serve/burdockrank/duty.go
+++ b/internal/serve/burdockrank/duty.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/group/burdockgroup"
+	"burdockbend.example/burdockbend/internal/state/burdockchart"
 	"burdockbend.example/burdockbend/internal/wire/burdockwire"
 	"connectrpc.com/connect"
 	"go.uber.org/zap"
@@ -84,7 +87,8 @@
 		d.plan.need(out.Map)
 	case burdockgroup.MapInForce:
 		d.plan.inForce(out.Map)
-		m.deps.Log.Info("map in force", zap.String("group", m.seat.Group), zap.Uint64("map", uint64(out.Map)))
+		m.deps.Log.Info("map in force", zap.String("group", m.seat.Group), zap.Uint64("map", uint64(out.Map)),
+			zap.String("phases", phases(d.controller.State().Events)))
 	case burdockgroup.MapRefused:
 		d.plan.refused()
 		m.deps.Log.Warn("a rank could not load the map", zap.Uint64("map", uint64(out.Map)), zap.Int("rank", int(out.Rank)))
@@ -96,6 +100,19 @@
 	}
 }
 
+// phases tells how long each phase of the last change took, in milliseconds.
+func phases(events []burdockchart.Entry) string {
+	first := len(events)
+	for first > 0 && events[first-1].To != string(burdockgroup.ControllerLoading) {
+		first--
+	}
+	var b strings.Builder
+	for i := max(first, 1); i < len(events); i++ {
+		fmt.Fprintf(&b, "%s %d ", events[i].From, events[i].At-events[i-1].At)
+	}
+	return strings.TrimSpace(b.String())
+}
+
 func (d *duty) splitSeen(out burdockgroup.SplitSeen) {
 	d.member.mu.Lock()
 	defer d.member.mu.Unlock()
--- a/internal/serve/burdockrank/pace.go
+++ b/internal/serve/burdockrank/pace.go
@@ -16,6 +16,9 @@
 	CountsBytesPerSecond int
 	// Gap is the least time between two changes; 0 takes the profile's.
 	Gap burdockclock.Millis
+	// RankLoads is the most experts that one change has one rank load; 0 is no
+	// bound.
+	RankLoads int
 	// Tick is how often ranks and controllers look at the time.
 	Tick burdockclock.Millis
 	// LeaseTTL is how long a group may be without a controller after one died,
--- a/internal/serve/burdockrank/planning.go
+++ b/internal/serve/burdockrank/planning.go
@@ -42,6 +42,7 @@
 	asking     bool
 	askAt      burdockclock.Millis
 	askNext    burdockid.Rank
+	heldAt     burdockclock.Millis  // when the engines may be asked again what they hold
 	needFirst  bool                 // the group has no map
 	needOld    burdockid.MapVersion // the controller lacks this map's content
 	wishedAt   burdockclock.Millis  // when a map was wanted; 0 once it is in force
@@ -103,6 +104,7 @@
 		return
 	}
 	p.answerNeed()
+	p.recover(state)
 	p.ask()
 	if wanted := p.decide(state); wanted != nil {
 		p.duty.handle(burdockgroup.MapWanted{Content: wanted})
@@ -273,7 +275,8 @@
 	}
 	p.wishedAt, p.needFirst = now, false
 	p.duty.member.deps.Log.Info("another map is wanted", zap.String("group", p.duty.member.seat.Group),
-		zap.String("reason", string(move.Reason)), zap.Int("moves", len(move.Moves)), zap.Int("bytes", len(content)))
+		zap.String("reason", string(move.Reason)), zap.Int("moves", len(move.Moves)), zap.Int("bytes", len(content)),
+		zap.Float64("imbalance", p.planner.Last().ImbalanceBefore), zap.Float64("expected", p.planner.Last().ImbalanceAfter))
 	return content
 }
 
@@ -318,7 +321,7 @@
 	most := p.counts[p.duty.member.seat.Rank].MaxLoads
 	for r, c := range p.counts {
 		in.Ranks = append(in.Ranks, burdockexpert.Rank{
-			Slots: c.Slots, MaxLoads: most,
+			Slots: c.Slots, MaxLoads: most, MaxTotal: p.duty.member.deps.Pace.RankLoads,
 			Speed: normalSpeed,
 			Empty: r < len(state.Ranks) && state.Ranks[r].Engine.Base == 0,
 		})
--- a/internal/serve/burdockrank/round.go
+++ b/internal/serve/burdockrank/round.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/platform/burdockengine"
 	"go.uber.org/zap"
@@ -27,8 +28,9 @@
 		asked.Add(1)
 		go (&roundQuestion{question{p, rank}, &answers[rank], &asked}).run()
 	}
+	began := p.duty.sinceBoot()
 	asked.Wait()
-	p.takeRound(answers)
+	p.takeRound(answers, p.duty.sinceBoot()-began)
 }
 
 // roundQuestion asks one rank.
@@ -53,12 +55,14 @@
 
 // takeRound adds what the ranks that answered counted since they were asked
 // before.
-func (p *planning) takeRound(answers []burdockengine.GroupCounts) {
+func (p *planning) takeRound(answers []burdockengine.GroupCounts, took burdockclock.Millis) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.duty.sinceBoot()
 	p.asking = false
-	p.askAt = now + p.duty.member.deps.Pace.CountsEvery
+	// A round that takes long, for the size of the group or a slow VM, is
+	// followed by as long a rest.
+	p.askAt = now + max(p.duty.member.deps.Pace.CountsEvery, took)
 	var sum [][]burdockid.Tokens
 	for rank, counts := range answers {
 		if len(counts.Tokens) == 0 || len(counts.Tokens[0]) == 0 {
--- a/internal/serve/burdockrank/service.go
+++ b/internal/serve/burdockrank/service.go
@@ -59,6 +59,19 @@
 	return connect.NewResponse(&burdockwire.SayWaitingResponse{}), nil
 }
 
+// Held implements burdockwire.GroupServiceHandler.
+func (h *Host) Held(ctx context.Context, req *connect.Request[burdockwire.GroupHeldRequest]) (*connect.Response[burdockwire.GroupHeldResponse], error) {
+	m, err := h.find(req.Msg.GetGroup())
+	if err != nil {
+		return nil, err
+	}
+	version, experts, err := m.held(ctx)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(heldToWire(version, experts)), nil
+}
+
 // Counts implements burdockwire.GroupServiceHandler.
 func (h *Host) Counts(ctx context.Context, req *connect.Request[burdockwire.GroupCountsRequest]) (*connect.Response[burdockwire.GroupCountsResponse], error) {
 	m, err := h.find(req.Msg.GetGroup())
--- a/internal/serve/burdockrank/wire.go
+++ b/internal/serve/burdockrank/wire.go
@@ -146,6 +146,30 @@
 	}
 }
 
+func heldToWire(version burdockid.MapVersion, experts [][]burdockid.Expert) *burdockwire.GroupHeldResponse {
+	msg := &burdockwire.GroupHeldResponse{Map: uint64(version)}
+	for _, held := range experts {
+		layer := &burdockwire.LayerExperts{}
+		for _, e := range held {
+			layer.Experts = append(layer.Experts, int32(e))
+		}
+		msg.Layers = append(msg.Layers, layer)
+	}
+	return msg
+}
+
+func heldFromWire(msg *burdockwire.GroupHeldResponse) (burdockid.MapVersion, [][]burdockid.Expert) {
+	var experts [][]burdockid.Expert
+	for _, layer := range msg.GetLayers() {
+		held := make([]burdockid.Expert, len(layer.GetExperts()))
+		for i, e := range layer.GetExperts() {
+			held[i] = burdockid.Expert(e)
+		}
+		experts = append(experts, held)
+	}
+	return burdockid.MapVersion(msg.GetMap()), experts
+}
+
 func countsToWire(c burdockengine.GroupCounts) *burdockwire.GroupCountsResponse {
 	msg := &burdockwire.GroupCountsResponse{
 		Life:        string(c.Life),
--- a/internal/state/burdocksite/site.go
+++ b/internal/state/burdocksite/site.go
@@ -46,6 +46,9 @@
 	// Gap is the longest pause between events of a stream that callers accept;
 	// 0 for a route that has no streams.
 	Gap burdockclock.Millis
+	// Patience is how long callers wait for the first event of a stream, or for
+	// the next; 0 if they wait until their deadline.
+	Patience burdockclock.Millis
 	// Priority orders routes by urgency; 0 is the most urgent.
 	Priority int
 	Repeat   Repeat
--- a/internal/wire/burdockwire/burdockwire.connect.go
+++ b/internal/wire/burdockwire/burdockwire.connect.go
@@ -59,6 +59,8 @@
 	GroupServiceSayWaitingProcedure = "/burdock.wire.v1.GroupService/SayWaiting"
 	// GroupServiceCountsProcedure is the fully-qualified name of the GroupService's Counts RPC.
 	GroupServiceCountsProcedure = "/burdock.wire.v1.GroupService/Counts"
+	// GroupServiceHeldProcedure is the fully-qualified name of the GroupService's Held RPC.
+	GroupServiceHeldProcedure = "/burdock.wire.v1.GroupService/Held"
 )
 
 // AgentServiceClient is a client for the burdock.wire.v1.AgentService service.
@@ -333,6 +335,8 @@
 	SayWaiting(context.Context, *connect.Request[SayWaitingRequest]) (*connect.Response[SayWaitingResponse], error)
 	// Counts returns how often the rank's engine used each expert.
 	Counts(context.Context, *connect.Request[GroupCountsRequest]) (*connect.Response[GroupCountsResponse], error)
+	// Held returns which experts the rank's engine holds.
+	Held(context.Context, *connect.Request[GroupHeldRequest]) (*connect.Response[GroupHeldResponse], error)
 }
 
 // NewGroupServiceClient constructs a client for the burdock.wire.v1.GroupService service. By
@@ -370,6 +374,12 @@
 			connect.WithSchema(groupServiceMethods.ByName("Counts")),
 			connect.WithClientOptions(opts...),
 		),
+		held: connect.NewClient[GroupHeldRequest, GroupHeldResponse](
+			httpClient,
+			baseURL+GroupServiceHeldProcedure,
+			connect.WithSchema(groupServiceMethods.ByName("Held")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -379,6 +389,7 @@
 	askFence   *connect.Client[AskFenceRequest, AskFenceResponse]
 	sayWaiting *connect.Client[SayWaitingRequest, SayWaitingResponse]
 	counts     *connect.Client[GroupCountsRequest, GroupCountsResponse]
+	held       *connect.Client[GroupHeldRequest, GroupHeldResponse]
 }
 
 // Order calls burdock.wire.v1.GroupService.Order.
@@ -401,6 +412,11 @@
 	return c.counts.CallUnary(ctx, req)
 }
 
+// Held calls burdock.wire.v1.GroupService.Held.
+func (c *groupServiceClient) Held(ctx context.Context, req *connect.Request[GroupHeldRequest]) (*connect.Response[GroupHeldResponse], error) {
+	return c.held.CallUnary(ctx, req)
+}
+
 // GroupServiceHandler is an implementation of the burdock.wire.v1.GroupService service.
 type GroupServiceHandler interface {
 	// Order gives a rank an order of the group's controller.
@@ -411,6 +427,8 @@
 	SayWaiting(context.Context, *connect.Request[SayWaitingRequest]) (*connect.Response[SayWaitingResponse], error)
 	// Counts returns how often the rank's engine used each expert.
 	Counts(context.Context, *connect.Request[GroupCountsRequest]) (*connect.Response[GroupCountsResponse], error)
+	// Held returns which experts the rank's engine holds.
+	Held(context.Context, *connect.Request[GroupHeldRequest]) (*connect.Response[GroupHeldResponse], error)
 }
 
 // NewGroupServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -444,6 +462,12 @@
 		connect.WithSchema(groupServiceMethods.ByName("Counts")),
 		connect.WithHandlerOptions(opts...),
 	)
+	groupServiceHeldHandler := connect.NewUnaryHandler(
+		GroupServiceHeldProcedure,
+		svc.Held,
+		connect.WithSchema(groupServiceMethods.ByName("Held")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/burdock.wire.v1.GroupService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case GroupServiceOrderProcedure:
@@ -454,6 +478,8 @@
 			groupServiceSayWaitingHandler.ServeHTTP(w, r)
 		case GroupServiceCountsProcedure:
 			groupServiceCountsHandler.ServeHTTP(w, r)
+		case GroupServiceHeldProcedure:
+			groupServiceHeldHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -478,3 +504,7 @@
 func (UnimplementedGroupServiceHandler) Counts(context.Context, *connect.Request[GroupCountsRequest]) (*connect.Response[GroupCountsResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("burdock.wire.v1.GroupService.Counts is not implemented"))
 }
+
+func (UnimplementedGroupServiceHandler) Held(context.Context, *connect.Request[GroupHeldRequest]) (*connect.Response[GroupHeldResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("burdock.wire.v1.GroupService.Held is not implemented"))
+}
