--- a/internal/state/burdockkv/follower.go
+++ b/internal/state/burdockkv/follower.go
@@ -94,6 +94,12 @@
 
 // watch returns the revision to go on from, and false when the keys must be
 // listed again.
+//
+// Failure: the store hears no changes for a moment, then cuts all watches and
+// drops its history. Symptom: a watch that is opened again too soon is told
+// nothing of what it missed, and a configuration is in force seconds late. A
+// listing after each cut, and no step forward for an answer without a change,
+// leave no gap: what is between two revisions was either told or is listed.
 func (f *Follower) watch(rev Revision) (Revision, bool) {
 	items, next, err := f.store.Watch(f.ctx, f.prefix, rev, watchWait)
 	switch {
@@ -102,9 +108,12 @@
 		return 0, false
 	case err != nil:
 		f.failed(err)
-		return rev, f.ctx.Err() == nil
+		return 0, false
 	}
 	f.answered()
+	if len(items) == 0 {
+		return rev, true
+	}
 	f.sink.Changed(items)
 	return max(rev, next), true
 }
