Follow the popularity of groups of tens of ranks

All agents watched the addresses of all. Now a round asks a sample, retries and polls grow with the group, addresses are read by who needs them, agents poll the configuration, and a watch that brought a change rests before the next.

--- a/cmd/burdock-hosted/main.go
+++ b/cmd/burdock-hosted/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"burdockbend.example/burdockbend/internal/serve/burdockhosted"
@@ -13,6 +14,10 @@
 	"burdockbend.example/burdockbend/platform/burdockplatform"
 )
 
+// memoryPercent of what the VM gives is where the runtime begins to collect
+// garbage more often: a process beyond all of it is killed.
+const memoryPercent = 60
+
 func main() { os.Exit(run()) }
 
 func run() int {
@@ -25,6 +30,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return burdockmain.ExitUsage
 	}
+	debug.SetMemoryLimit(int64(settings.MemoryMB) << 20 * memoryPercent / 100)
 	log := burdockmain.NewLog(os.Stdout, settings.LogLevel)
 	client := burdockplatform.NewClient(settings.StoreAddress)
 	platform := burdockhosted.Platform{Store: client, Records: burdockplatform.Records{}, Dialect: burdockplatform.Dialect{}}
--- a/internal/config/burdocksettings/hosted.go
+++ b/internal/config/burdocksettings/hosted.go
@@ -30,7 +30,9 @@
 	GraceMillis burdockclock.Millis `toml:"graceMillis" json:"graceMillis"`
 	// StallMillis is how long engines of a group wait for one that is lost.
 	StallMillis burdockclock.Millis `toml:"stallMillis" json:"stallMillis"`
-	LogLevel    string              `toml:"logLevel" json:"logLevel"`
+	// MemoryMB is the memory that the process may use, in megabytes.
+	MemoryMB int    `toml:"memoryMB" json:"memoryMB"`
+	LogLevel string `toml:"logLevel" json:"logLevel"`
 }
 
 const (
@@ -38,6 +40,9 @@
 	defaultHostedGrace = 8 * burdockclock.Second
 	defaultStall       = 1500 * burdockclock.Millis(1)
 	maxPort            = 1<<16 - 1
+	// defaultMemoryMB is several times what a process needs.
+	defaultMemoryMB = 128
+	maxMemoryMB     = 1 << 20
 )
 
 // SetDefaults fills in what holds when a file leaves a key out.
@@ -45,6 +50,7 @@
 	h.AdminPort = defaultAdminPort
 	h.GraceMillis = defaultHostedGrace
 	h.StallMillis = defaultStall
+	h.MemoryMB = defaultMemoryMB
 	h.LogLevel = defaultLogLevel
 }
 
@@ -68,6 +74,7 @@
 	burdockrule.Between(&c.Checker, "adminPort", h.AdminPort, 1, maxPort)
 	burdockrule.Between(&c.Checker, "graceMillis", h.GraceMillis, 1, maxDrain)
 	burdockrule.Between(&c.Checker, "stallMillis", h.StallMillis, 1, maxTimeout)
+	burdockrule.Between(&c.Checker, "memoryMB", h.MemoryMB, 1, maxMemoryMB)
 	burdockrule.OneOf(&c.Checker, "logLevel", h.LogLevel, "debug", "info", "warn", "error")
 	switch {
 	case h.CallerListen != "":
--- a/internal/group/burdockgroup/change.go
+++ b/internal/group/burdockgroup/change.go
@@ -1,6 +1,8 @@
 package burdockgroup
 
 import (
+	"cmp"
+
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 )
@@ -55,7 +57,7 @@
 // restTime returns the time between two readings of the group.
 func (c *Controller) restTime() burdockclock.Millis {
 	if c.passing && !c.contrary {
-		return c.cfg.Retry
+		return cmp.Or(c.cfg.PassPoll, c.cfg.Retry)
 	}
 	return c.cfg.Poll
 }
--- a/internal/group/burdockgroup/controller.go
+++ b/internal/group/burdockgroup/controller.go
@@ -16,6 +16,9 @@
 	// map. Loads take seconds; each question to 32 ranks costs as much as a
 	// round of the change itself.
 	LoadPoll burdockclock.Millis
+	// PassPoll is the time between two readings of a group whose ranks have yet
+	// to reach the step of a change; 0 takes Retry.
+	PassPoll burdockclock.Millis
 	// Poll is the time between two readings of a group at rest. Ranks that
 	// wait say so themselves, so it only has to find what nobody noticed, and
 	// its messages count against the agent's control traffic.
--- a/internal/serve/burdockhosted/agent.go
+++ b/internal/serve/burdockhosted/agent.go
@@ -32,10 +32,15 @@
 	expectedHold = 3 * burdockclock.Second
 	// popularityHalfLife is a few windows: a turn is to be seen at once.
 	popularityHalfLife burdockclock.Millis = 600
-	countsEvery        burdockclock.Millis = 100
+	countsEvery        burdockclock.Millis = 80
 	// rankLoads keeps the copying of one change to some tenths of a second; what
 	// is left to gain follows with the next.
 	rankLoads = 2
+	// countsRanks are enough to tell a turn from chance, and few enough to be
+	// asked that often.
+	countsRanks = 16
+	// configEvery is how often an agent looks for another shape of its engine.
+	configEvery = 40 * burdockclock.Second
 	// changeGap is the least time between two changes.
 	changeGap burdockclock.Millis = 100
 	tick      burdockclock.Millis = 25
@@ -46,7 +51,19 @@
 	leaseStagger = 20 * burdockclock.Millis(1)
 	// groupPoll finds what nobody noticed, such as a hold that came late.
 	groupPoll = burdockclock.Second
-	loadPoll  = 25 * burdockclock.Millis(1)
+	// orderRetry is when an unanswered order is sent again: a round of orders to
+	// a large group takes its controller some tenths of a second, and orders that
+	// are repeated meanwhile double it.
+	orderRetry        = 40 * burdockclock.Millis(1)
+	orderRetryPerRank = 4 * burdockclock.Millis(1)
+	// passPoll is how often it is looked whether the step of a change is past;
+	// until then no other change can be begun.
+	passPoll        = 20 * burdockclock.Millis(1)
+	passPollPerRank = 1 * burdockclock.Millis(1)
+	// loadPoll leaves the controller most of its time between two rounds of
+	// questions whether ranks have loaded: one takes about a millisecond a rank.
+	loadPoll        = 20 * burdockclock.Millis(1)
+	loadPollPerRank = 2 * burdockclock.Millis(1)
 	// changeLead is two passes of some tens of milliseconds: about what the
 	// orders to a group of some tens of ranks take.
 	changeLead    burdockid.Step = 1
@@ -58,21 +75,30 @@
 
 func pace() burdockrank.Pace {
 	return burdockrank.Pace{
-		HalfLife: popularityHalfLife, CountsEvery: countsEvery, RankLoads: rankLoads, Gap: changeGap, Tick: tick,
+		HalfLife: popularityHalfLife, CountsEvery: countsEvery, CountsRanks: countsRanks, RankLoads: rankLoads, Gap: changeGap, Tick: tick,
 		LeaseTTL: leaseTTL, LeaseEvery: leaseEvery, LeaseStagger: leaseStagger,
 		Watch: burdockclock.Second,
 		Controller: func(cfg *burdockgroup.ControllerConfig) {
-			cfg.Poll, cfg.LoadPoll, cfg.ArmBudget = groupPoll, loadPoll, armBudget
+			cfg.Poll, cfg.ArmBudget = groupPoll, armBudget
+			cfg.Retry = orderRetry + orderRetryPerRank*burdockclock.Millis(cfg.Ranks)
+			cfg.PassPoll = passPoll + passPollPerRank*burdockclock.Millis(cfg.Ranks)
+			cfg.LoadPoll = loadPoll + loadPollPerRank*burdockclock.Millis(cfg.Ranks)
 			cfg.Lead, cfg.MaxLead = changeLead, changeLeadMax
 		},
 	}
 }
 
+// reader reads a part of the store.
+type reader interface {
+	Start()
+	Close()
+}
+
 type agent struct {
 	log       *zap.Logger
 	host      *burdockrank.Host
 	directory *directory
-	followers []*burdockkv.Follower
+	readers   []reader
 	peers     *http.Server
 	admin     *http.Server
 }
@@ -91,7 +117,7 @@
 	}
 	address := net.JoinHostPort(settings.IP, strconv.Itoa(settings.PeerPort))
 	a := &agent{log: log}
-	a.directory = newDirectory(p.Rank, address, p.Store, mirror, spec, log)
+	a.directory = newDirectory(p.Rank, address, p.Store, spec, log)
 	a.host = burdockrank.NewHost(burdockid.Upstream(settings.UpstreamAddress), burdockrank.Deps{
 		Clock: clock, Engines: a.directory.engine, Store: newLeases(p.Store, mirror, log),
 		Directory: a.directory, Peers: burdocktransport.NewPeers(nil), Log: log, Pace: pace(),
@@ -101,9 +127,9 @@
 		},
 	})
 	config := burdockfollow.New(burdockfollow.TopicConfig, p.Records, site, clock, log)
-	a.followers = []*burdockkv.Follower{
-		burdockkv.NewFollower(p.Store, p.Records.Prefix(burdockfollow.TopicConfig), config, clock, log),
-		burdockkv.NewFollower(p.Store, prefixOwn, mirror, clock, log),
+	a.readers = []reader{
+		burdockkv.NewPoller(p.Store, p.Records.Prefix(burdockfollow.TopicConfig), config, configEvery, func() bool { return spec() != nil }, log),
+		burdockkv.NewFollower(p.Store, prefixLease, mirror, clock, log),
 	}
 	mux := http.NewServeMux()
 	mux.Handle(burdockwire.NewGroupServiceHandler(a.host, burdocktransport.HandlerOptions(maxHeader, maxHeader)...))
@@ -114,8 +140,8 @@
 	if err != nil {
 		return nil, err
 	}
-	for _, f := range a.followers {
-		f.Start()
+	for _, r := range a.readers {
+		r.Start()
 	}
 	a.directory.start()
 	a.host.Start()
@@ -128,8 +154,8 @@
 	a.log.Info("stopping")
 	a.host.Close()
 	a.directory.close()
-	for _, f := range a.followers {
-		f.Close()
+	for _, r := range a.readers {
+		r.Close()
 	}
 	a.log.Info("stopped")
 }
--- a/internal/serve/burdockhosted/directory.go
+++ b/internal/serve/burdockhosted/directory.go
@@ -28,6 +28,8 @@
 	// reportEvery is how often an agent asks its engine in which group it is.
 	// A group that was formed anew runs with its first map for as long.
 	reportEvery = 150 * time.Millisecond
+	// listAgain is the least time between two readings of all addresses.
+	listAgain = 500 * time.Millisecond
 	// publishAgain is the wait before an address is written again without an
 	// answer.
 	publishAgain = time.Second
@@ -39,7 +41,6 @@
 	rank    Rank
 	address string // of this agent, for its peers
 	store   burdockkv.Store
-	mirror  *burdockkv.Mirror
 	spec    func() *burdocksite.Engine
 	log     *zap.Logger
 
@@ -49,12 +50,15 @@
 
 	mu          sync.Mutex
 	seat        burdockrank.Seat
+	published   string // the key that holds this agent's address
 	publishedAt time.Time
+	agents      map[string]string // addresses by key, as last listed
+	listedAt    time.Time
 }
 
-func newDirectory(rank Rank, address string, store burdockkv.Store, mirror *burdockkv.Mirror, spec func() *burdocksite.Engine, log *zap.Logger) *directory {
+func newDirectory(rank Rank, address string, store burdockkv.Store, spec func() *burdocksite.Engine, log *zap.Logger) *directory {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &directory{rank: rank, address: address, store: store, mirror: mirror, spec: spec, log: log, ctx: ctx, cancel: cancel}
+	return &directory{rank: rank, address: address, store: store, spec: spec, log: log, ctx: ctx, cancel: cancel}
 }
 
 func (d *directory) start() {
@@ -115,16 +119,58 @@
 	return prefixRank + group + "/" + strconv.Itoa(int(rank))
 }
 
-// publish writes this agent's address where its peers look, unless it is there.
+// publish writes this agent's address where its peers look, once in a life.
 func (d *directory) publish(key string) {
-	item, ok := d.mirror.Get(key)
-	if !d.mirror.Known() || ok && string(item.Value) == d.address || time.Since(d.publishedAt) < publishAgain {
+	if d.published == key || time.Since(d.publishedAt) < publishAgain {
 		return
 	}
 	d.publishedAt = time.Now()
 	if _, err := d.store.Write(d.ctx, nil, []burdockkv.Put{{Key: key, Value: []byte(d.address)}}); err != nil {
 		d.log.Warn("the agent's address was not written", zap.String("key", key), zap.Error(err))
+		return
+	}
+	d.published = key
+}
+
+// Refresh implements burdockrank.Directory.
+//
+// Load: as many agents as ranks, each of which writes its address as it starts.
+// Harm prevented: if all watched these keys, that would be a call for each pair
+// of them. Only who has to reach the others reads their addresses, once it
+// misses one.
+func (d *directory) Refresh(group string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if time.Since(d.listedAt) < listAgain || d.ctx.Err() != nil {
+		return
+	}
+	d.listedAt = time.Now()
+	d.done.Add(1)
+	go listing{d, group}.run()
+}
+
+// listing reads the addresses of a group's agents.
+type listing struct {
+	directory *directory
+	group     string
+}
+
+func (l listing) run() {
+	d := l.directory
+	defer d.done.Done()
+	name, _, _ := strings.Cut(l.group, epochMark)
+	items, _, err := d.store.List(d.ctx, prefixRank+name+"/")
+	if err != nil {
+		d.log.Warn("the agents' addresses were not read", zap.String("group", name), zap.Error(err))
+		return
+	}
+	agents := map[string]string{}
+	for _, item := range items {
+		agents[item.Key] = string(item.Value)
 	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.agents = agents
 }
 
 // Seat implements burdockrank.Directory.
@@ -137,11 +183,9 @@
 // Agent implements burdockrank.Directory.
 func (d *directory) Agent(group string, rank burdockid.Rank) string {
 	name, _, _ := strings.Cut(group, epochMark)
-	item, ok := d.mirror.Get(rankKey(name, rank))
-	if !ok {
-		return ""
-	}
-	return string(item.Value)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.agents[rankKey(name, rank)]
 }
 
 // engine returns the engine of a seat.
--- a/internal/serve/burdockrank/directory.go
+++ b/internal/serve/burdockrank/directory.go
@@ -33,6 +33,9 @@
 	Seat() Seat
 	// Agent returns the IP:port of the agent of a rank, or "".
 	Agent(group string, rank burdockid.Rank) string
+	// Refresh asks for the addresses of a group's agents to be read again, since
+	// one is missing or doesn't answer. It doesn't wait.
+	Refresh(group string)
 	// Experts returns how the upstream's service weighs even ranks against
 	// moves of experts.
 	Experts() burdockprofile.Experts
@@ -70,6 +73,9 @@
 	return ""
 }
 
+// Refresh implements Directory. The fleet follows the membership by itself.
+func (d fleetDirectory) Refresh(string) {}
+
 // Experts implements Directory.
 func (d fleetDirectory) Experts() burdockprofile.Experts {
 	fleet := d.fleet.Now()
--- a/internal/serve/burdockrank/duty.go
+++ b/internal/serve/burdockrank/duty.go
@@ -152,6 +152,7 @@
 	}
 	client, ok := m.client(order.To)
 	if !ok {
+		m.deps.Directory.Refresh(m.seat.Group)
 		return burdockgroup.Report{}, false
 	}
 	msg := orderToWire(m.seat.Group, order)
@@ -161,6 +162,7 @@
 	m.traffic.sent(msg)
 	res, err := client.Order(ctx, connect.NewRequest(msg))
 	if err != nil {
+		m.deps.Directory.Refresh(m.seat.Group)
 		return burdockgroup.Report{}, false
 	}
 	m.traffic.received(res.Msg)
--- a/internal/serve/burdockrank/pace.go
+++ b/internal/serve/burdockrank/pace.go
@@ -16,6 +16,9 @@
 	CountsBytesPerSecond int
 	// Gap is the least time between two changes; 0 takes the profile's.
 	Gap burdockclock.Millis
+	// CountsRanks is how many ranks are asked in one round. All ranks draw from
+	// the same requests, so some are a sample of the group.
+	CountsRanks int
 	// RankLoads is the most experts that one change has one rank load; 0 is no
 	// bound.
 	RankLoads int
--- a/internal/serve/burdockrank/planning.go
+++ b/internal/serve/burdockrank/planning.go
@@ -259,6 +259,9 @@
 	if state.Phase != burdockgroup.ControllerResting || !p.mayPlan(now, experts) {
 		return nil
 	}
+	if p.popularity == nil {
+		return nil
+	}
 	in := p.input(state, experts)
 	if in.Present == nil && !p.needFirst {
 		return nil // a map is in use whose content has not come yet
@@ -283,8 +286,8 @@
 // mayPlan reports whether there is something to decide on: the counts of all
 // ranks for a first map, and then something new.
 func (p *planning) mayPlan(now burdockclock.Millis, experts burdockprofile.Experts) bool {
-	for _, c := range p.counts {
-		if c.Tokens == nil {
+	for _, rank := range p.asked() {
+		if p.counts[rank].Tokens == nil {
 			return false
 		}
 	}
@@ -301,6 +304,18 @@
 	return news && now-p.changedAt >= p.gap(experts)
 }
 
+// asked returns the ranks whose counts are to be known before a first decision.
+func (p *planning) asked() []burdockid.Rank {
+	if p.duty.member.deps.Pace.CountsBytesPerSecond == 0 {
+		return nil // those that answered are a sample
+	}
+	all := make([]burdockid.Rank, len(p.counts))
+	for r := range all {
+		all[r] = burdockid.Rank(r)
+	}
+	return all
+}
+
 // gap is the least time between two changes.
 func (p *planning) gap(experts burdockprofile.Experts) burdockclock.Millis {
 	if gap := p.duty.member.deps.Pace.Gap; gap > 0 {
@@ -311,17 +326,23 @@
 
 func (p *planning) input(state burdockgroup.ControllerState, experts burdockprofile.Experts) burdockexpert.Input {
 	in := burdockexpert.Input{
-		Popularity:  p.popularity.Snapshot(),
-		Weights:     burdockexpert.Weights{Skew: max(experts.SkewWeight, leastWeight), Cost: max(experts.CostWeight, leastWeight)},
-		ExpertBytes: p.counts[0].ExpertBytes,
-		StoreRate:   p.counts[0].StoreRate,
-		Hold:        experts.HoldMillis,
-	}
-	// All ranks of a group have engines of one kind.
-	most := p.counts[p.duty.member.seat.Rank].MaxLoads
+		Popularity: p.popularity.Snapshot(),
+		Weights:    burdockexpert.Weights{Skew: max(experts.SkewWeight, leastWeight), Cost: max(experts.CostWeight, leastWeight)},
+		Hold:       experts.HoldMillis,
+	}
+	known := burdockengine.GroupCounts{}
+	for _, c := range p.counts {
+		if c.Tokens != nil {
+			known = c
+		}
+	}
+	in.ExpertBytes, in.StoreRate = known.ExpertBytes, known.StoreRate
 	for r, c := range p.counts {
+		if c.Tokens == nil {
+			c = known // engines of one group are of one kind
+		}
 		in.Ranks = append(in.Ranks, burdockexpert.Rank{
-			Slots: c.Slots, MaxLoads: most, MaxTotal: p.duty.member.deps.Pace.RankLoads,
+			Slots: c.Slots, MaxLoads: known.MaxLoads, MaxTotal: p.duty.member.deps.Pace.RankLoads,
 			Speed: normalSpeed,
 			Empty: r < len(state.Ranks) && state.Ranks[r].Engine.Base == 0,
 		})
--- a/internal/serve/burdockrank/round.go
+++ b/internal/serve/burdockrank/round.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
@@ -24,7 +25,7 @@
 	defer m.done.Done()
 	answers := make([]burdockengine.GroupCounts, m.seat.Ranks)
 	var asked sync.WaitGroup
-	for rank := range burdockid.Rank(m.seat.Ranks) {
+	for _, rank := range p.sample() {
 		asked.Add(1)
 		go (&roundQuestion{question{p, rank}, &answers[rank], &asked}).run()
 	}
@@ -33,6 +34,28 @@
 	p.takeRound(answers, p.duty.sinceBoot()-began)
 }
 
+// roundRest is the rest after a round, as a multiple of its time.
+const roundRest = 2
+
+// roundTimeout bounds a round: a rank that doesn't answer must not keep the
+// others' counts for long.
+const roundTimeout = 300 * time.Millisecond
+
+// sample returns the ranks to ask: spread evenly over the group, and each time
+// the same, so that what they counted between two rounds is of the same time.
+func (p *planning) sample() []burdockid.Rank {
+	ranks := p.duty.member.seat.Ranks
+	n := ranks
+	if most := p.duty.member.deps.Pace.CountsRanks; most > 0 {
+		n = min(n, most)
+	}
+	list := make([]burdockid.Rank, n)
+	for i := range list {
+		list[i] = burdockid.Rank(i * ranks / n)
+	}
+	return list
+}
+
 // roundQuestion asks one rank.
 type roundQuestion struct {
 	question question
@@ -43,7 +66,7 @@
 func (q *roundQuestion) run() {
 	defer q.asked.Done()
 	m := q.question.planning.duty.member
-	ctx, cancel := context.WithTimeout(m.ctx, (2 * m.deps.Pace.CountsEvery).Duration())
+	ctx, cancel := context.WithTimeout(m.ctx, roundTimeout)
 	defer cancel()
 	counts, _, err := q.question.ask(ctx)
 	if err != nil {
@@ -60,9 +83,8 @@
 	defer p.mu.Unlock()
 	now := p.duty.sinceBoot()
 	p.asking = false
-	// A round that takes long, for the size of the group or a slow VM, is
-	// followed by as long a rest.
-	p.askAt = now + max(p.duty.member.deps.Pace.CountsEvery, took)
+	// A round that takes long on a slow VM is followed by a longer rest.
+	p.askAt = now + max(p.duty.member.deps.Pace.CountsEvery, roundRest*took)
 	var sum [][]burdockid.Tokens
 	for rank, counts := range answers {
 		if len(counts.Tokens) == 0 || len(counts.Tokens[0]) == 0 {
--- a/internal/state/burdockkv/follower.go
+++ b/internal/state/burdockkv/follower.go
@@ -15,6 +15,12 @@
 	// watchWait is how long one watch waits. Each call costs; a connection that
 	// went silent is found by the transport's own probes well before.
 	watchWait = 25 * burdockclock.Second
+	// watchGap is the time after a change before the next watch. Load: all
+	// upstreams of a site register as it starts, or configurations come in quick
+	// succession. Harm: one call for each change by each process. A change that
+	// comes alone is told at once; one that follows it waits for no longer than a
+	// small part of the two seconds in which it has to be in force.
+	watchGap burdockclock.Millis = 300
 	// firstPause and mostPause bound the wait after a failed call: doubled each
 	// time, and drawn from half of it to all of it, so that the processes don't
 	// greet a store that returns at one instant. The longest leaves a second of
@@ -115,6 +121,7 @@
 		return rev, true
 	}
 	f.sink.Changed(items)
+	f.sleep(watchGap)
 	return max(rev, next), true
 }
 
@@ -137,8 +144,12 @@
 		f.log.Warn("store lost", zap.Error(err))
 	}
 	f.pause = min(max(2*f.pause, firstPause), mostPause)
-	drawn := f.pause/2 + burdockclock.Millis(rand.Int64N(int64(f.pause/2)+1))
-	timer := time.NewTimer(drawn.Duration())
+	f.sleep(f.pause/2 + burdockclock.Millis(rand.Int64N(int64(f.pause/2)+1)))
+}
+
+// sleep waits for d or until the follower is closed.
+func (f *Follower) sleep(d burdockclock.Millis) {
+	timer := time.NewTimer(d.Duration())
 	defer timer.Stop()
 	select {
 	case <-timer.C:
