--- /dev/null
+++ b/internal/serve/burdockdirect/rules_test.go
@@ -0,0 +1,373 @@
+package burdockdirect
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+const usualTimeout = 5000
+
+func TestAnswerIsPassedOnUnchanged(t *testing.T) {
+	u := newUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		sign(w, r)
+		w.Header().Set("X-Other", "kept")
+		w.WriteHeader(http.StatusTeapot)
+		_, _ = io.WriteString(w, "a body")
+	})
+	f := newFixture(t, usualTimeout, u)
+	got := f.send(t, context.Background(), "/once/a%2Fb?q=%20x", nil)
+	if got.status != http.StatusTeapot || got.body != "a body" || got.header.Get("X-Other") != "kept" {
+		t.Errorf("got status %d body %q header %q, want 418, %q and %q", got.status, got.body, got.header.Get("X-Other"), "a body", "kept")
+	}
+	run := u.runs[0]
+	if got, want := run.RequestURI, "/once/a%2Fb?q=%20x"; got != want {
+		t.Errorf("path at the upstream: got %q, want %q", got, want)
+	}
+	if got, want := u.bodies[0], "question"; got != want {
+		t.Errorf("body at the upstream: got %q, want %q", got, want)
+	}
+}
+
+// A caller names another customer than its key's, and the key would reach the
+// upstream. The entry puts the key's own customer there and keeps the key.
+func TestKeyDecidesTheCustomer(t *testing.T) {
+	u := newUpstream(t, answerOK)
+	f := newFixture(t, usualTimeout, u)
+	f.send(t, context.Background(), "/once/", map[string]string{"X-Customer": "someone else"})
+	run := u.runs[0]
+	if got, want := run.Header.Get("X-Customer"), "acme"; got != want {
+		t.Errorf("customer at the upstream: got %q, want %q", got, want)
+	}
+	if got, want := run.Header.Get("X-Key"), ""; got != want {
+		t.Errorf("key at the upstream: got %q, want none", got)
+	}
+}
+
+func TestOwnRefusals(t *testing.T) {
+	u := newUpstream(t, answerOK)
+	for _, c := range []struct {
+		name, path, key string
+		want            int
+	}{
+		{"no route", "/elsewhere/", "key", http.StatusNotFound},
+		{"unknown key", "/once/", "wrong", http.StatusUnauthorized},
+	} {
+		f := newFixture(t, usualTimeout, u)
+		if got := f.send(t, context.Background(), c.path, map[string]string{"X-Key": c.key}); got.status != c.want {
+			t.Errorf("%s: got status %d, want %d", c.name, got.status, c.want)
+		}
+	}
+	if got := u.seen(); got != 0 {
+		t.Errorf("requests at the upstream: got %d, want 0", got)
+	}
+}
+
+// An entry that has just started knows no route. "Not found" would be final for
+// the caller, though every configuration has the route; so it says when to come
+// back.
+func TestWithoutConfigurationTheCallerComesBack(t *testing.T) {
+	f := startFixture(t)
+	got := f.send(t, context.Background(), "/once/", nil)
+	if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+		t.Errorf("got status %d and Retry-After %q, want 503 and a time", got.status, got.header.Get("Retry-After"))
+	}
+}
+
+// An upstream has run a request and its answer is lost. A request that may not
+// run twice must not be sent again, and its caller must not be told that it has
+// not run; one that may is answered by another upstream.
+func TestLostAnswer(t *testing.T) {
+	for _, c := range []struct {
+		path       string
+		wantStatus int
+		wantRuns   int
+	}{
+		{"/once/", http.StatusBadGateway, 1},
+		{"/again/", http.StatusBadGateway, 2}, // all answers are lost
+	} {
+		a, b := newUpstream(t, cutConnection), newUpstream(t, cutConnection)
+		f := newFixture(t, usualTimeout, a, b)
+		got := f.send(t, context.Background(), c.path, nil)
+		if got.status != c.wantStatus {
+			t.Errorf("%s: got status %d, want %d", c.path, got.status, c.wantStatus)
+		}
+		if got := a.seen() + b.seen(); got != c.wantRuns {
+			t.Errorf("%s: got %d runs, want %d", c.path, got, c.wantRuns)
+		}
+	}
+}
+
+// One upstream loses its answer and the next refuses the second offer as not
+// run. The refusal is true of that offer alone: the first may have run, so the
+// caller must not be told otherwise.
+func TestUnknownOutcomeStaysUnknown(t *testing.T) {
+	var offers atomic.Int32
+	serve := func(w http.ResponseWriter, r *http.Request) {
+		if offers.Add(1) == 1 {
+			cutConnection(w, r)
+		}
+		refuseNotRun(w, r)
+	}
+	f := newFixture(t, usualTimeout, newUpstream(t, serve), newUpstream(t, serve))
+	got := f.send(t, context.Background(), "/again/", nil)
+	if got, want := got.status, http.StatusBadGateway; got != want {
+		t.Errorf("got status %d, want %d", got, want)
+	}
+}
+
+// An upstream refuses a request that it has not run. It goes to another one,
+// also if it may run only once, up to the route's number of upstreams; then the
+// caller is told at once that it has not run, and when to come back.
+func TestRefusedRequestGoesToAnother(t *testing.T) {
+	full, free := newUpstream(t, refuseNotRun), newUpstream(t, answerOK)
+	for i := range 6 { // which one is asked first is drawn
+		f := newFixture(t, usualTimeout, full, free)
+		if got := f.send(t, context.Background(), "/once/", nil); got.status != http.StatusOK {
+			t.Errorf("entry %d: got status %d, want 200", i, got.status)
+		}
+	}
+	if got := free.seen(); got != 6 {
+		t.Errorf("answers: got %d, want 6", got)
+	}
+
+	none := []*upstream{newUpstream(t, refuseNotRun), newUpstream(t, refuseNotRun), newUpstream(t, refuseNotRun)}
+	f := newFixture(t, usualTimeout, none...)
+	began := time.Now()
+	got := f.send(t, context.Background(), "/once/", nil)
+	if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+		t.Errorf("all full: got status %d Retry-After %q, want 503 and a time", got.status, got.header.Get("Retry-After"))
+	}
+	if took := time.Since(began); took > usualTimeout*time.Millisecond/2 {
+		t.Errorf("all full: refused after %v, want at once", took)
+	}
+	if got, most := none[0].seen()+none[1].seen()+none[2].seen(), 2; got > most {
+		t.Errorf("upstreams offered to: got %d, want %d at most", got, most)
+	}
+}
+
+// A second answer of an earlier request comes where the answer of the next one
+// is due. The caller must not get it: the id that it carries is another's.
+func TestAnswerOfAnotherRequest(t *testing.T) {
+	crossed := newUpstream(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Id", "of another")
+		w.Header().Set("X-Signed", "1")
+		_, _ = io.WriteString(w, "not yours")
+	})
+	f := newFixture(t, usualTimeout, crossed)
+	got := f.send(t, context.Background(), "/once/", nil)
+	if got.status != http.StatusBadGateway || strings.Contains(got.body, "not yours") {
+		t.Errorf("got status %d body %q, want 502 and nothing of the other answer", got.status, got.body)
+	}
+}
+
+// An answer with a length breaks off. Its caller must not take the part for the
+// whole: one that may be asked for again is, the other ends as unknown.
+func TestTruncatedAnswer(t *testing.T) {
+	short := func(w http.ResponseWriter, r *http.Request) {
+		sign(w, r)
+		w.Header().Set("Content-Length", "100")
+		_, _ = io.WriteString(w, "part")
+	}
+	f := newFixture(t, usualTimeout, newUpstream(t, short))
+	if got := f.send(t, context.Background(), "/once/", nil); got.status != http.StatusBadGateway {
+		t.Errorf("once: got status %d, want 502", got.status)
+	}
+	var offers atomic.Int32
+	serve := func(w http.ResponseWriter, r *http.Request) {
+		if offers.Add(1) == 1 {
+			short(w, r)
+			return
+		}
+		answerOK(w, r)
+	}
+	f = newFixture(t, usualTimeout, newUpstream(t, serve), newUpstream(t, serve))
+	if got := f.send(t, context.Background(), "/again/", nil); got.status != http.StatusOK || got.body != "whole answer" {
+		t.Errorf("again: got status %d body %q, want 200 and the whole answer", got.status, got.body)
+	}
+}
+
+// An upstream answers 503 without saying that it has not run the request. Passed
+// on, the status would promise the caller just that.
+func TestRefusalWithoutPromise(t *testing.T) {
+	u := newUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		sign(w, r)
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	f := newFixture(t, usualTimeout, u)
+	if got := f.send(t, context.Background(), "/once/", nil); got.status != http.StatusBadGateway {
+		t.Errorf("got status %d, want 502", got.status)
+	}
+}
+
+// An upstream is told how long the caller still waits, not how long it once did.
+func TestBudgetIsWhatIsLeft(t *testing.T) {
+	var offers atomic.Int32
+	budgets := make(chan int, 2)
+	serve := func(w http.ResponseWriter, r *http.Request) {
+		n, _ := strconv.Atoi(r.Header.Get("X-Budget"))
+		budgets <- n
+		if offers.Add(1) == 1 {
+			time.Sleep(300 * time.Millisecond)
+			refuseNotRun(w, r)
+			return
+		}
+		answerOK(w, r)
+	}
+	f := newFixture(t, usualTimeout, newUpstream(t, serve), newUpstream(t, serve))
+	f.send(t, context.Background(), "/once/", map[string]string{"X-Budget": "2000"})
+	first, second := <-budgets, <-budgets
+	if first > 2000 || first < 1000 {
+		t.Errorf("first offer: got a budget of %d ms, want little less than 2000", first)
+	}
+	if second > first-300 {
+		t.Errorf("second offer: got a budget of %d ms after %d, want at least 300 less", second, first)
+	}
+}
+
+// The caller leaves while an upstream works. The upstream must hear of it soon:
+// its connection is closed.
+func TestCallerLeaves(t *testing.T) {
+	began, stopped := make(chan struct{}), make(chan struct{})
+	u := newUpstream(t, func(_ http.ResponseWriter, r *http.Request) {
+		close(began)
+		<-r.Context().Done()
+		close(stopped)
+	})
+	f := newFixture(t, usualTimeout, u)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { <-began; cancel() }()
+	f.send(t, ctx, "/again/", nil)
+	select {
+	case <-stopped:
+	case <-time.After(3 * time.Second):
+		t.Error("the upstream still works 3 s after its caller left")
+	}
+	await(t, "nothing in flight", f.entry.Idle)
+}
+
+// No answer comes within the route's time. The caller gets its final answer
+// then, and isn't held until its own deadline.
+func TestRouteTimeout(t *testing.T) {
+	u := newUpstream(t, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	f := newFixture(t, 300, u)
+	began := time.Now()
+	got := f.send(t, context.Background(), "/once/", map[string]string{"X-Budget": "60000"})
+	if got.status != http.StatusGatewayTimeout {
+		t.Errorf("got status %d, want 504", got.status)
+	}
+	if took := time.Since(began); took < 300*time.Millisecond || took > 3*time.Second {
+		t.Errorf("answered after %v, want soon after 300 ms", took)
+	}
+}
+
+// writeEvents writes events from one on, and returns after the last.
+func writeEvents(w http.ResponseWriter, from, to int) {
+	for i := from; i <= to; i++ {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", i, i)
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
+func eventsOf(from, to int) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: token %d\n\n", i, i)
+	}
+	return b.String()
+}
+
+// An upstream dies within an event. The stream goes on at another one after the
+// last whole event, so that its caller gets each event once and no half of one.
+func TestStreamIsResumedAfterTheLastWholeEvent(t *testing.T) {
+	var offers atomic.Int32
+	serve := func(w http.ResponseWriter, r *http.Request) {
+		sign(w, r)
+		w.Header().Set("Content-Type", "text/event-stream")
+		if offers.Add(1) == 1 {
+			writeEvents(w, 1, 3)
+			_, _ = io.WriteString(w, "id: 4\ndata: tok")
+			_ = http.NewResponseController(w).Flush()
+			cutConnection(w, r)
+		}
+		last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+		writeEvents(w, last+1, 6)
+	}
+	f := newFixture(t, usualTimeout, newUpstream(t, serve), newUpstream(t, serve))
+	got := f.send(t, context.Background(), "/stream/", nil)
+	if got.status != http.StatusOK || got.err != nil || got.body != eventsOf(1, 6) {
+		t.Errorf("got status %d err %v body %q, want 200 and events 1 to 6", got.status, got.err, got.body)
+	}
+}
+
+// No upstream can go on with a stream that broke off. The caller must not take
+// it for complete: its connection ends without the body's end.
+func TestBrokenStreamDoesNotLookComplete(t *testing.T) {
+	var offers atomic.Int32
+	serve := func(w http.ResponseWriter, r *http.Request) {
+		if offers.Add(1) > 1 {
+			refuseNotRun(w, r)
+			return
+		}
+		sign(w, r)
+		w.Header().Set("Content-Type", "text/event-stream")
+		writeEvents(w, 1, 2)
+		cutConnection(w, r)
+	}
+	f := newFixture(t, usualTimeout, newUpstream(t, serve), newUpstream(t, serve))
+	got := f.send(t, context.Background(), "/stream/", nil)
+	if got.err == nil || got.body != eventsOf(1, 2) {
+		t.Errorf("got err %v body %q, want an error after events 1 and 2", got.err, got.body)
+	}
+}
+
+// A stop comes while a stream runs. The stream is finished, and its connection
+// closed after it; while little time is left, requests on connections that are
+// still open are refused, with word that they have not run, and go elsewhere.
+func TestPlannedStop(t *testing.T) {
+	release := make(chan struct{})
+	u := newUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		sign(w, r)
+		w.Header().Set("Content-Type", "text/event-stream")
+		writeEvents(w, 1, 1)
+		<-release
+		writeEvents(w, 2, 2)
+	})
+	f := newFixture(t, usualTimeout, u)
+	done := make(chan reply)
+	go func() { done <- f.send(t, context.Background(), "/stream/", nil) }()
+	await(t, "the stream has begun", func() bool { return u.seen() == 1 })
+	f.entry.Drain()
+	if got := f.entry.Ready(); got == "" {
+		t.Error("a stopping entry says that it is ready")
+	}
+	close(release)
+	if got := <-done; got.body != eventsOf(1, 2) || got.err != nil {
+		t.Errorf("stream in a stop: got body %q err %v, want both events", got.body, got.err)
+	}
+	f.entry.drainingAt.Store(int64(f.entry.now() - f.entry.cfg.GraceMillis + 500))
+	got := f.send(t, context.Background(), "/stream/", map[string]string{"X-Id": "late"})
+	if got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+		t.Errorf("late in the stop: got status %d, want 503 and a time", got.status)
+	}
+	if got := u.seen(); got != 1 {
+		t.Errorf("requests at the upstream: got %d, want 1", got)
+	}
+}
+
+// Another service's upstream has taken an address that an upstream had. It says
+// that it is not the one that was meant, and has not run the request.
+func TestUpstreamIsNamed(t *testing.T) {
+	u := newUpstream(t, answerOK)
+	f := newFixture(t, usualTimeout, u)
+	f.send(t, context.Background(), "/once/", nil)
+	if got, want := u.runs[0].Header.Get("X-Upstream"), "u0"; got != want {
+		t.Errorf("upstream that is meant: got %q, want %q", got, want)
+	}
+}
--- /dev/null
+++ b/internal/serve/burdockdirect/site_test.go
@@ -0,0 +1,182 @@
+package burdockdirect
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/state/burdocksite"
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+)
+
+// plainDialect is a dialect with names of its own.
+type plainDialect struct{}
+
+func (plainDialect) Request(h http.Header) CallerHeaders {
+	budget, _ := strconv.ParseInt(h.Get("X-Budget"), 10, 64)
+	return CallerHeaders{
+		ID: burdockid.Request(h.Get("X-Id")), Key: h.Get("X-Key"),
+		Budget: burdockclock.Millis(budget), LastEvent: h.Get("Last-Event-Id"),
+	}
+}
+
+func (plainDialect) Prepare(h http.Header, out UpstreamHeaders) {
+	h.Del("X-Key")
+	h.Set("X-Customer", string(out.Customer))
+	h.Set("X-Upstream", string(out.Upstream))
+	h.Set("X-Budget", strconv.FormatInt(int64(out.Budget), 10))
+	if out.LastEvent != "" {
+		h.Set("Last-Event-Id", out.LastEvent)
+	}
+}
+
+func (plainDialect) Answer(_ int, h http.Header) AnswerHeaders {
+	return AnswerHeaders{
+		ID: burdockid.Request(h.Get("X-Id")), NotRun: h.Get("X-Not-Run") != "", Signed: h.Get("X-Signed") != "",
+	}
+}
+
+// upstream is one stand-in of an upstream; serve answers a request that it ran.
+type upstream struct {
+	server *httptest.Server
+	mu     sync.Mutex
+	runs   []*http.Request
+	bodies []string
+}
+
+func (u *upstream) seen() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return len(u.runs)
+}
+
+func newUpstream(t *testing.T, serve http.HandlerFunc) *upstream {
+	t.Helper()
+	u := &upstream{}
+	u.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		u.mu.Lock()
+		u.runs = append(u.runs, r)
+		u.bodies = append(u.bodies, string(body))
+		u.mu.Unlock()
+		serve(w, r)
+	}))
+	t.Cleanup(u.server.Close)
+	return u
+}
+
+// sign echoes a request's id, as an upstream does with what is its own.
+func sign(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("X-Id", r.Header.Get("X-Id"))
+	w.Header().Set("X-Signed", "1")
+}
+
+func answerOK(w http.ResponseWriter, r *http.Request) {
+	sign(w, r)
+	_, _ = io.WriteString(w, "whole answer")
+}
+
+func refuseNotRun(w http.ResponseWriter, r *http.Request) {
+	sign(w, r)
+	w.Header().Set("X-Not-Run", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// cutConnection resets the connection in place of an answer.
+func cutConnection(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+// fixture is an entry before some upstreams, with three routes: /once/ runs a
+// request once at most, /again/ is idempotent, /stream/ has streams that may be
+// resumed.
+type fixture struct {
+	entry *Entry
+	site  *burdocksite.Site
+	web   *httptest.Server
+}
+
+func newFixture(t *testing.T, timeout burdockclock.Millis, upstreams ...*upstream) *fixture {
+	t.Helper()
+	f := startFixture(t)
+	f.configure(1, timeout)
+	for i, u := range upstreams {
+		f.site.PutUpstream(burdocksite.Upstream{
+			ID: burdockid.Upstream(fmt.Sprint("u", i)), Service: "s", Address: strings.TrimPrefix(u.server.URL, "http://"), DataCentre: "a", Slots: 4,
+		})
+	}
+	return f
+}
+
+// startFixture starts an entry that knows nothing yet.
+func startFixture(t *testing.T) *fixture {
+	t.Helper()
+	f := &fixture{site: burdocksite.New()}
+	f.entry = New(Config{DataCentre: "a", GraceMillis: 8000}, Deps{
+		Clock: burdockclock.System(), Site: f.site, Dialect: plainDialect{}, Log: zap.NewNop(), Metrics: metrics.NewSet(), Seed: 1,
+	})
+	f.site.Subscribe(f.entry.Follow)
+	f.web = httptest.NewServer(f.entry)
+	t.Cleanup(f.web.Close)
+	return f
+}
+
+func (f *fixture) configure(version burdockid.Version, timeout burdockclock.Millis) {
+	share := []burdocksite.Share{{Service: "s", Weight: 1}}
+	f.site.SetConfig(burdocksite.Config{
+		Version: version,
+		Routes: []burdocksite.Route{
+			{Name: "once", Host: "127.0.0.1", Prefix: "/once/", Timeout: timeout, Objective: 200, Repeat: burdocksite.RepeatNever, Attempts: 2, Shares: share},
+			{Name: "again", Host: "127.0.0.1", Prefix: "/again/", Timeout: timeout, Objective: 200, Repeat: burdocksite.RepeatAlways, Attempts: 2, Shares: share},
+			{Name: "stream", Host: "127.0.0.1", Prefix: "/stream/", Timeout: timeout, Objective: 200, Gap: 100, Stream: true, Resumable: true, Attempts: 2, Shares: share},
+		},
+		Services:  map[burdockid.Service]burdocksite.Service{"s": {Name: "s"}},
+		Customers: []burdocksite.Customer{{Name: "acme", Keys: []string{"key"}}},
+	})
+}
+
+// reply is what a caller got.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error // of reading the body
+}
+
+func (f *fixture) send(t *testing.T, ctx context.Context, path string, header map[string]string) reply {
+	t.Helper()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, f.web.URL+path, strings.NewReader("question"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("X-Id", "id-1")
+	req.Header.Set("X-Key", "key")
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
+	res, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(res.Body)
+	return reply{status: res.StatusCode, header: res.Header, body: string(body), err: err}
+}
+
+// await waits until a condition holds.
+func await(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); !condition(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("did not come about: %s", what)
+		}
+	}
+}
--- a/internal/serve/burdockdirect/stream.go
+++ b/internal/serve/burdockdirect/stream.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
@@ -35,15 +36,18 @@
 	attempt *attempt
 	res     *http.Response
 	cancel  context.CancelCauseFunc
-	rest    []byte // of an event that is not whole yet
-	lastAt  burdockclock.Millis
-	first   bool
+	rest    []byte       // of an event that is not whole yet
+	lastAt  atomic.Int64 // boot time of the last event, or of the start
+	passed  atomic.Bool  // an event was passed on
+	done    chan struct{}
 }
 
 // follow passes events on until the stream ends.
 func (s *stream) follow(ctx context.Context) result {
-	s.lastAt = s.attempt.offers.entry.now()
-	s.first = true
+	s.lastAt.Store(int64(s.attempt.offers.entry.now()))
+	s.done = make(chan struct{})
+	defer close(s.done)
+	go s.run()
 	buf := make([]byte, streamBuffer)
 	for {
 		n, err := s.res.Body.Read(buf)
@@ -90,16 +94,41 @@
 			o.events++
 		}
 	}
-	if s.first {
+	if !s.passed.Load() {
 		o.pool.gate.began(now - s.attempt.began)
 	} else {
-		o.pool.gate.pause(now - s.lastAt)
+		o.pool.gate.pause(now - burdockclock.Millis(s.lastAt.Load()))
 	}
-	s.first = false
-	s.lastAt = now
+	s.passed.Store(true)
+	s.lastAt.Store(int64(now))
 	o.pool.progress(now)
 }
 
+// run gives up a stream that has gone silent.
+//
+// Failure: something between the two ends has lost track of the connection,
+// which stays open. Symptom: no event, no error, and the caller leaves. Engines
+// in lock-step write for all streams at a time, so when others of the service
+// have had events for a while and this one has not, it is the connection. The
+// stream goes on at another upstream where it may.
+func (s *stream) run() {
+	ticker := time.NewTicker(silenceCheck)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.done:
+			return
+		case <-ticker.C:
+		}
+		last := burdockclock.Millis(s.lastAt.Load())
+		o := s.attempt.offers
+		if s.passed.Load() && o.entry.now()-last > silence && o.pool.progressed(last+silence/2) {
+			s.cancel(errSilent)
+			return
+		}
+	}
+}
+
 func (s *stream) end() result {
 	if len(s.rest) > 0 || !s.attempt.offers.caller.begun {
 		return s.cut("it ended within an event")
