--- /dev/null
+++ b/internal/serve/burdockhosted/schedule_test.go
@@ -0,0 +1,369 @@
+package burdockhosted
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/decide/burdockexpert"
+	"burdockbend.example/burdockbend/internal/group/burdockgroup"
+	"burdockbend.example/burdockbend/internal/state/burdocksite"
+)
+
+// fakeGroup is the platform's side of a group: engines that pass in lock-step,
+// never compare their maps, and may leave an order unanswered and carry it out
+// seconds later.
+type fakeGroup struct {
+	t      *testing.T
+	seed   uint64
+	random *rand.Rand
+	now    burdockclock.Millis
+	step   burdockid.Step
+	ranks  []*fakeRank
+	faults bool
+	late   []lateOrder
+	used   map[int64]bool // maps that some pass used
+}
+
+type lateOrder struct {
+	at    burdockclock.Millis
+	rank  *fakeRank
+	after int64
+	order RankOrder
+}
+
+type fakeRank struct {
+	group     *fakeGroup
+	number    int
+	orders    int64
+	version   int64 // map in use
+	highest   int64
+	prepared  int64
+	readyAt   burdockclock.Millis // of prepared
+	armed     int64
+	armedStep burdockid.Step
+	held      bool
+	heldStep  burdockid.Step
+}
+
+// pass runs the next pass if no rank holds it, and checks that all ranks use
+// the same map in it.
+func (g *fakeGroup) pass() {
+	next := g.step + 1
+	for _, r := range g.ranks {
+		if r.held && r.heldStep == next {
+			return
+		}
+	}
+	g.step = next
+	for _, r := range g.ranks {
+		if r.armed != 0 && r.armedStep == next {
+			r.version, r.armed, r.prepared = r.armed, 0, 0
+		}
+	}
+	for _, r := range g.ranks {
+		if r.version != g.ranks[0].version {
+			g.t.Fatalf("seed %d: pass %d: rank 0 uses map %d and rank %d map %d", g.seed, next, g.ranks[0].version, r.number, r.version)
+		}
+	}
+	g.used[g.ranks[0].version] = true
+}
+
+func (g *fakeGroup) carryOutLate() {
+	due := slices.Clone(g.late)
+	g.late = slices.DeleteFunc(g.late, func(l lateOrder) bool { return l.at <= g.now })
+	for _, l := range due {
+		if l.at <= g.now {
+			_ = l.rank.apply(l.after, l.order) // refused if another one came first
+		}
+	}
+}
+
+// Report implements Rank.
+func (r *fakeRank) Report(context.Context) (RankReport, error) {
+	report := RankReport{
+		Group: "g", Epoch: 1, Rank: burdockid.Rank(r.number), Ranks: len(r.group.ranks), Open: true,
+		Orders: r.orders, Step: r.group.step, Map: r.version, ArmedMap: r.armed, ArmedStep: r.armedStep,
+		Held: r.held, HeldStep: r.heldStep,
+	}
+	if r.group.now >= r.readyAt {
+		report.Prepared = r.prepared
+	}
+	return report, nil
+}
+
+// Counts implements Rank.
+func (r *fakeRank) Counts(context.Context) (int64, []burdockid.Tokens, error) { return 1, nil, nil }
+
+// Held implements Rank.
+func (r *fakeRank) Held(context.Context) (int64, int64, [][]burdockid.Expert, error) {
+	return 1, r.version, nil, nil
+}
+
+// Order implements Rank.
+func (r *fakeRank) Order(_ context.Context, _, after int64, order RankOrder) error {
+	g := r.group
+	if !g.faults || g.random.Float64() > 0.25 {
+		return r.apply(after, order)
+	}
+	if g.random.Float64() < 0.4 {
+		_ = r.apply(after, order) // its answer is lost
+	} else {
+		at := g.now + burdockclock.Millis(2000+g.random.IntN(10_000))
+		g.late = append(g.late, lateOrder{at: at, rank: r, after: after, order: order})
+	}
+	return ErrNoAnswer.New("no answer")
+}
+
+func (r *fakeRank) apply(after int64, order RankOrder) error {
+	fits := after == r.orders
+	switch o := order.(type) {
+	case Prepare:
+		fits = fits && o.Version > r.highest && r.armed == 0
+		if fits {
+			r.highest, r.prepared, r.readyAt = o.Version, o.Version, r.group.now+100
+		}
+	case Arm:
+		fits = fits && r.prepared == o.Version && r.group.now >= r.readyAt && o.Step > r.group.step
+		if fits {
+			r.armed, r.armedStep = o.Version, o.Step
+		}
+	case Hold:
+		fits = fits && !r.held && o.Step > r.group.step
+		if fits {
+			r.held, r.heldStep = true, o.Step
+		}
+	case Go:
+		fits = fits && r.held && r.heldStep == o.Step
+		if fits {
+			r.held = false
+		}
+	}
+	if !fits {
+		return ErrRefused.New("%#v", order)
+	}
+	r.orders++
+	return nil
+}
+
+// agentModel is the agent beside one rank: its machine and its engine.
+type agentModel struct {
+	rank   *burdockgroup.Rank
+	engine *engine
+	frozen bool
+}
+
+// schedule runs controllers and agents before a fake group.
+type schedule struct {
+	*fakeGroup
+	agents      []*agentModel
+	controllers []*burdockgroup.Controller
+	asleep      []bool // by controller
+	mail        []letter
+	inForce     int
+}
+
+// letter is a message on its way: an order to an agent, or a report back.
+type letter struct {
+	at         burdockclock.Millis
+	controller int
+	order      *burdockgroup.Order
+	report     *burdockgroup.Report
+}
+
+func newSchedule(t *testing.T, seed uint64, ranks int) *schedule {
+	s := &schedule{fakeGroup: &fakeGroup{t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 1)), faults: true, used: map[int64]bool{}}}
+	spec := func() *burdocksite.Engine { return &burdocksite.Engine{Layers: 1, Experts: 4, Places: 2} }
+	for i := range ranks {
+		r := &fakeRank{group: s.fakeGroup, number: i}
+		s.ranks = append(s.ranks, r)
+		s.agents = append(s.agents, &agentModel{engine: &engine{rank: r, spec: spec, epoch: 1}})
+		s.restart(i)
+	}
+	for range 2 {
+		cfg := burdockgroup.DefaultControllerConfig(ranks)
+		pace().Controller(&cfg)
+		s.controllers = append(s.controllers, burdockgroup.NewController(cfg))
+		s.asleep = append(s.asleep, false)
+	}
+	return s
+}
+
+// restart replaces an agent; the new one has forgotten what the old one knew.
+func (s *schedule) restart(i int) {
+	cfg := burdockgroup.DefaultRankConfig(burdockid.Rank(i), len(s.ranks), burdockid.NewIncarnation())
+	s.agents[i].rank = burdockgroup.NewRank(cfg)
+	s.agents[i].engine.loading, s.agents[i].engine.failed = 0, 0
+	s.do(i, s.agents[i].rank.Handle(s.now, burdockgroup.FenceFromStore{Fence: 1}))
+}
+
+func (s *schedule) delay() burdockclock.Millis {
+	if s.faults && s.random.Float64() < 0.03 {
+		return burdockclock.Millis(500 + s.random.IntN(4000))
+	}
+	return burdockclock.Millis(1 + s.random.IntN(15))
+}
+
+// do carries out what an agent's machine returned.
+func (s *schedule) do(i int, outs []burdockgroup.RankOutput) {
+	for _, out := range outs {
+		switch out := out.(type) {
+		case burdockgroup.OrderEngine:
+			status, err := s.agents[i].engine.Order(context.Background(), out.Fence, out.Order)
+			s.do(i, s.agents[i].rank.Handle(s.now, burdockgroup.EngineAnswered{Ticket: out.Ticket, Status: status, Failed: err != nil}))
+		case burdockgroup.SendReport:
+			for c := range s.controllers {
+				report := out.Report
+				s.mail = append(s.mail, letter{at: s.now + s.delay(), controller: c, report: &report})
+			}
+		case burdockgroup.SayWaiting:
+			for c := range s.controllers {
+				s.tell(c, burdockgroup.RankWaiting(out))
+			}
+		}
+	}
+}
+
+// tell gives a controller an input and sends what it returns.
+func (s *schedule) tell(c int, in burdockgroup.ControllerInput) {
+	if s.asleep[c] {
+		return
+	}
+	for _, out := range s.controllers[c].Handle(s.now, in) {
+		switch out := out.(type) {
+		case burdockgroup.SendOrder:
+			if s.faults && s.random.Float64() < 0.05 {
+				continue // lost
+			}
+			order := out.Order
+			s.mail = append(s.mail, letter{at: s.now + s.delay(), controller: c, order: &order})
+		case burdockgroup.MapInForce:
+			s.inForce++
+		}
+	}
+}
+
+func (s *schedule) deliver() {
+	due := slices.Clone(s.mail)
+	s.mail = slices.DeleteFunc(s.mail, func(l letter) bool { return l.at <= s.now })
+	for _, l := range due {
+		switch {
+		case l.at > s.now:
+		case l.order != nil:
+			if i := int(l.order.To); !s.agents[i].frozen {
+				s.do(i, s.agents[i].rank.Handle(s.now, burdockgroup.OrderReceived{Order: *l.order}))
+			}
+		default:
+			s.tell(l.controller, burdockgroup.ReportReceived{Report: *l.report})
+		}
+	}
+}
+
+// disturb lets agents and controllers freeze, wake and be replaced.
+func (s *schedule) disturb() {
+	switch i := s.random.IntN(len(s.agents)); s.random.IntN(60) {
+	case 0:
+		s.agents[i].frozen = !s.agents[i].frozen
+	case 1:
+		s.restart(i)
+	case 2:
+		c := s.random.IntN(len(s.controllers))
+		s.asleep[c] = !s.asleep[c]
+	}
+}
+
+func (s *schedule) content() []byte {
+	m := burdockexpert.NewMap(burdockexpert.Shape{Layers: 1, Ranks: len(s.ranks), Experts: 4})
+	for e := range 4 {
+		m.Hold(0, burdockid.Rank(s.random.IntN(len(s.ranks))), burdockid.Expert(e))
+	}
+	content, err := m.Encode()
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return content
+}
+
+// run lets ten milliseconds pass at a time until an instant.
+func (s *schedule) run(until burdockclock.Millis) {
+	for ; s.now < until; s.now += 10 {
+		s.carryOutLate()
+		s.deliver()
+		if s.now%40 == 0 {
+			s.pass()
+		}
+		if s.now%50 == 0 {
+			for i, a := range s.agents {
+				if !a.frozen {
+					s.do(i, a.rank.Handle(s.now, burdockgroup.RankTick{}))
+				}
+			}
+			for c := range s.controllers {
+				s.tell(c, burdockgroup.ControllerTick{})
+			}
+			if s.faults {
+				s.disturb()
+			}
+		}
+		if s.now%400 == 0 {
+			s.lease()
+		}
+		if s.now%700 == 0 {
+			s.tell(s.holder(), burdockgroup.MapWanted{Content: s.content()})
+		}
+	}
+}
+
+// holder is who has the lease: it changes hands every four seconds.
+func (s *schedule) holder() int { return int(s.now/(4*burdockclock.Second)) % len(s.controllers) }
+
+func (s *schedule) lease() {
+	fence := burdockid.Fence(10 + s.now/(4*burdockclock.Second))
+	until := (s.now/(4*burdockclock.Second) + 1) * 4 * burdockclock.Second
+	s.tell(s.holder(), burdockgroup.LeaseHeld{Lease: burdockgroup.Lease{Fence: fence, Until: min(s.now+leaseTTL, until)}})
+}
+
+// In a pass two ranks use different maps, and the tokens of their requests are
+// wrong. Orders get no answer and are carried out seconds later, controllers
+// lose their lease, freeze and wake in a change, agents are replaced and forget.
+// Whatever comes in which order, the maps agree in each pass; and when the
+// faults are over the group goes on and changes its map again.
+func TestLateOrdersNeverSplitTheMap(t *testing.T) {
+	seeds := uint64(400)
+	if testing.Short() {
+		seeds = 50
+	}
+	changes := 0
+	for seed := range seeds {
+		s := newSchedule(t, seed, 2+int(seed%4))
+		s.run(20 * burdockclock.Second)
+		s.faults = false
+		for i := range s.agents {
+			s.agents[i].frozen = false
+		}
+		for c := range s.asleep {
+			s.asleep[c] = false
+		}
+		s.run(40 * burdockclock.Second) // the last late order is carried out at 32 s
+		changes += len(s.used)
+		before, maps := s.step, len(s.used)
+		s.run(48 * burdockclock.Second)
+		if got, least := s.step-before, burdockid.Step(100); got < least {
+			t.Errorf("seed %d: got %d passes in 8 s after the faults, want %d at least", seed, got, least)
+		}
+		if got := len(s.used) - maps; got < 2 {
+			t.Errorf("seed %d: got %d changes of map in 8 s after the faults, want 2 at least", seed, got)
+		}
+		if t.Failed() {
+			t.Log(fmt.Sprintf("%+v", s.controllers[s.holder()].State()))
+			return
+		}
+	}
+	if changes < int(seeds) {
+		t.Errorf("changes of map in all schedules: got %d, want %d at least", changes, seeds)
+	}
+}
