Begin no stream late in a planned stop; let groups idle in the schedules

A stream that was taken 3.05 s after the signal, when answers usually took less than two seconds, was still running 4.2 s later as the process ended.

--- a/internal/serve/burdockdirect/entry.go
+++ b/internal/serve/burdockdirect/entry.go
@@ -53,6 +53,11 @@
 }
 
 const (
+	// stopStreams is how long after the beginning of a planned stop streams are
+	// still begun. New connections come for two to three seconds, until the
+	// balancer has asked twice; an answer under load takes up to twice as long as
+	// the rest of a stop of some eight seconds.
+	stopStreams burdockclock.Millis = 2700
 	// stopFactor and stopSlack are how long a request that starts in a planned
 	// stop must have, in usual times and beside them.
 	stopFactor                     = 2
@@ -106,11 +111,14 @@
 // its request starts shortly before the end. Symptom: the answer is cut off by
 // a stop that was planned. Callers that are refused go to another entry at once;
 // with twice the usual time and a little more, hardly an answer is cut.
-func (e *Entry) tooLate(p *pool) bool {
+func (e *Entry) tooLate(p *pool, req *request) bool {
 	began := burdockclock.Millis(e.drainingAt.Load())
 	if began == 0 {
 		return false
 	}
+	if req.route.Stream && e.now()-began > stopStreams {
+		return true
+	}
 	left := began + e.cfg.GraceMillis - e.now()
 	return left < stopFactor*p.usual()+stopSlack
 }
--- a/internal/serve/burdockdirect/offers.go
+++ b/internal/serve/burdockdirect/offers.go
@@ -68,7 +68,7 @@
 // serve admits a request and follows it to its end.
 func (e *Entry) serve(r *http.Request, req *request, c *caller) {
 	p := e.pool(req.service)
-	if e.tooLate(p) {
+	if e.tooLate(p, req) {
 		c.refuse(req, refusal{http.StatusServiceUnavailable, "not run: this entry stops", stopRetry})
 		return
 	}
--- a/internal/serve/burdockdirect/rules_test.go
+++ b/internal/serve/burdockdirect/rules_test.go
@@ -371,3 +371,21 @@
 		t.Errorf("upstream that is meant: got %q, want %q", got, want)
 	}
 }
+
+// A stop has gone on for three of its eight seconds when a caller sends on a
+// connection that it kept. A stream that begins now might be cut at the end
+// though streams usually take less; a plain request is done long before.
+func TestStreamsAreNotBegunLateInAStop(t *testing.T) {
+	u := newUpstream(t, answerOK)
+	f := newFixture(t, usualTimeout, u)
+	for range 64 { // teaches how little time answers usually take
+		f.send(t, context.Background(), "/again/", nil)
+	}
+	f.entry.drainingAt.Store(int64(f.entry.now() - 3000))
+	if got := f.send(t, context.Background(), "/stream/", nil); got.status != http.StatusServiceUnavailable {
+		t.Errorf("stream: got status %d, want 503", got.status)
+	}
+	if got := f.send(t, context.Background(), "/again/", nil); got.status != http.StatusOK {
+		t.Errorf("plain request: got status %d, want 200", got.status)
+	}
+}
--- a/internal/serve/burdockhosted/schedule_test.go
+++ b/internal/serve/burdockhosted/schedule_test.go
@@ -164,6 +164,7 @@
 	controllers []*burdockgroup.Controller
 	asleep      []bool // by controller
 	mail        []letter
+	idleUntil   burdockclock.Millis // no requests, and so no passes
 	inForce     int
 }
 
@@ -265,6 +266,9 @@
 
 // disturb lets agents and controllers freeze, wake and be replaced.
 func (s *schedule) disturb() {
+	if s.now >= s.idleUntil && s.random.IntN(80) == 0 {
+		s.idleUntil = s.now + burdockclock.Millis(s.random.IntN(10_000))
+	}
 	switch i := s.random.IntN(len(s.agents)); s.random.IntN(60) {
 	case 0:
 		s.agents[i].frozen = !s.agents[i].frozen
@@ -293,7 +297,7 @@
 	for ; s.now < until; s.now += 10 {
 		s.carryOutLate()
 		s.deliver()
-		if s.now%40 == 0 {
+		if s.now%40 == 0 && s.now >= s.idleUntil {
 			s.pass()
 		}
 		if s.now%50 == 0 {
@@ -341,7 +345,7 @@
 	for seed := range seeds {
 		s := newSchedule(t, seed, 2+int(seed%4))
 		s.run(20 * burdockclock.Second)
-		s.faults = false
+		s.faults, s.idleUntil = false, 0
 		for i := range s.agents {
 			s.agents[i].frozen = false
 		}
