--- a/cmd/burdock-hosted/main.go
+++ b/cmd/burdock-hosted/main.go
@@ -33,10 +33,12 @@
 	debug.SetMemoryLimit(int64(settings.MemoryMB) << 20 * memoryPercent / 100)
 	log := burdockmain.NewLog(os.Stdout, settings.LogLevel)
 	client := burdockplatform.NewClient(settings.StoreAddress)
-	platform := burdockhosted.Platform{Store: client, Records: burdockplatform.Records{}, Dialect: burdockplatform.Dialect{}}
+	platform := burdockhosted.Platform{
+		Store: client, Records: burdockplatform.Records{}, Dialect: burdockplatform.Dialect{},
+		NewRank: func(address string) burdockhosted.Rank { return burdockplatform.NewRank(address) },
+	}
 	start := burdockhosted.StartEntry
 	if settings.CallerListen == "" {
-		platform.Rank = burdockplatform.NewRank(settings.UpstreamAddress)
 		start = burdockhosted.StartAgent
 	}
 	process, err := start(settings, platform, log)
--- a/internal/group/burdockgroup/change.go
+++ b/internal/group/burdockgroup/change.go
@@ -180,7 +180,32 @@
 			return c.fire(controllerTooLate, "a rank has begun the step")
 		}
 	}
-	return c.drive() && c.enter(GoalCommit, controllerAllArmed)
+	if c.drive() {
+		return c.enter(GoalCommit, controllerAllArmed)
+	}
+	return c.overdue() && c.letGo()
+}
+
+// overdue reports whether some rank has not answered for too long that it is
+// armed.
+func (c *Controller) overdue() bool {
+	return c.cfg.ArmPatience > 0 && c.now-c.since > c.cfg.ArmPatience
+}
+
+// letGo takes the change back at the ranks that answer.
+//
+// Failure: a rank is cut off or frozen just as the group is to be armed.
+// Symptom: the other ranks stop before the step of the change and the whole
+// group stands, for as long as the rank stays away. None has been told to
+// commit, and none will be in this change, so each may run on with the map that
+// it has. The silent rank stops the group only if its arm did reach it; then it
+// says that it waits once it is back.
+func (c *Controller) letGo() bool {
+	c.goal = Goal{Kind: GoalRun, Base: c.goal.Base}
+	for i := range c.members {
+		c.members[i].order = nil
+	}
+	return c.fire(controllerOverdue, "a rank does not answer")
 }
 
 // pauseChanges puts the next attempt off if the lead cannot grow any more. On a
--- a/internal/group/burdockgroup/charts.go
+++ b/internal/group/burdockgroup/charts.go
@@ -69,6 +69,7 @@
 	controllerAllLoaded    controllerEvent = "allLoaded"
 	controllerAllArmed     controllerEvent = "allArmed"
 	controllerTooLate      controllerEvent = "tooLate"
+	controllerOverdue      controllerEvent = "overdue"
 	controllerAllCommitted controllerEvent = "allCommitted"
 	controllerAllReleased  controllerEvent = "allReleased"
 	controllerAllSettled   controllerEvent = "allSettled"
@@ -93,7 +94,7 @@
 			controllerLeaseHeld, controllerLeaseLost, controllerSurprise,
 			controllerFoundUndone, controllerFoundDecided, controllerFoundSettled,
 			controllerMapWanted, controllerGiveUp, controllerAllLoaded, controllerAllArmed,
-			controllerTooLate, controllerAllCommitted, controllerAllReleased, controllerAllSettled,
+			controllerTooLate, controllerOverdue, controllerAllCommitted, controllerAllReleased, controllerAllSettled,
 		})
 )
 
--- a/internal/group/burdockgroup/controller.go
+++ b/internal/group/burdockgroup/controller.go
@@ -29,6 +29,9 @@
 	// too small, up to MaxLead, which bounds how late a change takes hold.
 	Lead    burdockid.Step
 	MaxLead burdockid.Step
+	// ArmPatience is how long a rank may take to answer that it is armed; 0 is no
+	// bound. Beyond it the others are let go.
+	ArmPatience burdockclock.Millis
 	// ArmBudget is the rest of the lease that a controller must have to arm.
 	// A lease that lapses while ranks are armed holds the group until there is
 	// a next controller, which during an outage of the store can't be.
--- a/internal/serve/burdockhosted/agent.go
+++ b/internal/serve/burdockhosted/agent.go
@@ -72,6 +72,9 @@
 	// orders to a group of some tens of ranks take.
 	changeLead    burdockid.Step = 1
 	changeLeadMax burdockid.Step = 8
+	// armPatience is how long a group may stand for a rank that doesn't answer:
+	// several times what arming takes.
+	armPatience = 250 * burdockclock.Millis(1)
 	// armBudget is several times what a change takes from the first order to
 	// the last.
 	armBudget = 500 * burdockclock.Millis(1)
@@ -86,6 +89,7 @@
 		Watch: burdockclock.Second,
 		Controller: func(cfg *burdockgroup.ControllerConfig) {
 			cfg.Poll, cfg.ArmBudget = groupPoll, armBudget
+			cfg.ArmPatience = armPatience + orderRetryPerRank*burdockclock.Millis(cfg.Ranks)
 			cfg.Retry = orderRetry + orderRetryPerRank*burdockclock.Millis(cfg.Ranks)
 			cfg.PassPoll = passPoll + passPollPerRank*burdockclock.Millis(cfg.Ranks)
 			cfg.LoadPoll = loadPoll + loadPollPerRank*burdockclock.Millis(cfg.Ranks)
@@ -123,9 +127,9 @@
 	}
 	address := net.JoinHostPort(settings.IP, strconv.Itoa(settings.PeerPort))
 	a := &agent{log: log}
-	a.directory = newDirectory(p.Rank, address, p.Store, spec, log)
+	a.directory = newDirectory(p.NewRank, settings.UpstreamAddress, address, p.Store, spec, log)
 	a.host = burdockrank.NewHost(burdockid.Upstream(settings.UpstreamAddress), burdockrank.Deps{
-		Clock: clock, Engines: a.directory.engine, Store: newLeases(p.Store, mirror, log),
+		Clock: clock, Engines: a.directory.engine, Remote: a.directory.remote, Store: newLeases(p.Store, mirror, log),
 		Directory: a.directory, Peers: burdocktransport.NewPeers(nil), Log: log, Pace: pace(),
 		First: func(ranks int) (burdockid.MapVersion, []byte, error) {
 			content, err := firstContent(spec(), ranks)
--- a/internal/serve/burdockhosted/directory.go
+++ b/internal/serve/burdockhosted/directory.go
@@ -28,6 +28,8 @@
 	// reportEvery is how often an agent asks its engine in which group it is.
 	// A group that was formed anew runs with its first map for as long.
 	reportEvery = 150 * time.Millisecond
+	// remoteLag is the age of what an engine tells another VM, and a little more.
+	remoteLag = 230 * time.Millisecond
 	// listAgain is the least time between two readings of all addresses.
 	listAgain = 500 * time.Millisecond
 	// publishAgain is the wait before an address is written again without an
@@ -35,11 +37,19 @@
 	publishAgain = time.Second
 )
 
+// place is where a rank is reached.
+type place struct {
+	agent  string // IP:port of its agent
+	engine string // IP:port of its engine
+}
+
 // directory tells the seat by the engine's own report, and the other agents by
 // the keys that each writes for itself. It implements burdockrank.Directory.
 type directory struct {
 	rank    Rank
+	ranks   func(address string) Rank
 	address string // of this agent, for its peers
+	replica string // address of the engine
 	store   burdockkv.Store
 	spec    func() *burdocksite.Engine
 	log     *zap.Logger
@@ -52,13 +62,13 @@
 	seat        burdockrank.Seat
 	published   string // the key that holds this agent's address
 	publishedAt time.Time
-	agents      map[string]string // addresses by key, as last listed
+	places      map[string]place // by key, as last listed
 	listedAt    time.Time
 }
 
-func newDirectory(rank Rank, address string, store burdockkv.Store, spec func() *burdocksite.Engine, log *zap.Logger) *directory {
+func newDirectory(ranks func(address string) Rank, replica, address string, store burdockkv.Store, spec func() *burdocksite.Engine, log *zap.Logger) *directory {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &directory{rank: rank, address: address, store: store, spec: spec, log: log, ctx: ctx, cancel: cancel}
+	return &directory{rank: ranks(replica), ranks: ranks, replica: replica, address: address, store: store, spec: spec, log: log, ctx: ctx, cancel: cancel}
 }
 
 func (d *directory) start() {
@@ -125,7 +135,7 @@
 		return
 	}
 	d.publishedAt = time.Now()
-	if _, err := d.store.Write(d.ctx, nil, []burdockkv.Put{{Key: key, Value: []byte(d.address)}}); err != nil {
+	if _, err := d.store.Write(d.ctx, nil, []burdockkv.Put{{Key: key, Value: []byte(d.address + " " + d.replica)}}); err != nil {
 		d.log.Warn("the agent's address was not written", zap.String("key", key), zap.Error(err))
 		return
 	}
@@ -164,13 +174,14 @@
 		d.log.Warn("the agents' addresses were not read", zap.String("group", name), zap.Error(err))
 		return
 	}
-	agents := map[string]string{}
+	places := map[string]place{}
 	for _, item := range items {
-		agents[item.Key] = string(item.Value)
+		agent, engine, _ := strings.Cut(string(item.Value), " ")
+		places[item.Key] = place{agent: agent, engine: engine}
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.agents = agents
+	d.places = places
 }
 
 // Seat implements burdockrank.Directory.
@@ -185,17 +196,34 @@
 	name, _, _ := strings.Cut(group, epochMark)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.agents[rankKey(name, rank)]
+	return d.places[rankKey(name, rank)].agent
+}
+
+// remote returns the engine of another rank of a group, as it is ordered from
+// this VM.
+func (d *directory) remote(group string, rank burdockid.Rank) burdockengine.GroupEngine {
+	name, _, _ := strings.Cut(group, epochMark)
+	d.mu.Lock()
+	address := d.places[rankKey(name, rank)].engine
+	d.mu.Unlock()
+	if address == "" {
+		return nil
+	}
+	return &engine{rank: d.ranks(address), spec: d.spec, epoch: d.epochOf(group), lag: remoteLag}
 }
 
 // engine returns the engine of a seat.
 func (d *directory) engine(seat burdockrank.Seat) burdockengine.GroupEngine {
-	_, epoch, _ := strings.Cut(seat.Group, epochMark)
+	return &engine{rank: d.rank, spec: d.spec, epoch: d.epochOf(seat.Group)}
+}
+
+func (d *directory) epochOf(group string) int64 {
+	_, epoch, _ := strings.Cut(group, epochMark)
 	n, err := strconv.ParseInt(epoch, 10, 64)
 	if err != nil {
-		d.log.Error("a seat without an epoch", zap.String("group", seat.Group))
+		d.log.Error("a seat without an epoch", zap.String("group", group))
 	}
-	return &engine{rank: d.rank, spec: d.spec, epoch: n}
+	return n
 }
 
 // Experts implements burdockrank.Directory.
--- a/internal/serve/burdockhosted/engine.go
+++ b/internal/serve/burdockhosted/engine.go
@@ -4,6 +4,7 @@
 	"context"
 	"strconv"
 	"sync"
+	"time"
 
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/decide/burdockexpert"
@@ -27,6 +28,10 @@
 type engine struct {
 	rank Rank
 	spec func() *burdocksite.Engine
+	// lag is how old a report may be; 0 on the engine's own VM. An order that is
+	// based on an old one is void, and the status after an order is that of
+	// before until the lag has passed.
+	lag time.Duration
 
 	mu      sync.Mutex
 	epoch   int64 // of the seat that the orders are for
@@ -50,6 +55,9 @@
 	if errorx.IsOfType(given, ErrNoAnswer) {
 		return burdockgroup.EngineStatus{}, given
 	}
+	if e.lag > 0 {
+		rest(ctx, e.lag)
+	}
 	after, err := e.read(ctx)
 	if err != nil {
 		return burdockgroup.EngineStatus{}, err
@@ -60,6 +68,16 @@
 	return e.status(after), nil
 }
 
+// rest waits for d or until ctx ends.
+func rest(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // noteLoad remembers a load that was begun, or one that the engine won't take.
 // A refusal after which other orders were begun may be due to them alone.
 func (e *engine) noteLoad(v burdockid.MapVersion, given error, untouched bool) {
--- a/internal/serve/burdockhosted/entry.go
+++ b/internal/serve/burdockhosted/entry.go
@@ -24,8 +24,8 @@
 	Store   burdockkv.Store
 	Records burdockfollow.Decoder
 	Dialect burdockdirect.Dialect
-	// Rank is the engine beside an agent; an entry has none.
-	Rank Rank
+	// NewRank returns the engine of a rank at an IP:port.
+	NewRank func(address string) Rank
 }
 
 // Process is a running entry or agent.
--- a/internal/serve/burdockhosted/schedule_test.go
+++ b/internal/serve/burdockhosted/schedule_test.go
@@ -371,3 +371,25 @@
 		t.Errorf("changes of map in all schedules: got %d, want %d at least", changes, seeds)
 	}
 }
+
+// Streams of the whole group get no event while it stands. An agent freezes just
+// as its group is to be armed, so that the other ranks hold the step of the
+// change and wait for it. They must be let go long before it is back.
+func TestFrozenAgentHoldsNoGroupBeforeItIsArmed(t *testing.T) {
+	s := newSchedule(t, 1, 4)
+	s.faults = false
+	for s.controllers[s.holder()].State().Phase != burdockgroup.ControllerArming {
+		if s.now > 4*burdockclock.Second {
+			t.Fatal("no change of map was begun")
+		}
+		s.run(s.now + 10)
+	}
+	s.agents[1].frozen = true
+	before := s.step
+	s.run(s.now + 3*burdockclock.Second)
+	// A pass takes 40 ms; arming is given up after a quarter of a second, and
+	// taking it back takes some messages.
+	if got, least := s.step-before, burdockid.Step(55); got < least {
+		t.Errorf("got %d passes in 3 s, want %d at least", got, least)
+	}
+}
--- a/internal/serve/burdockrank/duty.go
+++ b/internal/serve/burdockrank/duty.go
@@ -150,28 +150,60 @@
 		report, err := m.order(ctx, order)
 		return report, err == nil
 	}
+	if m.proxies.possible() && m.proxies.silentNow(order.To) {
+		return s.direct(ctx)
+	}
+	report, err := s.ask(ctx)
+	if err == nil {
+		m.proxies.answered(order.To)
+		return report, true
+	}
+	m.deps.Directory.Refresh(m.seat.Group)
+	if !m.proxies.possible() || ctx.Err() != nil {
+		return burdockgroup.Report{}, false
+	}
+	m.proxies.noAnswer(order.To, err)
+	return s.direct(ctx)
+}
+
+// direct orders the rank's engine from here.
+func (s sending) direct(ctx context.Context) (burdockgroup.Report, bool) {
+	if !s.mayWrite() {
+		return burdockgroup.Report{}, false
+	}
+	return s.duty.member.proxies.order(ctx, s.out.Order)
+}
+
+// ask gives the order to the rank's agent.
+func (s sending) ask(ctx context.Context) (burdockgroup.Report, error) {
+	m, order := s.duty.member, s.out.Order
 	client, ok := m.client(order.To)
 	if !ok {
-		m.deps.Directory.Refresh(m.seat.Group)
-		return burdockgroup.Report{}, false
+		return burdockgroup.Report{}, ErrNotMember.New("no agent is known for rank %d", order.To)
+	}
+	if m.proxies.possible() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, agentPatience.Duration())
+		defer cancel()
 	}
 	msg := orderToWire(m.seat.Group, order)
 	if !s.mayWrite() {
-		return burdockgroup.Report{}, false
+		return burdockgroup.Report{}, ErrLapsed.New("the lease has lapsed")
 	}
 	m.traffic.sent(msg)
 	res, err := client.Order(ctx, connect.NewRequest(msg))
 	if err != nil {
-		m.deps.Directory.Refresh(m.seat.Group)
-		return burdockgroup.Report{}, false
+		return burdockgroup.Report{}, err
 	}
 	m.traffic.received(res.Msg)
 	report, err := reportFromWire(res.Msg)
-	if err != nil || report.From != order.To {
+	if err == nil && report.From != order.To {
+		err = ErrMalformed.New("a report from rank %d", report.From)
+	}
+	if err != nil {
 		m.deps.Log.Warn("malformed report", zap.Int("rank", int(order.To)), zap.Error(err))
-		return burdockgroup.Report{}, false
 	}
-	return report, true
+	return report, err
 }
 
 func (s sending) mayWrite() bool { return s.duty.member.deps.Clock.Boot() < s.out.NotAfter }
--- a/internal/serve/burdockrank/host.go
+++ b/internal/serve/burdockrank/host.go
@@ -30,6 +30,10 @@
 	Directory Directory
 	Peers     *burdocktransport.Peers
 	Log       *zap.Logger
+	// Remote returns the engine of another rank as it is ordered from this VM, nil
+	// if its address is not known; without Remote engines take no orders from
+	// afar.
+	Remote func(group string, rank burdockid.Rank) burdockengine.GroupEngine
 	// First returns the version and content of the map that engines of a group
 	// begin with; nil where they begin without one.
 	First func(ranks int) (burdockid.MapVersion, []byte, error)
--- a/internal/serve/burdockrank/member.go
+++ b/internal/serve/burdockrank/member.go
@@ -36,6 +36,7 @@
 	closed      bool
 	engine      *engineQueue
 	asking      *asking
+	proxies     *proxies
 	duty        *duty
 	traffic     traffic
 
@@ -73,6 +74,7 @@
 	m.rank = burdockgroup.NewRank(burdockgroup.DefaultRankConfig(s.Rank, s.Ranks, m.incarnation))
 	m.engine = newEngineQueue(m)
 	m.asking = newAsking(m)
+	m.proxies = newProxies(m)
 	m.duty = newDuty(m, random)
 	return m
 }
