--- a/internal/measure/burdockcapacitylab/config.go
+++ b/internal/measure/burdockcapacitylab/config.go
@@ -10,7 +10,7 @@
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/config/burdockentity"
-	"burdockbend.example/burdockbend/internal/platform/burdockstore"
+	"burdockbend.example/burdockbend/internal/external/burdockstore"
 	"burdockbend.example/burdockbend/internal/state/burdockconfig"
 	"burdockbend.example/burdockbend/internal/state/burdocksync"
 	"burdockbend.example/burdockbend/internal/wire/burdockwire"
--- a/internal/proof/burdockconfigproof/herd_test.go
+++ b/internal/proof/burdockconfigproof/herd_test.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
-	"burdockbend.example/burdockbend/internal/platform/burdockstore"
+	"burdockbend.example/burdockbend/internal/external/burdockstore"
 	"burdockbend.example/burdockbend/internal/proof/burdockprograms"
 	"burdockbend.example/burdockbend/internal/standin/burdockfakestore"
 	"burdockbend.example/burdockbend/internal/standin/burdockfault"
--- a/internal/serve/burdockagent/agent.go
+++ b/internal/serve/burdockagent/agent.go
@@ -11,7 +11,7 @@
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/config/burdockprofile"
 	"burdockbend.example/burdockbend/internal/decide/burdockqueue"
-	"burdockbend.example/burdockbend/internal/platform/burdockengine"
+	"burdockbend.example/burdockbend/internal/external/burdockengine"
 	"burdockbend.example/burdockbend/internal/state/burdockconfig"
 	"burdockbend.example/burdockbend/internal/state/burdockfleet"
 	"github.com/VictoriaMetrics/metrics"
--- a/internal/serve/burdockagent/fuzz_test.go
+++ b/internal/serve/burdockagent/fuzz_test.go
@@ -14,7 +14,7 @@
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/decide/burdockledger"
-	"burdockbend.example/burdockbend/internal/platform/burdockengine"
+	"burdockbend.example/burdockbend/internal/external/burdockengine"
 	"burdockbend.example/burdockbend/internal/state/burdockconfig"
 	"burdockbend.example/burdockbend/internal/state/burdockfleet"
 	"burdockbend.example/burdockbend/internal/wire/burdockwire"
--- a/internal/serve/burdockagent/run.go
+++ b/internal/serve/burdockagent/run.go
@@ -10,7 +10,7 @@
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
-	"burdockbend.example/burdockbend/internal/platform/burdockengine"
+	"burdockbend.example/burdockbend/internal/external/burdockengine"
 	"burdockbend.example/burdockbend/internal/state/burdockcharts"
 	"burdockbend.example/burdockbend/internal/wire/burdockwire"
 	"github.com/joomcode/errorx"
--- a/internal/serve/burdockentry/entry.go
+++ b/internal/serve/burdockentry/entry.go
@@ -13,7 +13,7 @@
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/config/burdocksettings"
-	"burdockbend.example/burdockbend/internal/platform/burdocklist"
+	"burdockbend.example/burdockbend/internal/external/burdocklist"
 	"burdockbend.example/burdockbend/internal/state/burdockfleet"
 	"burdockbend.example/burdockbend/internal/wire/burdocktransport"
 	"github.com/VictoriaMetrics/metrics"
--- a/internal/serve/burdockentry/listing.go
+++ b/internal/serve/burdockentry/listing.go
@@ -7,7 +7,7 @@
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
-	"burdockbend.example/burdockbend/internal/platform/burdocklist"
+	"burdockbend.example/burdockbend/internal/external/burdocklist"
 	"go.uber.org/zap"
 )
 
--- a/internal/serve/burdockhosted/directory.go
+++ b/internal/serve/burdockhosted/directory.go
@@ -9,7 +9,7 @@
 
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/config/burdockprofile"
-	"burdockbend.example/burdockbend/internal/platform/burdockengine"
+	"burdockbend.example/burdockbend/internal/external/burdockengine"
 	"burdockbend.example/burdockbend/internal/serve/burdockrank"
 	"burdockbend.example/burdockbend/internal/state/burdockkv"
 	"burdockbend.example/burdockbend/internal/state/burdocksite"
--- a/internal/serve/burdockhosted/engine.go
+++ b/internal/serve/burdockhosted/engine.go
@@ -8,8 +8,8 @@
 
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/decide/burdockexpert"
+	"burdockbend.example/burdockbend/internal/external/burdockengine"
 	"burdockbend.example/burdockbend/internal/group/burdockgroup"
-	"burdockbend.example/burdockbend/internal/platform/burdockengine"
 	"burdockbend.example/burdockbend/internal/state/burdocksite"
 	"github.com/joomcode/errorx"
 )
--- a/internal/serve/burdockhosted/leases.go
+++ b/internal/serve/burdockhosted/leases.go
@@ -6,7 +6,7 @@
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
-	"burdockbend.example/burdockbend/internal/platform/burdockstore"
+	"burdockbend.example/burdockbend/internal/external/burdockstore"
 	"burdockbend.example/burdockbend/internal/state/burdockkv"
 	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
--- a/internal/serve/burdockprocess/agent.go
+++ b/internal/serve/burdockprocess/agent.go
@@ -6,7 +6,7 @@
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/config/burdocksettings"
-	"burdockbend.example/burdockbend/internal/platform/burdockengine"
+	"burdockbend.example/burdockbend/internal/external/burdockengine"
 	"burdockbend.example/burdockbend/internal/serve/burdockagent"
 	"burdockbend.example/burdockbend/internal/serve/burdockrank"
 	"burdockbend.example/burdockbend/internal/state/burdockcharts"
--- a/internal/serve/burdockprocess/entry.go
+++ b/internal/serve/burdockprocess/entry.go
@@ -6,7 +6,7 @@
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/config/burdocksettings"
-	"burdockbend.example/burdockbend/internal/platform/burdocklist"
+	"burdockbend.example/burdockbend/internal/external/burdocklist"
 	"burdockbend.example/burdockbend/internal/serve/burdockadmin"
 	"burdockbend.example/burdockbend/internal/serve/burdockentry"
 	"burdockbend.example/burdockbend/internal/serve/burdockserver"
--- a/internal/serve/burdockprocess/node.go
+++ b/internal/serve/burdockprocess/node.go
@@ -11,7 +11,7 @@
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/config/burdocksettings"
-	"burdockbend.example/burdockbend/internal/platform/burdockstore"
+	"burdockbend.example/burdockbend/internal/external/burdockstore"
 	"burdockbend.example/burdockbend/internal/serve/burdockadmin"
 	"burdockbend.example/burdockbend/internal/serve/burdockserver"
 	"burdockbend.example/burdockbend/internal/state/burdockcharts"
--- a/internal/serve/burdockrank/directory.go
+++ b/internal/serve/burdockrank/directory.go
@@ -7,7 +7,7 @@
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/config/burdockmember"
 	"burdockbend.example/burdockbend/internal/config/burdockprofile"
-	"burdockbend.example/burdockbend/internal/platform/burdockstore"
+	"burdockbend.example/burdockbend/internal/external/burdockstore"
 	"burdockbend.example/burdockbend/internal/state/burdockfleet"
 )
 
--- a/internal/serve/burdockrank/engine.go
+++ b/internal/serve/burdockrank/engine.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/external/burdockengine"
 	"burdockbend.example/burdockbend/internal/group/burdockgroup"
-	"burdockbend.example/burdockbend/internal/platform/burdockengine"
 )
 
 // engineQueue hands a rank's orders to its engine one by one. Two at a time
--- a/internal/serve/burdockrank/lease.go
+++ b/internal/serve/burdockrank/lease.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/external/burdockstore"
 	"burdockbend.example/burdockbend/internal/group/burdockgroup"
-	"burdockbend.example/burdockbend/internal/platform/burdockstore"
 	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 )
--- a/internal/serve/burdockrank/proxy.go
+++ b/internal/serve/burdockrank/proxy.go
@@ -6,8 +6,8 @@
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/external/burdockengine"
 	"burdockbend.example/burdockbend/internal/group/burdockgroup"
-	"burdockbend.example/burdockbend/internal/platform/burdockengine"
 	"go.uber.org/zap"
 )
 
--- a/internal/serve/burdockrank/round.go
+++ b/internal/serve/burdockrank/round.go
@@ -7,7 +7,7 @@
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
-	"burdockbend.example/burdockbend/internal/platform/burdockengine"
+	"burdockbend.example/burdockbend/internal/external/burdockengine"
 	"go.uber.org/zap"
 )
 
--- a/internal/serve/burdockrank/size_test.go
+++ b/internal/serve/burdockrank/size_test.go
@@ -5,8 +5,8 @@
 
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/decide/burdockexpert"
+	"burdockbend.example/burdockbend/internal/external/burdockengine"
 	"burdockbend.example/burdockbend/internal/group/burdockgroup"
-	"burdockbend.example/burdockbend/internal/platform/burdockengine"
 	"google.golang.org/protobuf/proto"
 )
 
--- a/internal/serve/burdockrank/wire.go
+++ b/internal/serve/burdockrank/wire.go
@@ -2,8 +2,8 @@
 
 import (
 	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/external/burdockengine"
 	"burdockbend.example/burdockbend/internal/group/burdockgroup"
-	"burdockbend.example/burdockbend/internal/platform/burdockengine"
 	"burdockbend.example/burdockbend/internal/wire/burdockwire"
 	"github.com/joomcode/errorx"
 )
--- a/internal/standin/burdockfakeengine/lockstep.go
+++ b/internal/standin/burdockfakeengine/lockstep.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"burdockbend.example/burdockbend/internal/base/burdockid"
-	"burdockbend.example/burdockbend/internal/platform/burdockengine"
+	"burdockbend.example/burdockbend/internal/external/burdockengine"
 )
 
 // Paths of a Lockstep.
--- a/internal/standin/burdockfakeengine/rank.go
+++ b/internal/standin/burdockfakeengine/rank.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/external/burdockengine"
 	"burdockbend.example/burdockbend/internal/group/burdockgroup"
-	"burdockbend.example/burdockbend/internal/platform/burdockengine"
 )
 
 const (
--- a/internal/standin/burdockfakelist/list.go
+++ b/internal/standin/burdockfakelist/list.go
@@ -10,7 +10,7 @@
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
-	"burdockbend.example/burdockbend/internal/platform/burdocklist"
+	"burdockbend.example/burdockbend/internal/external/burdocklist"
 )
 
 // Server holds the list. PUT /v1/vms takes one VM.
--- a/internal/standin/burdockfakestore/snapshot.go
+++ b/internal/standin/burdockfakestore/snapshot.go
@@ -3,7 +3,7 @@
 import (
 	"maps"
 
-	"burdockbend.example/burdockbend/internal/platform/burdockstore"
+	"burdockbend.example/burdockbend/internal/external/burdockstore"
 )
 
 // Paths of the stand-in's own commands.
--- a/internal/standin/burdockfakestore/store.go
+++ b/internal/standin/burdockfakestore/store.go
@@ -13,7 +13,7 @@
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
-	"burdockbend.example/burdockbend/internal/platform/burdockstore"
+	"burdockbend.example/burdockbend/internal/external/burdockstore"
 )
 
 // maxValueBytes is the largest value that the platform's store takes.
--- a/internal/state/burdockconfig/envelope.go
+++ b/internal/state/burdockconfig/envelope.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"strings"
 
-	"burdockbend.example/burdockbend/internal/platform/burdockstore"
+	"burdockbend.example/burdockbend/internal/external/burdockstore"
 	"github.com/joomcode/errorx"
 )
 
--- a/internal/state/burdockconfig/fuzz_test.go
+++ b/internal/state/burdockconfig/fuzz_test.go
@@ -4,7 +4,7 @@
 	"bytes"
 	"testing"
 
-	"burdockbend.example/burdockbend/internal/platform/burdockstore"
+	"burdockbend.example/burdockbend/internal/external/burdockstore"
 )
 
 // FuzzDecode reads hostile values of the store. What is taken is the entry of
--- a/internal/state/burdocksync/fallback.go
+++ b/internal/state/burdocksync/fallback.go
@@ -6,7 +6,7 @@
 	"sync"
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
-	"burdockbend.example/burdockbend/internal/platform/burdockstore"
+	"burdockbend.example/burdockbend/internal/external/burdockstore"
 	"burdockbend.example/burdockbend/internal/state/burdockconfig"
 	"go.uber.org/zap"
 )
--- a/internal/state/burdocksync/spot.go
+++ b/internal/state/burdocksync/spot.go
@@ -6,7 +6,7 @@
 	"slices"
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
-	"burdockbend.example/burdockbend/internal/platform/burdockstore"
+	"burdockbend.example/burdockbend/internal/external/burdockstore"
 	"github.com/joomcode/errorx"
 )
 
--- a/internal/state/burdocksync/watcher_test.go
+++ b/internal/state/burdocksync/watcher_test.go
@@ -10,7 +10,7 @@
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
-	"burdockbend.example/burdockbend/internal/platform/burdockstore"
+	"burdockbend.example/burdockbend/internal/external/burdockstore"
 	"burdockbend.example/burdockbend/internal/standin/burdockfakestore"
 	"burdockbend.example/burdockbend/internal/standin/burdockfault"
 	"burdockbend.example/burdockbend/internal/state/burdockconfig"
--- a/internal/tool/burdockcli/apply.go
+++ b/internal/tool/burdockcli/apply.go
@@ -4,7 +4,7 @@
 	"context"
 	"fmt"
 
-	"burdockbend.example/burdockbend/internal/platform/burdockstore"
+	"burdockbend.example/burdockbend/internal/external/burdockstore"
 	"burdockbend.example/burdockbend/internal/state/burdockconfig"
 	"burdockbend.example/burdockbend/internal/state/burdocksync"
 	"github.com/joomcode/errorx"
--- a/internal/tool/burdocktry/try.go
+++ b/internal/tool/burdocktry/try.go
@@ -13,7 +13,7 @@
 	"burdockbend.example/burdockbend/internal/config/burdockkey"
 	"burdockbend.example/burdockbend/internal/config/burdockmember"
 	"burdockbend.example/burdockbend/internal/config/burdockprofile"
-	"burdockbend.example/burdockbend/internal/platform/burdockstore"
+	"burdockbend.example/burdockbend/internal/external/burdockstore"
 	"burdockbend.example/burdockbend/internal/serve/burdockadmin"
 	"burdockbend.example/burdockbend/internal/state/burdocksync"
 	"burdockbend.example/burdockbend/internal/tool/burdockmain"
