--- a/cmd/burdock-hosted/main.go
+++ b/cmd/burdock-hosted/main.go
@@ -9,6 +9,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"burdockbend.example/burdockbend/internal/base/burdocklog"
 	"burdockbend.example/burdockbend/internal/serve/burdockhosted"
 	"burdockbend.example/burdockbend/internal/tool/burdockmain"
 	"burdockbend.example/burdockbend/platform/burdockplatform"
@@ -31,7 +32,9 @@
 		return burdockmain.ExitUsage
 	}
 	debug.SetMemoryLimit(int64(settings.MemoryMB) << 20 * memoryPercent / 100)
-	log := burdockmain.NewLog(os.Stdout, settings.LogLevel)
+	lines := burdocklog.NewWriter(os.Stdout)
+	defer lines.Close()
+	log := burdocklog.New(lines, settings.LogLevel)
 	client := burdockplatform.NewClient(settings.StoreAddress)
 	platform := burdockhosted.Platform{
 		Store: client, Records: burdockplatform.Records{}, Dialect: burdockplatform.Dialect{},
--- /dev/null
+++ b/internal/base/burdocklog/writer_test.go
@@ -0,0 +1,83 @@
+package burdocklog
+
+import (
+	"bytes"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// buffer is a reader of the log that keeps up.
+type buffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (b *buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(p)
+}
+
+func TestLinesAreWritten(t *testing.T) {
+	var out buffer
+	w := NewWriter(&out)
+	log := New(w, "info")
+	log.Debug("below the level")
+	log.Info("first", zap.Int("n", 1))
+	log.Warn("second")
+	w.Close()
+	got := out.b.String()
+	if strings.Contains(got, "below") || !strings.Contains(got, `"message":"first","n":1`) || !strings.Contains(got, `"message":"second"`) {
+		t.Errorf("got %q, want the first and second line", got)
+	}
+}
+
+// Whoever reads the log stalls: a pipe that nobody reads. Requests that log go
+// on, and when there is a reader again it learns how many lines it lacks, of
+// which none is a warning as long as there is room.
+func TestStalledReaderHoldsNothingUp(t *testing.T) {
+	read, write, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := NewWriter(write)
+	log := New(w, "info")
+	const lines = 2 * maxLines
+	logged := make(chan struct{})
+	go func() {
+		for i := range lines {
+			log.Info("ordinary line", zap.Int("n", i), zap.String("padding", strings.Repeat("x", 100)))
+		}
+		log.Warn("a warning")
+		close(logged)
+	}()
+	select {
+	case <-logged:
+	case <-time.After(10 * time.Second):
+		t.Fatal("logging blocks while nobody reads")
+	}
+	if w.Dropped() == 0 {
+		t.Error("got no line left out, want some")
+	}
+	text := make(chan string)
+	go func() {
+		var b bytes.Buffer
+		_, _ = b.ReadFrom(read)
+		text <- b.String()
+	}()
+	deadline := time.Now().Add(10 * time.Second)
+	for len(w.lines) > 0 && time.Now().Before(deadline) {
+		time.Sleep(time.Millisecond)
+	}
+	w.Close()
+	_ = write.Close()
+	got := <-text
+	if !strings.Contains(got, "log lines left out") || !strings.Contains(got, "a warning") {
+		t.Errorf("got %d bytes without the warning or the count of lines left out", len(got))
+	}
+}
--- a/internal/serve/burdockdirect/meters.go
+++ b/internal/serve/burdockdirect/meters.go
@@ -3,15 +3,19 @@
 import (
 	"fmt"
 
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"github.com/VictoriaMetrics/metrics"
 )
 
-// meters are the entry's counters.
+// meters are the entry's counters. No label has a value that a caller chose.
 type meters struct {
 	set         *metrics.Set
 	requests    *metrics.Counter
 	retries     *metrics.Counter
 	connections *metrics.Counter
+	waits       *metrics.Histogram
+	firstEvents *metrics.Histogram
 }
 
 func newMeters(set *metrics.Set) *meters {
@@ -20,6 +24,8 @@
 		requests:    set.NewCounter("burdock_direct_requests_total"),
 		retries:     set.NewCounter("burdock_direct_retries_total"),
 		connections: set.NewCounter("burdock_direct_upstream_connections_total"),
+		waits:       set.NewHistogram("burdock_direct_wait_seconds"),
+		firstEvents: set.NewHistogram("burdock_direct_first_event_seconds"),
 	}
 }
 
@@ -27,3 +33,23 @@
 func (m *meters) refused(status int) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("burdock_direct_refused_total{status=%q}", fmt.Sprint(status))).Inc()
 }
+
+// ended counts how an offer ended and how long it took. Services and outcomes
+// are few.
+func (m *meters) ended(service burdockid.Service, outcome outcome, took burdockclock.Millis) {
+	labels := fmt.Sprintf("{service=%q,outcome=%q}", service, outcome)
+	m.set.GetOrCreateHistogram("burdock_direct_offer_seconds" + labels).Update(took.Duration().Seconds())
+}
+
+// follow exports what a service's gate and pool believe.
+func (m *meters) follow(p *pool) {
+	label := fmt.Sprintf("{service=%q}", p.service)
+	for name, value := range map[string]func() float64{
+		"burdock_direct_running":  func() float64 { return float64(p.gate.load().Running) },
+		"burdock_direct_waiting":  func() float64 { return float64(p.gate.load().Queued) },
+		"burdock_direct_limit":    func() float64 { return float64(p.gate.load().Slots) },
+		"burdock_direct_upstream": func() float64 { return float64(p.size()) },
+	} {
+		m.set.NewGauge(name+label, value)
+	}
+}
--- a/internal/serve/burdockdirect/offers.go
+++ b/internal/serve/burdockdirect/offers.go
@@ -8,6 +8,7 @@
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/decide/burdockeject"
+	"burdockbend.example/burdockbend/internal/decide/burdockplace"
 	"burdockbend.example/burdockbend/internal/decide/burdockretry"
 	"burdockbend.example/burdockbend/internal/state/burdocksite"
 	"go.uber.org/zap"
@@ -60,6 +61,8 @@
 	lastEvent  string
 	events     int
 	upstream   burdockid.Upstream
+	started    burdockclock.Millis // when the request was admitted
+	firstEvent burdockclock.Millis // from the offer to its first event
 }
 
 // mostUnreached bounds the offers of one request that could not be sent.
@@ -89,7 +92,8 @@
 		c.refuse(req, refusal{http.StatusServiceUnavailable, "not run: " + refuse.Reason.String(), refuse.RetryAfter})
 		return
 	}
-	o := &offers{entry: e, pool: p, req: req, caller: c, refusedBy: map[burdockid.Upstream]bool{}, lastEvent: req.LastEvent}
+	e.meters.waits.Update((e.now() - req.arrived).Duration().Seconds())
+	o := &offers{started: e.now(), entry: e, pool: p, req: req, caller: c, refusedBy: map[burdockid.Upstream]bool{}, lastEvent: req.LastEvent}
 	served := burdockid.Tokens(0)
 	defer func() { p.gate.leave(id, served) }()
 	if o.run(r.Context(), ctx) {
@@ -111,31 +115,57 @@
 		res := (&attempt{offers: o, target: target, began: began}).follow(ctx)
 		o.pool.done(o.entry.now(), target.ID, o.req.cost)
 		o.observe(target, res, began)
+		o.log(target, reason, res, began)
 		if _, good := res.(answered); good {
 			return true
 		}
-		o.entry.logEnd(o.req, "offer failed", zap.String("upstream", string(target.ID)), zap.String("placed", string(reason)),
-			zap.String("result", describe(res)), zap.Int64("offerMillis", int64(o.entry.now()-began)))
 		if o.settle(caller, ctx, target, res) {
 			return false
 		}
 	}
 }
 
-func describe(res result) string {
+// outcome names how an offer ended, for logs and metrics.
+type outcome string
+
+// Outcomes.
+const (
+	outcomeAnswered  outcome = "answered"
+	outcomeNotRun    outcome = "notRun"
+	outcomeUnreached outcome = "unreached"
+	outcomeUnknown   outcome = "unknown"
+	outcomeBroken    outcome = "broken"
+	outcomeEnded     outcome = "ended" // the caller left, or the time is over
+)
+
+// describe returns the outcome of a result and what is known of its cause.
+func describe(res result) (outcome, string) {
 	switch res := res.(type) {
 	case notRun:
-		return "not run: " + http.StatusText(res.status)
+		return outcomeNotRun, http.StatusText(res.status)
 	case unreached:
-		return "unreached: " + res.err.Error()
+		return outcomeUnreached, res.err.Error()
 	case unknown:
-		return "unknown: " + res.reason
+		return outcomeUnknown, res.reason
 	case broken:
-		return "broken: " + res.reason
+		return outcomeBroken, res.reason
 	case ended:
-		return "ended"
+		return outcomeEnded, ""
 	}
-	return "answered"
+	return outcomeAnswered, ""
+}
+
+// log writes the line of an offer.
+func (o *offers) log(target burdocksite.Upstream, reason burdockplace.Reason, res result, began burdockclock.Millis) {
+	took := o.entry.now() - began
+	outcome, cause := describe(res)
+	o.entry.meters.ended(o.req.service, outcome, took)
+	load := o.pool.gate.load()
+	o.entry.logEnd(o.req, "offer ended", zap.String("outcome", string(outcome)), zap.String("cause", cause),
+		zap.String("upstream", string(target.ID)), zap.String("placed", string(reason)), zap.Int("offers", o.sent+o.unreached+1),
+		zap.Int64("waitMillis", int64(o.started-o.req.arrived)), zap.Int64("firstEventMillis", int64(o.firstEvent)),
+		zap.Int64("offerMillis", int64(took)), zap.Int("events", o.events),
+		zap.Int("running", load.Running), zap.Int("waiting", load.Queued), zap.Int("limit", load.Slots))
 }
 
 // observe tells what the offer showed of the upstream's health. A stream that
--- a/internal/serve/burdockdirect/pool.go
+++ b/internal/serve/burdockdirect/pool.go
@@ -54,6 +54,7 @@
 	cfg.patience, cfg.longest = streamsOf(snap, service)
 	p.gate = newGate(e.deps.Clock, cfg, p)
 	p.follow(e.now(), snap)
+	e.meters.follow(p)
 	return p
 }
 
@@ -137,6 +138,13 @@
 	return true
 }
 
+// size returns the number of upstreams.
+func (p *pool) size() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.members)
+}
+
 func (p *pool) same(members []burdocksite.Upstream) bool {
 	if len(members) != len(p.members) {
 		return false
--- a/internal/serve/burdockdirect/stream.go
+++ b/internal/serve/burdockdirect/stream.go
@@ -95,7 +95,9 @@
 		}
 	}
 	if !s.passed.Load() {
-		o.pool.gate.began(now - s.attempt.began)
+		o.firstEvent = now - s.attempt.began
+		o.pool.gate.began(o.firstEvent)
+		o.entry.meters.firstEvents.Update(o.firstEvent.Duration().Seconds())
 	} else {
 		o.pool.gate.pause(now - burdockclock.Millis(s.lastAt.Load()))
 	}
--- a/internal/serve/burdockhosted/schedule_test.go
+++ b/internal/serve/burdockhosted/schedule_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -363,7 +362,7 @@
 			t.Errorf("seed %d: got %d changes of map in 8 s after the faults, want 2 at least", seed, got)
 		}
 		if t.Failed() {
-			t.Log(fmt.Sprintf("%+v", s.controllers[s.holder()].State()))
+			t.Logf("%+v", s.controllers[s.holder()].State())
 			return
 		}
 	}
--- a/internal/serve/burdockrank/planning.go
+++ b/internal/serve/burdockrank/planning.go
@@ -17,8 +17,8 @@
 
 const (
 	// countsRetry is the time after a question that failed.
-	countsRetry     burdockclock.Millis = 500
-	millisPerSecond                     = 1000
+	countsRetry     = burdockclock.Second / 2
+	millisPerSecond = 1000
 	// wishMost is how long a wanted map may take to come into force before the
 	// planner looks again.
 	wishMost = burdockclock.Minute
--- a/internal/tool/burdockmain/main.go
+++ b/internal/tool/burdockmain/main.go
@@ -12,6 +12,7 @@
 	"syscall"
 
 	"burdockbend.example/burdockbend"
+	"burdockbend.example/burdockbend/internal/base/burdocklog"
 	"burdockbend.example/burdockbend/internal/tool/burdockcheck"
 	"github.com/peterbourgon/ff/v3"
 	"go.uber.org/zap"
@@ -79,13 +80,5 @@
 
 // NewLog returns a log of JSON lines at the level that the settings name.
 func NewLog(w zapcore.WriteSyncer, level string) *zap.Logger {
-	parsed, err := zapcore.ParseLevel(level)
-	if err != nil {
-		parsed = zapcore.InfoLevel // settings are checked before; a tool may pass none
-	}
-	cfg := zap.NewProductionEncoderConfig()
-	cfg.TimeKey = "time"
-	cfg.MessageKey = "message"
-	cfg.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(cfg), w, parsed))
+	return zap.New(zapcore.NewCore(burdocklog.Encoder(), w, burdocklog.Level(level)))
 }
