--- /dev/null
+++ b/internal/serve/burdockhosted/leases_test.go
@@ -0,0 +1,170 @@
+package burdockhosted
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/external/burdockstore"
+	"burdockbend.example/burdockbend/internal/state/burdockkv"
+	"github.com/joomcode/errorx"
+	"go.uber.org/zap"
+)
+
+// fakeKV is a store with leases on keys. It may lose the answer of a write.
+type fakeKV struct {
+	rev       burdockkv.Revision
+	items     map[string]burdockkv.Item
+	leases    map[burdockkv.LeaseID]bool
+	next      burdockkv.LeaseID
+	loseWrite bool
+	calls     int
+}
+
+func newFakeKV() *fakeKV {
+	return &fakeKV{rev: 100, items: map[string]burdockkv.Item{}, leases: map[burdockkv.LeaseID]bool{}}
+}
+
+// List implements burdockkv.Store.
+func (f *fakeKV) List(_ context.Context, prefix string) ([]burdockkv.Item, burdockkv.Revision, error) {
+	var list []burdockkv.Item
+	for key, item := range f.items {
+		if len(key) >= len(prefix) && key[:len(prefix)] == prefix {
+			list = append(list, item)
+		}
+	}
+	return list, f.rev, nil
+}
+
+// Watch implements burdockkv.Store.
+func (f *fakeKV) Watch(context.Context, string, burdockkv.Revision, burdockclock.Millis) ([]burdockkv.Item, burdockkv.Revision, error) {
+	return nil, 0, burdockkv.ErrUnavailable.New("not watched here")
+}
+
+// Write implements burdockkv.Store.
+func (f *fakeKV) Write(_ context.Context, conditions []burdockkv.Condition, puts []burdockkv.Put) (burdockkv.Revision, error) {
+	f.calls++
+	for _, c := range conditions {
+		if f.items[c.Key].Revision != c.Revision {
+			return 0, burdockkv.ErrConflict.New("%s", c.Key)
+		}
+	}
+	f.rev++
+	for _, p := range puts {
+		f.items[p.Key] = burdockkv.Item{Key: p.Key, Value: p.Value, Lease: p.Lease, Revision: f.rev, Created: f.rev}
+	}
+	if f.loseWrite {
+		f.loseWrite = false
+		return 0, burdockkv.ErrUnavailable.New("the answer is lost")
+	}
+	return f.rev, nil
+}
+
+// Grant implements burdockkv.Store.
+func (f *fakeKV) Grant(context.Context, burdockclock.Millis) (burdockkv.LeaseID, error) {
+	f.calls++
+	f.next++
+	f.leases[f.next] = true
+	return f.next, nil
+}
+
+// Renew implements burdockkv.Store.
+func (f *fakeKV) Renew(_ context.Context, id burdockkv.LeaseID) error {
+	if !f.leases[id] {
+		return burdockkv.ErrNotFound.New("%d", id)
+	}
+	return nil
+}
+
+// Revoke implements burdockkv.Store.
+func (f *fakeKV) Revoke(_ context.Context, id burdockkv.LeaseID) error {
+	f.lapse(id)
+	return nil
+}
+
+// lapse ends a lease and removes its keys.
+func (f *fakeKV) lapse(id burdockkv.LeaseID) {
+	delete(f.leases, id)
+	for key, item := range f.items {
+		if item.Lease == id {
+			delete(f.items, key)
+			f.rev++
+		}
+	}
+}
+
+// holder is one agent's leases, with a mirror that follows the store at once.
+type holder struct {
+	*leases
+	store  *fakeKV
+	mirror *burdockkv.Mirror
+}
+
+func newHolder(store *fakeKV) *holder {
+	m := burdockkv.NewMirror()
+	return &holder{leases: newLeases(store, m, zap.NewNop()), store: store, mirror: m}
+}
+
+func (h *holder) acquire(name string) (burdockstore.Lease, error) {
+	items, _, _ := h.store.List(context.Background(), prefixLease)
+	h.mirror.Listed(items)
+	return h.Acquire(context.Background(), "duty", name, 1000)
+}
+
+func TestOneHolderAtATime(t *testing.T) {
+	store := newFakeKV()
+	a, b := newHolder(store), newHolder(store)
+	first, err := a.acquire("a")
+	if err != nil {
+		t.Fatal(err)
+	}
+	calls := store.calls
+	if _, err := b.acquire("b"); !errorx.IsOfType(err, burdockstore.ErrConflict) {
+		t.Errorf("second holder: got %v, want a conflict", err)
+	}
+	if got := store.calls - calls; got != 0 {
+		t.Errorf("calls while another holds the lease: got %d, want 0", got)
+	}
+	store.lapse(a.held["duty"].id)
+	second, err := b.acquire("b")
+	if err != nil || second.Fence <= first.Fence {
+		t.Errorf("after it lapsed: got fence %d, %v, want one above %d", second.Fence, err, first.Fence)
+	}
+	if _, err := a.acquire("a"); !errorx.IsOfType(err, burdockstore.ErrConflict) {
+		t.Errorf("the first holder renews: got %v, want a conflict", err)
+	}
+}
+
+// The write that takes the lease has no answer and took effect. Its writer must
+// not think that somebody else holds the duty, and leave the group without one.
+func TestLostAnswerOfTheWriteThatTookTheLease(t *testing.T) {
+	store := newFakeKV()
+	store.loseWrite = true
+	a := newHolder(store)
+	if _, err := a.acquire("a"); !errorx.IsOfType(err, burdockstore.ErrUnavailable) {
+		t.Fatalf("got %v, want no answer", err)
+	}
+	lease, err := a.acquire("a")
+	if err != nil || lease.Fence == 0 {
+		t.Errorf("second try: got %+v, %v, want the lease", lease, err)
+	}
+}
+
+// An agent starts when the lease has lapsed and its key is gone. The number that
+// it learns must not be lower than that of the holder before, nor as high as
+// that of the next one.
+func TestFenceOfALeaseThatLapsed(t *testing.T) {
+	store := newFakeKV()
+	a, b := newHolder(store), newHolder(store)
+	first, _ := a.acquire("a")
+	store.lapse(a.held["duty"].id)
+	learned, err := b.Fence(context.Background(), "duty")
+	if err != nil {
+		t.Fatal(err)
+	}
+	second, _ := b.acquire("b")
+	if got := fmt.Sprint(learned >= first.Fence, learned < second.Fence); got != "true true" {
+		t.Errorf("learned %d between holders with %d and %d, want it between", learned, first.Fence, second.Fence)
+	}
+}
