--- a/cmd/burdock-agent/main.go
+++ b/cmd/burdock-agent/main.go
@@ -1,4 +1,4 @@
-// Command burdock-agent runs the agent process. See docs/OPERATING.md.
+// Command burdock-agent runs the agent process. See docs/OPERATIONS.md.
 package main
 
 import (
--- a/cmd/burdock-entry/main.go
+++ b/cmd/burdock-entry/main.go
@@ -1,4 +1,4 @@
-// Command burdock-entry runs the entry process. See docs/OPERATING.md.
+// Command burdock-entry runs the entry process. See docs/OPERATIONS.md.
 package main
 
 import (
--- a/cmd/burdock/main.go
+++ b/cmd/burdock/main.go
@@ -1,4 +1,4 @@
-// Command burdock is the operators' command line. See docs/OPERATING.md.
+// Command burdock is the operators' command line. See docs/OPERATIONS.md.
 package main
 
 import (
--- a/internal/serve/burdockapi/problem.go
+++ b/internal/serve/burdockapi/problem.go
@@ -13,7 +13,7 @@
 // Code is the machine-readable name of a problem.
 type Code string
 
-// Codes of problems. docs/OPERATING.md says what to do about each.
+// Codes of problems. docs/OPERATIONS.md says what to do about each.
 const (
 	CodeUnauthenticated  Code = "unauthenticated"
 	CodeBadRequest       Code = "badRequest"
