--- a/internal/serve/burdockhosted/engine.go
+++ b/internal/serve/burdockhosted/engine.go
@@ -51,14 +51,7 @@
 	if err != nil || out == nil {
 		return e.status(before), err
 	}
-	given := e.rank.Order(ctx, e.epoch, before.Orders, out)
-	if errorx.IsOfType(given, ErrNoAnswer) {
-		return burdockgroup.EngineStatus{}, given
-	}
-	if e.lag > 0 {
-		rest(ctx, e.lag)
-	}
-	after, err := e.read(ctx)
+	after, given, err := e.give(ctx, before, out)
 	if err != nil {
 		return burdockgroup.EngineStatus{}, err
 	}
@@ -68,6 +61,34 @@
 	return e.status(after), nil
 }
 
+// give gives an order until it is answered or the report shows its effect.
+//
+// Load: an engine that leaves a third of its orders unanswered, in a group that
+// stands until each rank has carried out three. Harm prevented: a group that
+// stands for half a second more with each of them. An order that is repeated
+// names the same count of orders begun, so one at most takes effect.
+func (e *engine) give(ctx context.Context, before RankReport, out RankOrder) (after RankReport, given, err error) {
+	for range mostTries {
+		given = e.rank.Order(ctx, e.epoch, before.Orders, out)
+		if e.lag > 0 {
+			rest(ctx, e.lag)
+		}
+		if after, err = e.read(ctx); err != nil {
+			return after, given, err
+		}
+		if !errorx.IsOfType(given, ErrNoAnswer) {
+			return after, given, nil
+		}
+		if after.Orders != before.Orders {
+			return after, nil, nil // an order took effect: the status says which
+		}
+	}
+	return after, given, given
+}
+
+// mostTries bounds how often one order is given at once.
+const mostTries = 6
+
 // rest waits for d or until ctx ends.
 func rest(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/internal/serve/burdockrank/duty.go
+++ b/internal/serve/burdockrank/duty.go
@@ -14,6 +14,7 @@
 	"burdockbend.example/burdockbend/internal/state/burdockchart"
 	"burdockbend.example/burdockbend/internal/wire/burdockwire"
 	"connectrpc.com/connect"
+	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 )
@@ -159,7 +160,7 @@
 		return report, true
 	}
 	m.deps.Directory.Refresh(m.seat.Group)
-	if !m.proxies.possible() || ctx.Err() != nil {
+	if errorx.IsOfType(err, ErrNotMember) || !m.proxies.possible() || ctx.Err() != nil {
 		return burdockgroup.Report{}, false
 	}
 	m.proxies.noAnswer(order.To, err)
