--- a/internal/state/burdocksync/spot.go
+++ b/internal/state/burdocksync/spot.go
@@ -7,7 +7,6 @@
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/external/burdockstore"
-	"github.com/joomcode/errorx"
 )
 
 const (
@@ -51,16 +50,15 @@
 	s.at = now + spotEvery
 	s.next++
 	seen := s.latest[s.next%len(s.latest)]
-	there, err := store.Get(ctx, seen.Key)
-	if errorx.IsOfType(err, burdockstore.ErrNotFound) {
-		s.latest = nil
-		return true, nil
-	}
+	// A listing of one key; single keys are read by operators' tools alone.
+	listed, _, err := store.List(ctx, seen.Key)
 	if err != nil {
 		return false, err
 	}
-	if there.Revision >= seen.Revision {
-		return false, nil
+	for _, there := range listed {
+		if there.Key == seen.Key && there.Revision >= seen.Revision {
+			return false, nil
+		}
 	}
 	s.latest = nil
 	return true, nil
