--- a/cmd/burdock-hosted/main.go
+++ b/cmd/burdock-hosted/main.go
@@ -10,9 +10,11 @@
 	"syscall"
 
 	"burdockbend.example/burdockbend/internal/base/burdocklog"
+	"burdockbend.example/burdockbend/internal/config/burdocksettings"
 	"burdockbend.example/burdockbend/internal/serve/burdockhosted"
 	"burdockbend.example/burdockbend/internal/tool/burdockmain"
 	"burdockbend.example/burdockbend/platform/burdockplatform"
+	"go.uber.org/zap"
 )
 
 // memoryPercent of what the VM gives is where the runtime begins to collect
@@ -53,8 +55,19 @@
 		if sig != syscall.SIGHUP {
 			break
 		}
-		log.Info("settings are read at the start; a change takes effect with the next")
+		reread(settings, log)
 	}
 	process.Stop()
 	return burdockmain.ExitOK
 }
+
+// reread checks the settings as they are now. Those in force stay: addresses and
+// ports can't change under a running process.
+func reread(inForce burdocksettings.Hosted, log *zap.Logger) {
+	now, err := burdockplatform.LoadSettings()
+	if err != nil {
+		log.Error("settings not usable; those in force stay", zap.Error(err))
+		return
+	}
+	log.Info("settings read again; those in force stay until the next start", zap.Bool("differ", now != inForce))
+}
--- a/internal/config/burdocksettings/hosted.go
+++ b/internal/config/burdocksettings/hosted.go
@@ -28,8 +28,6 @@
 	StoreAddress string `toml:"storeAddress" json:"storeAddress"`
 	// GraceMillis is the time from the signal to stop to the end.
 	GraceMillis burdockclock.Millis `toml:"graceMillis" json:"graceMillis"`
-	// StallMillis is how long engines of a group wait for one that is lost.
-	StallMillis burdockclock.Millis `toml:"stallMillis" json:"stallMillis"`
 	// MemoryMB is the memory that the process may use, in megabytes.
 	MemoryMB int    `toml:"memoryMB" json:"memoryMB"`
 	LogLevel string `toml:"logLevel" json:"logLevel"`
@@ -38,7 +36,6 @@
 const (
 	defaultAdminPort   = 9464
 	defaultHostedGrace = 8 * burdockclock.Second
-	defaultStall       = 1500 * burdockclock.Millis(1)
 	maxPort            = 1<<16 - 1
 	// defaultMemoryMB is several times what a process needs.
 	defaultMemoryMB = 128
@@ -49,7 +46,6 @@
 func (h *Hosted) SetDefaults() {
 	h.AdminPort = defaultAdminPort
 	h.GraceMillis = defaultHostedGrace
-	h.StallMillis = defaultStall
 	h.MemoryMB = defaultMemoryMB
 	h.LogLevel = defaultLogLevel
 }
@@ -73,7 +69,6 @@
 	burdockrule.Between(&c.Checker, "peerPort", h.PeerPort, 1, maxPort)
 	burdockrule.Between(&c.Checker, "adminPort", h.AdminPort, 1, maxPort)
 	burdockrule.Between(&c.Checker, "graceMillis", h.GraceMillis, 1, maxDrain)
-	burdockrule.Between(&c.Checker, "stallMillis", h.StallMillis, 1, maxTimeout)
 	burdockrule.Between(&c.Checker, "memoryMB", h.MemoryMB, 1, maxMemoryMB)
 	burdockrule.OneOf(&c.Checker, "logLevel", h.LogLevel, "debug", "info", "warn", "error")
 	switch {
--- a/internal/serve/burdockdirect/offers.go
+++ b/internal/serve/burdockdirect/offers.go
@@ -64,7 +64,6 @@
 	mayHaveRun *unknown
 	lastEvent  string
 	events     int
-	upstream   burdockid.Upstream
 	started    burdockclock.Millis // when the request was admitted
 	firstEvent burdockclock.Millis // from the offer to its first event
 }
@@ -114,7 +113,6 @@
 			o.giveUp(o.pool.noUpstream(o.entry.now()))
 			return false
 		}
-		o.upstream = target.ID
 		began := o.entry.now()
 		res := (&attempt{offers: o, target: target, began: began}).follow(ctx)
 		o.pool.done(o.entry.now(), target.ID, o.req.cost)
--- a/internal/state/burdocksite/site.go
+++ b/internal/state/burdocksite/site.go
@@ -98,19 +98,14 @@
 // Service is a group of upstreams that do the same work.
 type Service struct {
 	Name burdockid.Service
-	// MaxConnections is the number of connections that one upstream takes from
-	// all callers together; 0 if it is not told.
-	MaxConnections int
 	// Engine is nil for a plain service.
 	Engine *Engine
 }
 
 // Limits bound what a caller may send.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout burdockclock.Millis
-	IdleTimeout   burdockclock.Millis
+	// BodyBytes is the size of a body; 0 if it is not told.
+	BodyBytes int64
 }
 
 // Customer is one customer and its keys.
