Leave an upstream that is silent while others write; discard what has not arrived

A VM froze for four seconds while its engine ran on. 5 requests waited in its buffers, their callers left, and the engine got them when it woke. Streams were placed there all the time and ended with their callers' patience.

Now an upstream that has had no event while others had is passed over, what waits there goes on elsewhere, and a connection is closed so that what has not arrived is lost. TestFrozenUpstreamIsLeft fails without.

--- a/internal/serve/burdockdirect/attempt.go
+++ b/internal/serve/burdockdirect/attempt.go
@@ -3,12 +3,14 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"mime"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
 	"sync/atomic"
+	"time"
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/state/burdocksite"
@@ -42,10 +44,17 @@
 	}}
 	ctx, cancel := context.WithCancelCause(httptrace.WithClientTrace(ctx, trace))
 	defer cancel(nil)
+	if a.offers.req.route.Stream && a.offers.req.route.Repeatable() {
+		w := &watch{attempt: a, cancel: cancel, done: make(chan struct{})}
+		defer close(w.done)
+		go w.run()
+	}
 	res, err := a.offers.entry.client.Do(a.request().WithContext(ctx))
 	switch {
 	case err == nil:
 		return a.answer(ctx, cancel, res)
+	case errors.Is(context.Cause(ctx), errSilent):
+		return unknown{reason: errSilent.Error()}
 	case ctx.Err() != nil:
 		return ended{}
 	case !sent.Load():
@@ -54,6 +63,31 @@
 	return unknown{reason: "no answer: " + err.Error()}
 }
 
+// watch gives up an offer to an upstream that has gone silent, so that the
+// stream can go on at another one before its caller leaves.
+type watch struct {
+	attempt *attempt
+	cancel  context.CancelCauseFunc
+	done    chan struct{}
+}
+
+func (w *watch) run() {
+	ticker := time.NewTicker(silenceCheck)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-w.done:
+			return
+		case <-ticker.C:
+			o := w.attempt.offers
+			if o.pool.silent(o.entry.now(), w.attempt.target.ID) {
+				w.cancel(errSilent)
+				return
+			}
+		}
+	}
+}
+
 // request is the caller's request as the upstream gets it.
 func (a *attempt) request() *http.Request {
 	req := a.offers.req
--- a/internal/serve/burdockdirect/entry.go
+++ b/internal/serve/burdockdirect/entry.go
@@ -7,6 +7,7 @@
 package burdockdirect
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -81,7 +82,7 @@
 	e.client = &http.Client{
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		Transport: burdocktransport.NewOnce(&http.Transport{
-			DialContext:         (&net.Dialer{Timeout: upstreamDial}).DialContext,
+			DialContext:         dialUpstream,
 			MaxIdleConnsPerHost: upstreamsIdle,
 			IdleConnTimeout:     upstreamIdle,
 			DisableCompression:  true,
@@ -90,6 +91,26 @@
 	return e
 }
 
+// dialUpstream connects to an upstream so that closing the connection discards
+// what has not arrived.
+//
+// Failure: a caller leaves while its request waits in the buffers of a VM that
+// is frozen. Symptom: the upstream gets it when the VM wakes, seconds after
+// anybody wanted the answer. Answers are read to their end before a connection
+// is closed in order, so nothing that is wanted is lost.
+func dialUpstream(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: upstreamDial}
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		// Without it the connection is only closed later.
+		_ = tcp.SetLinger(0)
+	}
+	return conn, nil
+}
+
 // Ready returns why the entry should get no new connections, or "".
 func (e *Entry) Ready() string {
 	switch {
--- a/internal/serve/burdockdirect/pool.go
+++ b/internal/serve/burdockdirect/pool.go
@@ -14,10 +14,17 @@
 	"go.uber.org/zap"
 )
 
-// retryFraction is the number of retries for each recent success: half of what
-// the platform allows all entries together, as some see more failures than
-// others.
-const retryFraction = 0.1
+const (
+	// retryFraction is the number of retries for each recent success: half of
+	// what the platform allows all entries together, as some see more failures
+	// than others.
+	retryFraction = 0.1
+	// retryFloor is how many retries an entry has within the budget's ten seconds
+	// whatever it sees: those of one upstream that freezes with the requests that
+	// it has. Sixteen entries together stay within what the platform allows
+	// beside the fraction.
+	retryFloor = 8
+)
 
 // pool is what an entry knows of the upstreams of one service. It puts a lock
 // around the pure decisions.
@@ -36,6 +43,9 @@
 	own     map[burdockid.Upstream]int // offers in flight
 	// usualTook is how long an answer usually takes from its offer to its end.
 	usualTook burdockclock.Millis
+	// heardAt is when each upstream with offers in flight was last heard from, or
+	// got the first of them.
+	heardAt map[burdockid.Upstream]burdockclock.Millis
 	// progressAt is when any stream of the service last had an event.
 	progressAt burdockclock.Millis
 }
@@ -44,9 +54,10 @@
 	random := rand.New(rand.NewPCG(e.deps.Seed, uint64(time.Now().UnixNano())))
 	p := &pool{
 		service: service, entry: e, random: random, own: map[burdockid.Upstream]int{},
+		heardAt: map[burdockid.Upstream]burdockclock.Millis{},
 		placer:  burdockplace.New(burdockplace.Config{}, derive(random)),
 		tracker: burdockeject.New(burdockeject.Config{}, derive(random)),
-		budget:  burdockretry.New(burdockretry.Config{Fraction: retryFraction}, derive(random)),
+		budget:  burdockretry.New(burdockretry.Config{Fraction: retryFraction, Floor: retryFloor}, derive(random)),
 	}
 	snap := e.deps.Site.Now()
 	p.engine = engineOf(snap, service)
@@ -173,7 +184,7 @@
 	choice, ok := p.placer.Choose(now, burdockplace.Request{
 		DataCentre: p.entry.cfg.DataCentre,
 		Cost:       req.cost,
-		Exclude:    func(u burdockid.Upstream) bool { return refused[u] },
+		Exclude:    func(u burdockid.Upstream) bool { return refused[u] || p.silentNow(now, u) },
 	})
 	if probe, due := p.tracker.Probe(now); due && !refused[probe] && req.route.Repeatable() {
 		if _, member := p.members[probe]; member {
@@ -184,7 +195,9 @@
 		return burdocksite.Upstream{}, "", false
 	}
 	p.placer.Sent(now, choice.Upstream, req.cost)
-	p.own[choice.Upstream]++
+	if p.own[choice.Upstream]++; p.own[choice.Upstream] == 1 {
+		p.heardAt[choice.Upstream] = now
+	}
 	return p.members[choice.Upstream], choice.Reason, true
 }
 
@@ -195,6 +208,7 @@
 	p.placer.Done(now, u, cost)
 	if p.own[u]--; p.own[u] <= 0 {
 		delete(p.own, u)
+		delete(p.heardAt, u)
 	}
 }
 
@@ -262,11 +276,31 @@
 	p.budget.Succeeded(now)
 }
 
-// progress notes an event of any stream.
-func (p *pool) progress(now burdockclock.Millis) {
+// progress notes an event of a stream.
+func (p *pool) progress(now burdockclock.Millis, u burdockid.Upstream) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.progressAt = now
+	p.heardAt[u] = now
+}
+
+// silent reports whether an upstream that has offers is silent while others are
+// not.
+func (p *pool) silent(now burdockclock.Millis, u burdockid.Upstream) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.silentNow(now, u)
+}
+
+// silentNow is silent with the lock held.
+//
+// Failure: an upstream's VM is frozen or cut off. Symptom: what is sent to it
+// waits in buffers, and each caller leaves after some seconds without an event.
+// Engines in lock-step write at one pace, so one that has had nothing to say for
+// many passes while others had is out of reach.
+func (p *pool) silentNow(now burdockclock.Millis, u burdockid.Upstream) bool {
+	heard, busy := p.heardAt[u]
+	return busy && now-heard > silence && p.progressAt > heard+silence/2
 }
 
 // progressed reports whether another stream of the service has had an event
--- a/internal/serve/burdockdirect/rules_test.go
+++ b/internal/serve/burdockdirect/rules_test.go
@@ -409,3 +409,32 @@
 		t.Errorf("requests at the new process: got %d, want %d at most", got, most)
 	}
 }
+
+// An upstream's VM freezes: connections are taken and nothing is answered, while
+// others write their streams. Callers must not wait there until they leave: what
+// waits goes on elsewhere, and nothing new is placed there.
+func TestFrozenUpstreamIsLeft(t *testing.T) {
+	frozen := newUpstream(t, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	sound := newUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		sign(w, r)
+		w.Header().Set("Content-Type", "text/event-stream")
+		for i := range 40 {
+			if r.Context().Err() != nil {
+				return
+			}
+			writeEvents(w, i+1, i+1)
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+	f := newFixture(t, 8000, frozen, sound)
+	done := make(chan reply)
+	const streams = 12
+	for i := range streams {
+		go func() { done <- f.send(t, context.Background(), "/stream/", map[string]string{"X-Id": fmt.Sprint(i)}) }()
+	}
+	for range streams {
+		if got := <-done; got.status != http.StatusOK || got.body != eventsOf(1, 40) {
+			t.Errorf("got status %d and %d bytes, want 200 and all events", got.status, len(got.body))
+		}
+	}
+}
--- a/internal/serve/burdockdirect/stream.go
+++ b/internal/serve/burdockdirect/stream.go
@@ -103,7 +103,7 @@
 	}
 	s.passed.Store(true)
 	s.lastAt.Store(int64(now))
-	o.pool.progress(now)
+	o.pool.progress(now, s.attempt.target.ID)
 }
 
 // run gives up a stream that has gone silent.
