--- a/internal/serve/burdockdirect/pool.go
+++ b/internal/serve/burdockdirect/pool.go
@@ -46,8 +46,10 @@
 	// heardAt is when each upstream with offers in flight was last heard from, or
 	// got the first of them.
 	heardAt map[burdockid.Upstream]burdockclock.Millis
-	// progressAt is when any stream of the service last had an event.
-	progressAt burdockclock.Millis
+	// progressAt is when any stream of the service last had an event, and
+	// progressFrom since when they have had some without a pause.
+	progressAt   burdockclock.Millis
+	progressFrom burdockclock.Millis
 }
 
 func newPool(service burdockid.Service, e *Entry) *pool {
@@ -280,6 +282,9 @@
 func (p *pool) progress(now burdockclock.Millis, u burdockid.Upstream) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if now-p.progressAt > silence/2 {
+		p.progressFrom = now
+	}
 	p.progressAt = now
 	p.heardAt[u] = now
 }
@@ -300,13 +305,20 @@
 // many passes while others had is out of reach.
 func (p *pool) silentNow(now burdockclock.Millis, u burdockid.Upstream) bool {
 	heard, busy := p.heardAt[u]
-	return busy && now-heard > silence && p.progressAt > heard+silence/2
+	return busy && p.othersWrite(now, heard)
+}
+
+// othersWrite reports whether other streams have had events for long enough
+// since an instant to tell that one without has lost its connection. A group
+// that stood and goes on is no sign: its ranks begin again one by one.
+func (p *pool) othersWrite(now, since burdockclock.Millis) bool {
+	return now-max(since, p.progressFrom) > silence && now-p.progressAt < silence/2
 }
 
-// progressed reports whether another stream of the service has had an event
-// since an instant.
-func (p *pool) progressed(since burdockclock.Millis) bool {
+// lost reports whether a stream without an event since an instant has lost its
+// connection.
+func (p *pool) lost(now, since burdockclock.Millis) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.progressAt > since
+	return p.othersWrite(now, since)
 }
--- a/internal/serve/burdockdirect/rules_test.go
+++ b/internal/serve/burdockdirect/rules_test.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
 )
 
 const usualTimeout = 5000
@@ -438,3 +440,25 @@
 		}
 	}
 }
+
+// A whole group stands for some seconds, as all its streams do, and then goes
+// on. No upstream is silent while others write, and none must be left.
+func TestStandingGroupIsNoSilence(t *testing.T) {
+	p := newFixture(t, usualTimeout).entry.pool("s")
+	p.heardAt["slow"], p.heardAt["quick"] = 1, 1
+	p.progress(1000, "quick")
+	p.progress(1000, "slow")
+	p.progress(5000, "quick") // the group goes on
+	if p.silent(5010, "slow") {
+		t.Error("silent right after the group went on")
+	}
+	for now := burdockclock.Millis(5000); now < 6500; now += 60 {
+		p.progress(now, "quick")
+	}
+	if !p.silent(6500, "slow") {
+		t.Error("not silent though the other has had events for a second and a half")
+	}
+	if p.silent(6500, "quick") {
+		t.Error("silent though it has events")
+	}
+}
--- a/internal/serve/burdockdirect/stream.go
+++ b/internal/serve/burdockdirect/stream.go
@@ -124,7 +124,7 @@
 		}
 		last := burdockclock.Millis(s.lastAt.Load())
 		o := s.attempt.offers
-		if s.passed.Load() && o.entry.now()-last > silence && o.pool.progressed(last+silence/2) {
+		if s.passed.Load() && o.pool.lost(o.entry.now(), last) {
 			s.cancel(errSilent)
 			return
 		}
