--- a/internal/serve/burdockdirect/gate.go
+++ b/internal/serve/burdockdirect/gate.go
@@ -54,7 +54,9 @@
 
 	mu      sync.Mutex
 	queue   *burdockqueue.Queue
-	pace    *burdockpace.Limit // nil for a plain service
+	pace    *burdockpace.Limit  // nil for a plain service
+	paced   burdockpace.Engine  // of pace
+	longest burdockclock.Millis // of pace
 	slots   int
 	maxWait burdockclock.Millis
 	waiting map[burdockid.Request]*waiter
@@ -78,20 +80,42 @@
 	g := &gate{
 		clock: clock, log: p.entry.deps.Log.With(zap.String("service", string(p.service))),
 		waiting: map[burdockid.Request]*waiter{}, firstEvent: startFirstEvent,
-		maxWait: burdockclock.Millis(patiencePart * float64(cfg.patience)),
-		slots:   placesOf(cfg.members),
-	}
-	if e := cfg.engine; e != nil && cfg.longest > 0 {
-		g.pace = burdockpace.New(burdockpace.Config{}, burdockpace.Engine{
-			Slots: e.Slots, Stride: e.Stride, StepMillis: e.StepMillis,
-			SequenceMillis: e.SequenceMillis + e.ContextMillis*float64(e.UsualPrompt)/tokensPerContext,
-		}, len(cfg.members), cfg.longest)
-		g.slots = g.pace.Streams(clock.Boot(), 0)
 	}
+	g.takeUp(cfg)
 	g.queue = burdockqueue.New(g.config(), derive(p.random))
 	return g
 }
 
+// takeUp makes the bound anew when what it depends on has changed.
+func (g *gate) takeUp(cfg gateConfig) {
+	g.maxWait = burdockclock.Millis(patiencePart * float64(cfg.patience))
+	engine, ok := paceEngine(cfg)
+	switch {
+	case !ok:
+		g.pace, g.paced, g.longest = nil, burdockpace.Engine{}, 0
+		g.slots = placesOf(cfg.members)
+	case g.pace == nil || engine != g.paced || cfg.longest != g.longest:
+		g.paced, g.longest = engine, cfg.longest
+		g.pace = burdockpace.New(burdockpace.Config{}, engine, len(cfg.members), cfg.longest)
+		g.slots = max(g.slots, g.pace.Streams(g.clock.Boot(), 0))
+	default:
+		g.pace.SetEngines(names(cfg.members))
+	}
+}
+
+// paceEngine returns the figures of a service's engines, and false if it has no
+// engines or no streams.
+func paceEngine(cfg gateConfig) (burdockpace.Engine, bool) {
+	e := cfg.engine
+	if e == nil || cfg.longest <= 0 {
+		return burdockpace.Engine{}, false
+	}
+	return burdockpace.Engine{
+		Slots: e.Slots, Stride: e.Stride, StepMillis: e.StepMillis,
+		SequenceMillis: e.SequenceMillis + e.ContextMillis*float64(e.UsualPrompt)/tokensPerContext,
+	}, true
+}
+
 func placesOf(members []burdocksite.Upstream) int {
 	places := 0
 	for _, u := range members {
@@ -115,15 +139,12 @@
 	return cfg
 }
 
-// follow takes up another set of members.
-func (g *gate) follow(members []burdocksite.Upstream) {
+// follow takes up other members and another configuration.
+func (g *gate) follow(cfg gateConfig) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.pace != nil {
-		g.pace.SetEngines(names(members))
-	} else {
-		g.resize(placesOf(members))
-	}
+	g.takeUp(cfg)
+	g.queue.Reconfigure(g.clock.Boot(), g.config())
 	g.advance()
 }
 
--- a/internal/serve/burdockdirect/pool.go
+++ b/internal/serve/burdockdirect/pool.go
@@ -40,6 +40,7 @@
 	budget  *burdockretry.Budget
 	members map[burdockid.Upstream]burdocksite.Upstream
 	engine  *burdocksite.Engine
+	config  *burdocksite.Config        // that was taken up last
 	own     map[burdockid.Upstream]int // offers in flight
 	// usualTook is how long an answer usually takes from its offer to its end.
 	usualTook burdockclock.Millis
@@ -63,9 +64,7 @@
 	}
 	snap := e.deps.Site.Now()
 	p.engine = engineOf(snap, service)
-	cfg := gateConfig{engine: p.engine, members: snap.Members(service)}
-	cfg.patience, cfg.longest = streamsOf(snap, service)
-	p.gate = newGate(e.deps.Clock, cfg, p)
+	p.gate = newGate(e.deps.Clock, gateConfigOf(snap, service), p)
 	p.follow(e.now(), snap)
 	e.meters.follow(p)
 	return p
@@ -132,18 +131,27 @@
 
 // follow takes up the members that the site shows now.
 func (p *pool) follow(now burdockclock.Millis, snap *burdocksite.Snapshot) {
-	members := snap.Members(p.service)
-	if !p.takeUp(now, members) {
-		return
+	cfg := gateConfigOf(snap, p.service)
+	if p.takeUp(now, cfg.members, snap.Config) {
+		p.gate.follow(cfg)
 	}
-	p.gate.follow(members)
 }
 
-func (p *pool) takeUp(now burdockclock.Millis, members []burdocksite.Upstream) bool {
+// gateConfigOf returns what a service's gate depends on.
+func gateConfigOf(snap *burdocksite.Snapshot, service burdockid.Service) gateConfig {
+	cfg := gateConfig{engine: engineOf(snap, service), members: snap.Members(service)}
+	cfg.patience, cfg.longest = streamsOf(snap, service)
+	return cfg
+}
+
+// takeUp reports whether members or configuration are news.
+func (p *pool) takeUp(now burdockclock.Millis, members []burdocksite.Upstream, cfg *burdocksite.Config) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	news := p.config != cfg
+	p.config = cfg
 	if p.members != nil && p.same(members) {
-		return false
+		return news
 	}
 	p.members = map[burdockid.Upstream]burdocksite.Upstream{}
 	var names []burdockid.Upstream
--- a/internal/serve/burdockdirect/rules_test.go
+++ b/internal/serve/burdockdirect/rules_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -12,6 +13,8 @@
 	"time"
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/state/burdocksite"
 )
 
 const usualTimeout = 5000
@@ -462,3 +465,35 @@
 		t.Error("silent though it has events")
 	}
 }
+
+// Operators change the pause that callers accept and the engines' figures. The
+// bound on running streams follows while the entry runs.
+func TestBoundFollowsTheConfiguration(t *testing.T) {
+	f := newFixture(t, usualTimeout, newUpstream(t, answerOK))
+	p := f.entry.pool("s")
+	plain := p.gate.load().Slots
+	cfg := *f.site.Now().Config
+	cfg.Version++
+	cfg.Services = map[burdockid.Service]burdocksite.Service{"s": {Name: "s", Engine: &burdocksite.Engine{
+		Slots: 12, Stride: 4, StepMillis: 4.5, SequenceMillis: 0.9,
+	}}}
+	f.site.SetConfig(cfg)
+	if got := p.gate.pace; got == nil {
+		t.Fatal("no bound by the engines' figures")
+	}
+	if got := p.gate.load().Slots; got == plain {
+		t.Errorf("streams that may run: got %d as before", got)
+	}
+	before := p.gate.pace.State(f.entry.now()).Fitting
+	cfg.Version++
+	cfg.Routes = slices.Clone(cfg.Routes)
+	for i := range cfg.Routes {
+		if cfg.Routes[i].Stream {
+			cfg.Routes[i].Gap = cfg.Routes[i].Gap * 8 / 10
+		}
+	}
+	f.site.SetConfig(cfg)
+	if got := p.gate.pace.State(f.entry.now()).Fitting; got >= before {
+		t.Errorf("requests for each engine with a shorter pause: got %.1f, want less than %.1f", got, before)
+	}
+}
