--- a/internal/tool/burdockcli/root.go
+++ b/internal/tool/burdockcli/root.go
@@ -81,7 +81,7 @@
 		ShortHelp:  "operate a fleet of burdockbend",
 		FlagSet:    c.flags("burdock"),
 		Subcommands: []*ffcli.Command{
-			c.profile(), c.fleet(), c.settings(), c.customer(), c.config(), c.state(), c.load(), c.measure(), c.try(),
+			c.profile(), c.fleet(), c.settings(), c.customer(), c.config(), c.state(), c.explain(), c.load(), c.measure(), c.try(),
 		},
 		Exec: func(_ context.Context, args []string) error {
 			if len(args) > 0 {
