Ask leaving upstreams soon in a small service; metrics of the platform on a page of their own

Leaving upstreams were asked every five seconds whether they are back; three were restarted within that time, so that both entries took all for leaving while two were back. Where a third or more of a service leaves, they are asked four times a second.

--- /dev/null
+++ b/internal/serve/burdockdirect/metrics_test.go
@@ -0,0 +1,63 @@
+package burdockdirect
+
+import (
+	"bytes"
+	"context"
+	"maps"
+	"net/http"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+)
+
+var (
+	describedName = regexp.MustCompile("`(burdock_direct_[a-z_]+)`")
+	exportedName  = regexp.MustCompile(`(?m)^(burdock_direct_[a-z_]+)`)
+)
+
+// The page on metrics names what an entry exports, and nothing else.
+func TestMetricsPageDescribesWhatAnEntryExports(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/METRICS_HOSTED.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	u := newUpstream(t, answerOK)
+	s := newUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		sign(w, r)
+		w.Header().Set("Content-Type", "text/event-stream")
+		writeEvents(w, 1, 3)
+	})
+	f := newFixture(t, usualTimeout, u)
+	f.send(t, context.Background(), "/once/", nil)
+	f.send(t, context.Background(), "/elsewhere/", nil)
+	f.site.DropUpstream("u0")
+	f.put(s)
+	f.send(t, context.Background(), "/stream/", nil)
+	var text bytes.Buffer
+	f.entry.deps.Metrics.WritePrometheus(&text)
+	exported := map[string]bool{}
+	for _, match := range exportedName.FindAllStringSubmatch(text.String(), -1) {
+		exported[family(match[1])] = true
+	}
+	described := map[string]bool{}
+	for _, match := range describedName.FindAllStringSubmatch(string(page), -1) {
+		described[match[1]] = true
+	}
+	got, want := slices.Sorted(maps.Keys(exported)), slices.Sorted(maps.Keys(described))
+	if !slices.Equal(got, want) {
+		t.Errorf("exported: got %q, want what the page describes: %q", got, want)
+	}
+}
+
+// family returns the name of a histogram without the ending of one of its
+// series.
+func family(name string) string {
+	for _, ending := range []string{"_bucket", "_sum", "_count"} {
+		if base, ok := strings.CutSuffix(name, ending); ok && strings.HasSuffix(base, "_seconds") {
+			return base
+		}
+	}
+	return name
+}
--- a/internal/serve/burdockdirect/site_test.go
+++ b/internal/serve/burdockdirect/site_test.go
@@ -102,20 +102,29 @@
 	entry *Entry
 	site  *burdocksite.Site
 	web   *httptest.Server
+	// upstreams counts those that were put.
+	upstreams int
 }
 
 func newFixture(t *testing.T, timeout burdockclock.Millis, upstreams ...*upstream) *fixture {
 	t.Helper()
 	f := startFixture(t)
 	f.configure(1, timeout)
-	for i, u := range upstreams {
-		f.site.PutUpstream(burdocksite.Upstream{
-			ID: burdockid.Upstream(fmt.Sprint("u", i)), Service: "s", Address: strings.TrimPrefix(u.server.URL, "http://"), DataCentre: "a", Slots: 4,
-		})
+	for _, u := range upstreams {
+		f.put(u)
 	}
 	return f
 }
 
+// put adds an upstream; the first is named u0.
+func (f *fixture) put(u *upstream) {
+	name := fmt.Sprint("u", f.upstreams)
+	f.upstreams++
+	f.site.PutUpstream(burdocksite.Upstream{
+		ID: burdockid.Upstream(name), Service: "s", Address: strings.TrimPrefix(u.server.URL, "http://"), DataCentre: "a", Slots: 4,
+	})
+}
+
 // startFixture starts an entry that knows nothing yet.
 func startFixture(t *testing.T) *fixture {
 	t.Helper()
--- a/internal/serve/burdockentry/health_test.go
+++ b/internal/serve/burdockentry/health_test.go
@@ -1,9 +1,14 @@
 package burdockentry
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/config/burdockmember"
 	"burdockbend.example/burdockbend/internal/decide/burdockeject"
 	"burdockbend.example/burdockbend/internal/state/burdockcharts"
 )
@@ -54,3 +59,26 @@
 		t.Errorf("events: got %v, want %v", got, want)
 	}
 }
+
+// Callers of a small service are refused, though two of its three upstreams are
+// back, while the third is restarted. The upstreams are restarted one after the
+// other within five seconds, and the entry must not wait that long to hear of it.
+func TestReturnedUpstreamsOfASmallServiceAreFoundSoon(t *testing.T) {
+	p := newPool("s", "a", rand.NewPCG(1, 2))
+	p.members = map[burdockid.Upstream]burdockmember.Upstream{"u1": {Name: "u1"}, "u2": {Name: "u2"}, "u3": {Name: "u3"}}
+	p.tracker.SetMembers(0, []burdockid.Upstream{"u1", "u2", "u3"})
+	now := 10 * burdockclock.Second
+	p.presence(now, "u1", "first", true)
+	p.due(now)
+	if got := p.due(now + askLeavingSoon); len(got) != 1 || got[0].Name != "u1" {
+		t.Errorf("a third leaves: got %v asked, want u1", got)
+	}
+	for i := range 6 {
+		name := burdockid.Upstream(fmt.Sprint("more", i))
+		p.members[name] = burdockmember.Upstream{Name: name}
+	}
+	p.due(now + 2*askLeavingSoon)
+	if got := p.due(now + 3*askLeavingSoon); len(got) != 0 {
+		t.Errorf("one of many leaves: got %v asked, want none yet", got)
+	}
+}
--- a/internal/serve/burdockentry/pool.go
+++ b/internal/serve/burdockentry/pool.go
@@ -25,6 +25,18 @@
 // an agent that serves nothing else.
 const askLeavingEvery = 5 * burdockclock.Second
 
+const (
+	// askLeavingSoon takes its place while every leavingShare-th upstream leaves.
+	//
+	// Failure: the upstreams of a small service are restarted one after the
+	// other, each within the time between two questions. Symptom: an entry
+	// believes that all are leaving, and refuses every request though most are
+	// back. A service in which a third leave has few members, or is restarted
+	// whole; some calls a second to each are nothing against its traffic.
+	askLeavingSoon = burdockclock.Second / 4
+	leavingShare   = 3
+)
+
 // pool is what an entry knows of the upstreams of one service. It puts a lock
 // around the pure decisions.
 type pool struct {
@@ -243,7 +255,11 @@
 		p.health.fire(now, u, burdockcharts.UpstreamEventProbe, "")
 		due = append(due, p.members[u])
 	}
-	if now-p.askedLeaving < askLeavingEvery {
+	every := askLeavingEvery
+	if len(p.leaving)*leavingShare >= len(p.members) {
+		every = askLeavingSoon
+	}
+	if now-p.askedLeaving < every {
 		return due
 	}
 	p.askedLeaving = now
