Wait for agents as long as the group is large: sound agents are not taken for frozen

Ruled out: frozen agents (the same ranks answered the next order); loss.

Change: the patience grows by 6 ms a rank; a Load, in which the group serves on, has a second. An order's own limit leaves the agent its share.

--- a/internal/serve/burdockrank/duty.go
+++ b/internal/serve/burdockrank/duty.go
@@ -133,7 +133,11 @@
 func (s sending) run() {
 	m := s.duty.member
 	defer m.done.Done()
-	ctx, cancel := context.WithTimeout(m.ctx, orderTimeout)
+	timeout := orderTimeout
+	if m.proxies.possible() {
+		timeout += patience(m.seat.Ranks, s.out.Order.Body).Duration() // the agent's share
+	}
+	ctx, cancel := context.WithTimeout(m.ctx, timeout)
 	defer cancel()
 	if report, ok := s.send(ctx); ok {
 		s.duty.handle(burdockgroup.ReportReceived{Report: report})
@@ -184,7 +188,7 @@
 	}
 	if m.proxies.possible() {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, agentPatience.Duration())
+		ctx, cancel = context.WithTimeout(ctx, patience(m.seat.Ranks, order.Body).Duration())
 		defer cancel()
 	}
 	msg := orderToWire(m.seat.Group, order)
--- a/internal/serve/burdockrank/proxy.go
+++ b/internal/serve/burdockrank/proxy.go
@@ -16,10 +16,32 @@
 	// rank's engine is ordered from afar: many times what a sound one takes, and
 	// little against the time that a group stands when an agent is frozen.
 	agentPatience = 250 * burdockclock.Millis(1)
+	// patiencePerRank is added for each rank of the group, because its orders
+	// and answers share the controller's link: an order with its answer takes up
+	// to 3 KB with a map of 72 ranks, which is 3 ms at 8 Mbit/s, the narrowest
+	// link that the platform's pages name; twice that, for what else is sent.
+	patiencePerRank = 6 * burdockclock.Millis(1)
+	// loadPatience is how long an agent may take to load a map. The group serves
+	// meanwhile, so a slow answer harms no request, but taking the agent for
+	// frozen would put the steps in which the group stands on the slow way.
+	loadPatience = burdockclock.Second
 	// agentAgain is how long an agent that did not answer is not asked again.
 	agentAgain = burdockclock.Second
 )
 
+// patience is how long the agent of a rank may take to answer an order.
+//
+// Load: all orders of a step are sent at once over one link, and grow with the
+// group. Harm prevented: with one time for all sizes, sound agents of a large
+// group are taken for frozen, and the group stands for seconds at each change.
+func patience(ranks int, body burdockgroup.OrderBody) burdockclock.Millis {
+	grown := agentPatience + burdockclock.Millis(ranks)*patiencePerRank
+	if _, isLoad := body.(burdockgroup.Load); isLoad {
+		return max(loadPatience, grown)
+	}
+	return grown
+}
+
 // proxies speak for ranks whose agents don't answer.
 //
 // Failure: the agent beside a rank freezes or dies in a change of the map.
