--- a/internal/serve/burdockhosted/schedule_test.go
+++ b/internal/serve/burdockhosted/schedule_test.go
@@ -156,10 +156,46 @@
 	frozen bool
 }
 
+// farRank is a rank as it is seen from another VM: its reports are old.
+type farRank struct {
+	*fakeRank
+	told []RankReport // newest last; each is told reportAge later
+	at   []burdockclock.Millis
+}
+
+// reportAge is how old a report from another VM is.
+const reportAge = 230 * burdockclock.Millis(1)
+
+// note keeps the report of this instant for later.
+func (r *farRank) note() {
+	report, _ := r.fakeRank.Report(context.Background())
+	r.told, r.at = append(r.told, report), append(r.at, r.group.now)
+	for len(r.at) > 1 && r.at[1] <= r.group.now-reportAge {
+		r.told, r.at = r.told[1:], r.at[1:]
+	}
+}
+
+// Report implements Rank.
+func (r *farRank) Report(ctx context.Context) (RankReport, error) {
+	if len(r.told) == 0 {
+		return r.fakeRank.Report(ctx)
+	}
+	return r.told[0], nil
+}
+
+// proxyModel orders one engine from the VM of a controller.
+type proxyModel struct {
+	rank   *burdockgroup.Rank
+	engine *engine
+}
+
 // schedule runs controllers and agents before a fake group.
 type schedule struct {
 	*fakeGroup
 	agents      []*agentModel
+	far         []*farRank
+	proxies     [][]*proxyModel // by controller and rank; nil while agents are asked
+	direct      bool            // engines are ordered from afar too
 	controllers []*burdockgroup.Controller
 	asleep      []bool // by controller
 	mail        []letter
@@ -184,9 +220,13 @@
 		s.agents = append(s.agents, &agentModel{engine: &engine{rank: r, spec: spec, epoch: 1}})
 		s.restart(i)
 	}
+	for _, r := range s.ranks {
+		s.far = append(s.far, &farRank{fakeRank: r})
+	}
 	for range 2 {
 		cfg := burdockgroup.DefaultControllerConfig(ranks)
 		pace().Controller(&cfg)
+		s.proxies = append(s.proxies, make([]*proxyModel, ranks))
 		s.controllers = append(s.controllers, burdockgroup.NewController(cfg))
 		s.asleep = append(s.asleep, false)
 	}
@@ -254,15 +294,55 @@
 		switch {
 		case l.at > s.now:
 		case l.order != nil:
-			if i := int(l.order.To); !s.agents[i].frozen {
-				s.do(i, s.agents[i].rank.Handle(s.now, burdockgroup.OrderReceived{Order: *l.order}))
-			}
+			s.orderArrived(l.controller, *l.order)
 		default:
 			s.tell(l.controller, burdockgroup.ReportReceived{Report: *l.report})
 		}
 	}
 }
 
+// orderArrived gives an order to the rank's agent or, where engines are ordered
+// from afar, to the controller's proxy: when the agent is frozen, and now and
+// then when it is only slow. It may carry out the order as well.
+func (s *schedule) orderArrived(controller int, order burdockgroup.Order) {
+	i := int(order.To)
+	frozen := s.agents[i].frozen
+	silent := s.direct && (frozen || s.faults && s.random.Float64() < 0.1)
+	if !frozen && (!silent || s.random.Float64() < 0.5) {
+		s.do(i, s.agents[i].rank.Handle(s.now, burdockgroup.OrderReceived{Order: order}))
+	}
+	if !silent {
+		if !frozen {
+			s.proxies[controller][i] = nil
+		}
+		return
+	}
+	p := s.proxies[controller][i]
+	if p == nil {
+		spec := func() *burdocksite.Engine { return &burdocksite.Engine{Layers: 1, Experts: 4, Places: 2} }
+		cfg := burdockgroup.DefaultRankConfig(order.To, len(s.ranks), burdockid.NewIncarnation())
+		p = &proxyModel{rank: burdockgroup.NewRank(cfg), engine: &engine{rank: s.far[i], spec: spec, epoch: 1}}
+		s.proxies[controller][i] = p
+	}
+	s.doFar(p, controller, p.rank.Handle(s.now, burdockgroup.FenceFromStore{Fence: order.Number.Fence}))
+	s.doFar(p, controller, p.rank.Handle(s.now, burdockgroup.RankTick{}))
+	s.doFar(p, controller, p.rank.Handle(s.now, burdockgroup.OrderReceived{Order: order}))
+}
+
+// doFar carries out what a proxy's machine returned.
+func (s *schedule) doFar(p *proxyModel, controller int, outs []burdockgroup.RankOutput) {
+	for _, out := range outs {
+		switch out := out.(type) {
+		case burdockgroup.OrderEngine:
+			status, err := p.engine.Order(context.Background(), out.Fence, out.Order)
+			s.doFar(p, controller, p.rank.Handle(s.now, burdockgroup.EngineAnswered{Ticket: out.Ticket, Status: status, Failed: err != nil}))
+		case burdockgroup.SendReport:
+			report := out.Report
+			s.mail = append(s.mail, letter{at: s.now + s.delay() + reportAge, controller: controller, report: &report})
+		}
+	}
+}
+
 // disturb lets agents and controllers freeze, wake and be replaced.
 func (s *schedule) disturb() {
 	if s.now >= s.idleUntil && s.random.IntN(80) == 0 {
@@ -295,6 +375,9 @@
 func (s *schedule) run(until burdockclock.Millis) {
 	for ; s.now < until; s.now += 10 {
 		s.carryOutLate()
+		for _, r := range s.far {
+			r.note()
+		}
 		s.deliver()
 		if s.now%40 == 0 && s.now >= s.idleUntil {
 			s.pass()
@@ -335,7 +418,13 @@
 // lose their lease, freeze and wake in a change, agents are replaced and forget.
 // Whatever comes in which order, the maps agree in each pass; and when the
 // faults are over the group goes on and changes its map again.
-func TestLateOrdersNeverSplitTheMap(t *testing.T) {
+func TestLateOrdersNeverSplitTheMap(t *testing.T) { playSchedules(t, false) }
+
+// The same, and a group stands for good: the controller's VM orders engines whose
+// agents are frozen, or only slow and order them too, by reports that are old.
+func TestOrdersFromAfarNeverSplitNorStick(t *testing.T) { playSchedules(t, true) }
+
+func playSchedules(t *testing.T, direct bool) {
 	seeds := uint64(400)
 	if testing.Short() {
 		seeds = 50
@@ -343,6 +432,7 @@
 	changes := 0
 	for seed := range seeds {
 		s := newSchedule(t, seed, 2+int(seed%4))
+		s.direct = direct
 		s.run(20 * burdockclock.Second)
 		s.faults, s.idleUntil = false, 0
 		for i := range s.agents {
