Keep the lead of a map change short on the platform

Cause: changes came into force 0.3 to 0.7 s after all ranks had been released. The log's phases show reading and resting up to ten times in a row: the step of the change was up to eight passes ahead. The lead doubled whenever a rank was about to reach the step while others still committed, although the pass before it still ran and nobody stood, and it never fell again.

Ruled out: lost orders (the same without applied_late), slow agents (arming and committing took 20 to 60 ms).

Change: ShortLead doubles the lead only when a rank had begun the step, and takes off what a change left over.

--- a/internal/group/burdockgroup/controller.go
+++ b/internal/group/burdockgroup/controller.go
@@ -29,6 +29,14 @@
 	// too small, up to MaxLead, which bounds how late a change takes hold.
 	Lead    burdockid.Step
 	MaxLead burdockid.Step
+	// ShortLead keeps the lead as short as it can be: it doubles only when a
+	// rank had begun the step of the change, not when ranks reach it before the
+	// rounds end, and falls again by the steps that a change had left over. It is
+	// for groups whose steps last longer than a round and whose map is late with
+	// each of them. Elsewhere a lead that is kept holds the group less often: on
+	// a network with a long tail of delays and with steps of 4.5 ms, 0.2 steps
+	// are lost for each change in place of 2.4.
+	ShortLead bool
 	// ArmPatience is how long a rank may take to answer that it is armed; 0 is no
 	// bound. Beyond it the others are let go.
 	ArmPatience burdockclock.Millis
@@ -54,6 +62,7 @@
 	maps     uint16 // versions given out under this lease
 	lead     burdockid.Step
 	grown    bool // the lead was doubled in this change
+	timed    bool // the step of this change was set with the lead
 	members  []member
 	goal     Goal
 	passing  bool                // some rank has yet to reach the step of the change
@@ -201,7 +210,7 @@
 	case ControllerArming:
 		return c.armAll()
 	case ControllerCommitting:
-		return c.drive() && c.enter(GoalRelease, controllerAllCommitted)
+		return c.commitAll()
 	case ControllerReleasing:
 		return c.releaseAll()
 	default:
--- a/internal/group/burdockgroup/reading.go
+++ b/internal/group/burdockgroup/reading.go
@@ -64,6 +64,7 @@
 }
 
 func (c *Controller) decide() bool {
+	c.timed = false
 	goal, found := judge(c.statuses())
 	c.goal = goal
 	c.passing = goal.Map != 0
--- a/internal/serve/burdockhosted/agent.go
+++ b/internal/serve/burdockhosted/agent.go
@@ -68,8 +68,11 @@
 	// questions whether ranks have loaded: one takes about a millisecond a rank.
 	loadPoll        = 20 * burdockclock.Millis(1)
 	loadPollPerRank = 2 * burdockclock.Millis(1)
-	// changeLead is two passes of some tens of milliseconds: about what the
-	// orders to a group of some tens of ranks take.
+	// changeLead is the rest of one pass and one more, some tens of milliseconds
+	// each: about what the orders to a group of some tens of ranks take. Passes
+	// last twice as long until a map that popularity has outgrown is replaced, so
+	// a lead that grew to eight of them cost more than the group stands with one:
+	// on ten days, 0.424 of the worth was earned with it and 0.455 with one.
 	changeLead    burdockid.Step = 1
 	changeLeadMax burdockid.Step = 8
 	// armPatience is how long a group may stand for a rank that doesn't answer:
@@ -93,7 +96,7 @@
 			cfg.Retry = orderRetry + orderRetryPerRank*burdockclock.Millis(cfg.Ranks)
 			cfg.PassPoll = passPoll + passPollPerRank*burdockclock.Millis(cfg.Ranks)
 			cfg.LoadPoll = loadPoll + loadPollPerRank*burdockclock.Millis(cfg.Ranks)
-			cfg.Lead, cfg.MaxLead = changeLead, changeLeadMax
+			cfg.Lead, cfg.MaxLead, cfg.ShortLead = changeLead, changeLeadMax, true
 		},
 	}
 }
