Let a controller go on while the store is out

Change: a lease that the store neither renews nor refuses is believed for up to 30 s, if it never lapsed in between; questions to the store end in time for the next. Such a controller orders engines through their agents alone, and one that hears of a newer one is over.

--- a/internal/serve/burdockhosted/agent.go
+++ b/internal/serve/burdockhosted/agent.go
@@ -53,6 +53,9 @@
 	leaseTTL     = 1500 * burdockclock.Millis(1)
 	leaseEvery   = 400 * burdockclock.Millis(1)
 	leaseStagger = 20 * burdockclock.Millis(1)
+	// leaseOutage outlasts outages of the store, which last some seconds. Beyond
+	// it a group keeps the map that it has.
+	leaseOutage = 30 * burdockclock.Second
 	// groupPoll finds what nobody noticed, such as a hold that came late.
 	groupPoll = burdockclock.Second
 	// orderRetry is when an unanswered order is sent again: a round of orders to
@@ -88,7 +91,7 @@
 func pace() burdockrank.Pace {
 	return burdockrank.Pace{
 		HalfLife: popularityHalfLife, CountsEvery: countsEvery, CountsRanks: countsRanks, RankLoads: rankLoads, Gap: changeGap, Tick: tick,
-		LeaseTTL: leaseTTL, LeaseEvery: leaseEvery, LeaseStagger: leaseStagger,
+		LeaseTTL: leaseTTL, LeaseEvery: leaseEvery, LeaseOutage: leaseOutage, LeaseStagger: leaseStagger,
 		Watch: burdockclock.Second,
 		Controller: func(cfg *burdockgroup.ControllerConfig) {
 			cfg.Poll, cfg.ArmBudget = groupPoll, armBudget
--- a/internal/serve/burdockrank/duty.go
+++ b/internal/serve/burdockrank/duty.go
@@ -95,6 +95,7 @@
 		m.deps.Log.Warn("a rank could not load the map", zap.Uint64("map", uint64(out.Map)), zap.Int("rank", int(out.Rank)))
 	case burdockgroup.SteppedDown:
 		d.plan.reset()
+		d.lease.end()
 		m.deps.Log.Info("no longer controls the group", zap.String("group", m.seat.Group), zap.String("reason", string(out.Reason)))
 	case burdockgroup.SplitSeen:
 		d.splitSeen(out)
@@ -155,7 +156,7 @@
 		report, err := m.order(ctx, order)
 		return report, err == nil
 	}
-	if m.proxies.possible() && m.proxies.silentNow(order.To) {
+	if s.mayDirect() && m.proxies.silentNow(order.To) {
 		return s.direct(ctx)
 	}
 	report, err := s.ask(ctx)
@@ -164,13 +165,20 @@
 		return report, true
 	}
 	m.deps.Directory.Refresh(m.seat.Group)
-	if errorx.IsOfType(err, ErrNotMember) || !m.proxies.possible() || ctx.Err() != nil {
+	if errorx.IsOfType(err, ErrNotMember) || !s.mayDirect() || ctx.Err() != nil {
 		return burdockgroup.Report{}, false
 	}
 	m.proxies.noAnswer(order.To, err)
 	return s.direct(ctx)
 }
 
+// mayDirect reports whether engines may be ordered from here. An agent knows the
+// numbers of the controllers that it has heard and refuses an old one; from here
+// only the store's word says that there is none newer.
+func (s sending) mayDirect() bool {
+	return s.duty.member.proxies.possible() && s.duty.lease.confirmed()
+}
+
 // direct orders the rank's engine from here.
 func (s sending) direct(ctx context.Context) (burdockgroup.Report, bool) {
 	if !s.mayWrite() {
--- a/internal/serve/burdockrank/lease.go
+++ b/internal/serve/burdockrank/lease.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/external/burdockstore"
 	"burdockbend.example/burdockbend/internal/group/burdockgroup"
 	"github.com/joomcode/errorx"
@@ -29,10 +31,16 @@
 	holder string
 	random *rand.Rand // of its loop alone
 	held   bool       // of its loop, and after its end
+
+	mu     sync.Mutex
+	tenure tenure
 }
 
 func newLeaseKeeper(m *member, random *rand.Rand) *leaseKeeper {
-	return &leaseKeeper{member: m, holder: string(m.upstream) + "/" + string(m.incarnation), random: random}
+	return &leaseKeeper{
+		member: m, holder: string(m.upstream) + "/" + string(m.incarnation), random: random,
+		tenure: tenure{ttl: m.deps.Pace.LeaseTTL, outage: m.deps.Pace.LeaseOutage},
+	}
 }
 
 func (k *leaseKeeper) loop() {
@@ -51,22 +59,73 @@
 
 // try gets or renews the lease. It counts from before the request: the store
 // may have granted it as soon as it was asked. When there is no answer nothing
-// is known, and a lease that was held lapses by itself.
+// is known, and a lease that was held lapses by itself or is believed for
+// longer.
 func (k *leaseKeeper) try() {
 	m := k.member
 	before := m.deps.Clock.Boot()
-	lease, err := m.deps.Store.Acquire(m.ctx, leaseName(m.seat.Group), k.holder, m.deps.Pace.LeaseTTL)
+	ctx, cancel := context.WithTimeout(m.ctx, k.patience().Duration())
+	defer cancel()
+	lease, err := m.deps.Store.Acquire(ctx, leaseName(m.seat.Group), k.holder, m.deps.Pace.LeaseTTL)
 	switch {
 	case err == nil:
 		if !k.held {
 			m.deps.Log.Info("controls the group", zap.String("group", m.seat.Group), zap.Uint64("fence", uint64(lease.Fence)))
 		}
 		k.held = true
-		m.duty.handle(burdockgroup.LeaseHeld{Lease: burdockgroup.Lease{Fence: lease.Fence, Until: before + m.deps.Pace.LeaseTTL}})
+		m.duty.handle(burdockgroup.LeaseHeld{Lease: k.confirm(before, lease.Fence)})
 	case errorx.IsOfType(err, burdockstore.ErrConflict):
 		k.held = false
+		k.end()
 		m.duty.handle(burdockgroup.LeaseLost{})
+	default:
+		if believed, ok := k.believe(); ok {
+			m.duty.handle(burdockgroup.LeaseHeld{Lease: believed})
+		}
+	}
+}
+
+// patience bounds one question to the store, so that one that hangs is over
+// while the lease is still held.
+func (k *leaseKeeper) patience() burdockclock.Millis {
+	pace := k.member.deps.Pace
+	return max((pace.LeaseTTL-pace.LeaseEvery)/questionsPerLease, pace.LeaseEvery)
+}
+
+// questionsPerLease is how many questions without an answer a lease outlasts.
+const questionsPerLease = 2
+
+func (k *leaseKeeper) confirm(asked burdockclock.Millis, fence burdockid.Fence) burdockgroup.Lease {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.tenure.confirm(asked, fence)
+}
+
+func (k *leaseKeeper) believe() (burdockgroup.Lease, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	first := k.tenure.confirmed()
+	lease, ok := k.tenure.believe(k.member.deps.Clock.Boot())
+	if ok && first {
+		k.member.deps.Log.Warn("goes on to control the group without the store", zap.String("group", k.member.seat.Group),
+			zap.Uint64("fence", uint64(lease.Fence)), zap.Int64("mostMillis", int64(k.tenure.outage)))
 	}
+	return lease, ok
+}
+
+// confirmed reports whether the store's word is all that the lease rests on.
+func (k *leaseKeeper) confirmed() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.tenure.confirmed()
+}
+
+// end forgets the lease, when the store or a rank says that another agent has
+// it or when it lapsed.
+func (k *leaseKeeper) end() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.tenure.end()
 }
 
 // release gives the lease up early on a planned stop, so that another agent
--- a/internal/serve/burdockrank/pace.go
+++ b/internal/serve/burdockrank/pace.go
@@ -28,6 +28,9 @@
 	// and LeaseEvery how often the lease is renewed.
 	LeaseTTL   burdockclock.Millis
 	LeaseEvery burdockclock.Millis
+	// LeaseOutage is how long a controller goes on while the store doesn't answer;
+	// 0 lets the lease lapse.
+	LeaseOutage burdockclock.Millis
 	// LeaseStagger is the time between two ranks' first tries for the lease.
 	LeaseStagger burdockclock.Millis
 	// Watch is how often the agent asks its engine for finished steps.
