Have lines of libraries in the structured log

Ruled out: a line of our own. Change: the standard logger's lines go to zap as warnings; the test fails without it.

--- a/cmd/burdock-hosted/main.go
+++ b/cmd/burdock-hosted/main.go
@@ -37,6 +37,7 @@
 	lines := burdocklog.NewWriter(os.Stdout)
 	defer lines.Close()
 	log := burdocklog.New(lines, settings.LogLevel)
+	defer burdocklog.TakeOver(log)()
 	client := burdockplatform.NewClient(settings.StoreAddress)
 	platform := burdockhosted.Platform{
 		Store: client, Records: burdockplatform.Records{}, Dialect: burdockplatform.Dialect{},
--- a/internal/base/burdocklog/writer_test.go
+++ b/internal/base/burdocklog/writer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"log"
 	"os"
 	"strings"
 	"sync"
@@ -81,3 +82,19 @@
 		t.Errorf("got %d bytes without the warning or the count of lines left out", len(got))
 	}
 }
+
+// An upstream sends bytes that nobody asked for, and net/http writes a line about
+// it past the process's own log, where whoever looks for a cause doesn't see it.
+func TestLinesOfLibrariesAreLogged(t *testing.T) {
+	var out buffer
+	lines := NewWriter(&out)
+	restore := TakeOver(New(lines, "info"))
+	log.Print("Unsolicited response received on idle HTTP channel")
+	restore()
+	lines.Close()
+	for _, want := range []string{`"level":"warn"`, `"message":"Unsolicited response received on idle HTTP channel"`} {
+		if got := out.b.String(); !strings.Contains(got, want) {
+			t.Errorf("log: got %q, want it to contain %s", got, want)
+		}
+	}
+}
