--- a/internal/serve/burdockdirect/offers.go
+++ b/internal/serve/burdockdirect/offers.go
@@ -66,6 +66,8 @@
 	events     int
 	started    burdockclock.Millis // when the request was admitted
 	firstEvent burdockclock.Millis // from the offer to its first event
+	// longestPause is between two events of the stream.
+	longestPause burdockclock.Millis
 }
 
 // mostUnreached bounds the offers of one request that could not be sent.
@@ -166,7 +168,7 @@
 	o.entry.logEnd(o.req, "offer ended", zap.String("outcome", string(outcome)), zap.String("cause", cause),
 		zap.String("upstream", string(target.ID)), zap.String("placed", string(reason)), zap.Int("offers", o.sent+o.unreached+1),
 		zap.Int64("waitMillis", int64(o.started-o.req.arrived)), zap.Int64("firstEventMillis", int64(o.firstEvent)),
-		zap.Int64("offerMillis", int64(took)), zap.Int("events", o.events),
+		zap.Int64("offerMillis", int64(took)), zap.Int("events", o.events), zap.Int64("longestPauseMillis", int64(o.longestPause)),
 		zap.Int("running", load.Running), zap.Int("waiting", load.Queued), zap.Int("limit", load.Slots))
 }
 
--- a/internal/serve/burdockdirect/stream.go
+++ b/internal/serve/burdockdirect/stream.go
@@ -99,7 +99,9 @@
 		o.pool.gate.began(o.firstEvent)
 		o.entry.meters.firstEvents.Update(o.firstEvent.Duration().Seconds())
 	} else {
-		o.pool.gate.pause(now - burdockclock.Millis(s.lastAt.Load()))
+		pause := now - burdockclock.Millis(s.lastAt.Load())
+		o.longestPause = max(o.longestPause, pause)
+		o.pool.gate.pause(pause)
 	}
 	s.passed.Store(true)
 	s.lastAt.Store(int64(now))
