--- a/cmd/burdock-hosted/main.go
+++ b/cmd/burdock-hosted/main.go
@@ -10,7 +10,6 @@
 	"syscall"
 
 	"burdockbend.example/burdockbend/internal/base/burdocklog"
-	"burdockbend.example/burdockbend/internal/config/burdocksettings"
 	"burdockbend.example/burdockbend/internal/serve/burdockhosted"
 	"burdockbend.example/burdockbend/internal/tool/burdockmain"
 	"burdockbend.example/burdockbend/platform/burdockplatform"
@@ -36,7 +35,8 @@
 	debug.SetMemoryLimit(int64(settings.MemoryMB) << 20 * memoryPercent / 100)
 	lines := burdocklog.NewWriter(os.Stdout)
 	defer lines.Close()
-	log := burdocklog.New(lines, settings.LogLevel)
+	level := zap.NewAtomicLevelAt(burdocklog.Level(settings.LogLevel))
+	log := burdocklog.New(lines, level)
 	defer burdocklog.TakeOver(log)()
 	client := burdockplatform.NewClient(settings.StoreAddress)
 	platform := burdockhosted.Platform{
@@ -52,23 +52,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return burdockmain.ExitFailure
 	}
-	for sig := range signals {
-		if sig != syscall.SIGHUP {
-			break
-		}
-		reread(settings, log)
-	}
+	(&follower{load: burdockplatform.LoadSettings, inForce: settings, last: settings, level: level, log: log}).follow(signals)
 	process.Stop()
 	return burdockmain.ExitOK
 }
-
-// reread checks the settings as they are now. Those in force stay: addresses and
-// ports can't change under a running process.
-func reread(inForce burdocksettings.Hosted, log *zap.Logger) {
-	now, err := burdockplatform.LoadSettings()
-	if err != nil {
-		log.Error("settings not usable; those in force stay", zap.Error(err))
-		return
-	}
-	log.Info("settings read again; those in force stay until the next start", zap.Bool("differ", now != inForce))
-}
--- a/internal/base/burdocklog/writer.go
+++ b/internal/base/burdocklog/writer.go
@@ -126,11 +126,12 @@
 	return level
 }
 
-// New returns a log of JSON lines at a level, such as "info", over a writer.
-func New(w *Writer, level string) *zap.Logger {
-	least, encoder := Level(level), Encoder()
-	ordinary := zap.LevelEnablerFunc(func(l zapcore.Level) bool { return l >= least && l < zapcore.WarnLevel })
-	urgent := zap.LevelEnablerFunc(func(l zapcore.Level) bool { return l >= least && l >= zapcore.WarnLevel })
+// New returns a log of JSON lines over a writer, at a level that may change while
+// it is used.
+func New(w *Writer, level zap.AtomicLevel) *zap.Logger {
+	encoder := Encoder()
+	ordinary := zap.LevelEnablerFunc(func(l zapcore.Level) bool { return level.Enabled(l) && l < zapcore.WarnLevel })
+	urgent := zap.LevelEnablerFunc(func(l zapcore.Level) bool { return level.Enabled(l) && l >= zapcore.WarnLevel })
 	return zap.New(zapcore.NewTee(
 		zapcore.NewCore(encoder, sink{w, maxOrdinary}, ordinary),
 		zapcore.NewCore(encoder, sink{w, maxLines}, urgent),
--- a/internal/base/burdocklog/writer_test.go
+++ b/internal/base/burdocklog/writer_test.go
@@ -27,7 +27,7 @@
 func TestLinesAreWritten(t *testing.T) {
 	var out buffer
 	w := NewWriter(&out)
-	log := New(w, "info")
+	log := New(w, zap.NewAtomicLevelAt(zap.InfoLevel))
 	log.Debug("below the level")
 	log.Info("first", zap.Int("n", 1))
 	log.Warn("second")
@@ -47,7 +47,7 @@
 		t.Fatal(err)
 	}
 	w := NewWriter(write)
-	log := New(w, "info")
+	log := New(w, zap.NewAtomicLevelAt(zap.InfoLevel))
 	const lines = 2 * maxLines
 	logged := make(chan struct{})
 	go func() {
@@ -88,7 +88,7 @@
 func TestLinesOfLibrariesAreLogged(t *testing.T) {
 	var out buffer
 	lines := NewWriter(&out)
-	restore := TakeOver(New(lines, "info"))
+	restore := TakeOver(New(lines, zap.NewAtomicLevelAt(zap.InfoLevel)))
 	log.Print("Unsolicited response received on idle HTTP channel")
 	restore()
 	lines.Close()
@@ -98,3 +98,18 @@
 		}
 	}
 }
+
+// Whoever looks for a cause turns the level down while the process runs.
+func TestLevelChangesWhileRunning(t *testing.T) {
+	var out buffer
+	lines := NewWriter(&out)
+	level := zap.NewAtomicLevelAt(zap.InfoLevel)
+	log := New(lines, level)
+	log.Debug("too early")
+	level.SetLevel(Level("debug"))
+	log.Debug("in time")
+	lines.Close()
+	if got := out.b.String(); strings.Contains(got, "too early") || !strings.Contains(got, "in time") {
+		t.Errorf("got %q, want the second line alone", got)
+	}
+}
--- a/internal/config/burdocksettings/hosted.go
+++ b/internal/config/burdocksettings/hosted.go
@@ -1,6 +1,8 @@
 package burdocksettings
 
 import (
+	"reflect"
+
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockfinding"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
@@ -60,6 +62,21 @@
 	return h, nil
 }
 
+// NeedStart returns the keys in which other settings differ from those in force
+// and which a running process can't take over: its addresses, ports and sizes
+// stand until it starts again. The log level can be taken over.
+func (h Hosted) NeedStart(now Hosted) []string {
+	now.LogLevel = h.LogLevel
+	inForce, read := reflect.ValueOf(h), reflect.ValueOf(now)
+	var keys []string
+	for i := range inForce.NumField() {
+		if !inForce.Field(i).Equal(read.Field(i)) {
+			keys = append(keys, inForce.Type().Field(i).Tag.Get("toml"))
+		}
+	}
+	return keys
+}
+
 // Check returns what is wrong with the settings, by key.
 func (h *Hosted) Check() []burdockfinding.Finding {
 	c := &checker{}
