--- a/internal/group/burdockgroup/change.go
+++ b/internal/group/burdockgroup/change.go
@@ -284,7 +284,11 @@
 		return false
 	}
 	c.wanted, c.target = nil, 0
-	c.emit(MapRefused{Map: c.goal.Map})
+	for i, m := range c.members {
+		if !m.status.has(c.goal.Map) {
+			c.emit(MapRefused{Map: c.goal.Map, Rank: burdockid.Rank(i)})
+		}
+	}
 	c.goal = Goal{Kind: GoalRun, Base: c.goal.Base}
 	return c.fire(controllerAllWithdrawn, "")
 }
