Plan no map on half of a turn

Cause: with 12 layers and 72 ranks a turn of popularity reaches some layers in one round of counts and the others in the next. A map for the first of them was wanted at once, loaded experts that were not needed half a second later, and kept the map for the whole turn waiting.

Change: while the newest counts of some layer break with those before and wait for the next round, the planner is not asked.

--- a/internal/decide/burdockexpert/popularity.go
+++ b/internal/decide/burdockexpert/popularity.go
@@ -40,6 +40,17 @@
 	}
 }
 
+// Turning reports whether the newest counts of some layer break with those before
+// and have yet to be confirmed by the next.
+func (p *Popularity) Turning() bool {
+	for i := range p.layers {
+		if p.layers[i].pending.total > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Snapshot is a popularity at one instant.
 type Snapshot struct {
 	Experts int
--- a/internal/decide/burdockexpert/popularity_test.go
+++ b/internal/decide/burdockexpert/popularity_test.go
@@ -121,8 +121,14 @@
 			d.weights[0][e] = (1-part)*before[e] + part*after.truth().Share[0][e]
 		}
 		d.observe(p, 20*scenarioWindow, 1)
+		if !p.Turning() {
+			t.Errorf("swap after %.2f of a window: not turning, want it to wait for the next window", 1-part)
+		}
 		d.weights = after.weights
 		d.observe(p, 21*scenarioWindow, 1)
+		if p.Turning() {
+			t.Errorf("swap after %.2f of a window: turning still, want it confirmed", 1-part)
+		}
 		if got := distance(p.Snapshot().Share[0], d.truth().Share[0]); got > 0.05 {
 			t.Errorf("swap after %.2f of a window: distance = %.3f, want at most 0.05", 1-part, got)
 		}
--- a/internal/serve/burdockrank/planning.go
+++ b/internal/serve/burdockrank/planning.go
@@ -19,9 +19,6 @@
 	// countsRetry is the time after a question that failed.
 	countsRetry     = burdockclock.Second / 2
 	millisPerSecond = 1000
-	// wishMost is how long a wanted map may take to come into force before the
-	// planner looks again.
-	wishMost = burdockclock.Minute
 	// leastWeight stands for a weight of 0, which a profile may give to one of
 	// the two costs and which the planner can't divide by.
 	leastWeight = 1e-9
@@ -246,20 +243,12 @@
 
 // decide returns the content of the map that the group shall use next, or nil
 // if it shall stay with what it has.
-//
-// Load: popularity that drifts all day in a group that must not stand still.
-// Harm prevented: maps wanted one upon the other, each of which voids the load
-// of the one before. So none is wanted while one is under way, nor before the
-// profile's hold time is over.
 func (p *planning) decide(state burdockgroup.ControllerState) []byte {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.duty.sinceBoot()
 	experts := p.duty.member.experts()
-	if state.Phase != burdockgroup.ControllerResting || !p.mayPlan(now, experts) {
-		return nil
-	}
-	if p.popularity == nil {
+	if state.Phase != burdockgroup.ControllerResting || p.popularity == nil || !p.occasion(now, experts).plan() {
 		return nil
 	}
 	in := p.input(state, experts)
@@ -283,25 +272,19 @@
 	return content
 }
 
-// mayPlan reports whether there is something to decide on: the counts of all
-// ranks for a first map, and then something new.
-func (p *planning) mayPlan(now burdockclock.Millis, experts burdockprofile.Experts) bool {
-	for _, rank := range p.asked() {
-		if p.counts[rank].Tokens == nil {
-			return false
-		}
-	}
-	if p.wishedAt != 0 && now-p.wishedAt < wishMost {
-		return false
+// occasion gathers what says whether the planner is to be asked now.
+func (p *planning) occasion(now burdockclock.Millis, experts burdockprofile.Experts) occasion {
+	o := occasion{
+		now: now, wishedAt: p.wishedAt, changedAt: p.changedAt, gap: p.gap(experts),
+		first: p.needFirst, turning: p.popularity.Turning(),
 	}
-	if p.needFirst {
-		return true
+	for _, rank := range p.asked() {
+		o.unheard = o.unheard || p.counts[rank].Tokens == nil
 	}
-	news := false
-	for _, o := range p.observed {
-		news = news || o
+	for _, observed := range p.observed {
+		o.news = o.news || observed
 	}
-	return news && now-p.changedAt >= p.gap(experts)
+	return o
 }
 
 // asked returns the ranks whose counts are to be known before a first decision.
