Believe records that lapse together for a while

Cause: the store was out for three seconds while the entries' watches, open from before, stayed open.

Ruled out: upstreams that had failed (no failed offers before), a cut of the watches (no 'store lost' at any entry).

Change: at least three records and a quarter of all that go in one answer without having left are taken for the trace of an outage. The test fails without it.

--- a/internal/state/burdockfollow/follow.go
+++ b/internal/state/burdockfollow/follow.go
@@ -67,6 +67,10 @@
 	// believed in: a live upstream writes again within two seconds of the
 	// store's return.
 	returnGrace burdockclock.Millis = 2200
+	// leastLapsed upstreams, and one of lapsedPart, that vanish in one answer
+	// without having left are taken for the trace of an outage.
+	leastLapsed = 3
+	lapsedPart  = 4
 	// sweepEvery is how often upstreams that are missing after an outage are
 	// looked at again.
 	sweepEvery = 100 * time.Millisecond
@@ -123,8 +127,45 @@
 func (r *Records) Changed(items []burdockkv.Item) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, item := range items {
-		r.take(item, r.decoder.Decode(item))
+	changes := make([]Change, len(items))
+	for i, item := range items {
+		changes[i] = r.decoder.Decode(item)
+	}
+	r.noteLapses(changes)
+	for i, item := range items {
+		r.take(item, changes[i])
+	}
+}
+
+// noteLapses looks for the trace of an outage that this process did not see.
+//
+// Failure: the store is out and a watch that was open before stays open, so
+// nothing shows that nobody is there. Symptom: on the store's return the watch
+// tells that the records of all upstreams have lapsed, right before their writers
+// put them back, and all requests are refused for a second. Upstreams leave
+// before they go, and those that die do so one by one or with their VM: many that
+// vanish at once could not renew their records.
+func (r *Records) noteLapses(changes []Change) {
+	known := r.site.Now().Upstreams
+	lapsed := map[burdockid.Upstream]bool{}
+	for _, change := range changes {
+		switch c := change.(type) {
+		case UpstreamGone:
+			u, ok := known[c.ID]
+			lapsed[c.ID] = ok && !u.Leaving
+		case UpstreamWritten:
+			lapsed[c.Upstream.ID] = false
+		}
+	}
+	n := 0
+	for _, gone := range lapsed {
+		if gone {
+			n++
+		}
+	}
+	if n >= leastLapsed && n*lapsedPart >= len(known) {
+		r.log.Warn("many records lapsed at once; the store seems to have been out", zap.Int("lapsed", n), zap.Int("known", len(known)))
+		r.returnedAt = r.clock.Boot()
 	}
 }
 
--- a/internal/state/burdockfollow/follow_test.go
+++ b/internal/state/burdockfollow/follow_test.go
@@ -101,3 +101,28 @@
 	r.Changed([]burdockkv.Item{{Key: "a", Deleted: true}})
 	r.want(t, "removed", "b")
 }
+
+// The store is out and the watch that was open before stays open: nothing tells
+// of the outage. On its return the watch tells that all records have lapsed, and
+// callers would be refused until their writers, who live, have put them back.
+func TestRecordsThatLapsedInAnUnseenOutage(t *testing.T) {
+	r := newRecords()
+	r.Listed([]burdockkv.Item{put("a", "up"), put("b", "up"), put("c", "up"), put("d", "up")})
+	r.Changed([]burdockkv.Item{{Key: "a", Deleted: true}, {Key: "b", Deleted: true}, {Key: "c", Deleted: true}})
+	r.want(t, "on the store's return", "a b c d")
+	r.Changed([]burdockkv.Item{{Key: "d", Deleted: true}})
+	r.pass(1000)
+	r.Changed([]burdockkv.Item{put("a", "up"), put("d", "up")})
+	r.pass(1300)
+	r.want(t, "after the grace time", "a d")
+}
+
+// Upstreams that have left go at once, however many they are.
+func TestManyThatLeftAreGoneAtOnce(t *testing.T) {
+	r := newRecords()
+	r.Listed([]burdockkv.Item{put("a", "leaving"), put("b", "leaving"), put("c", "leaving"), put("d", "up")})
+	r.Changed([]burdockkv.Item{{Key: "a", Deleted: true}, {Key: "b", Deleted: true}, {Key: "c", Deleted: true}})
+	if got, want := len(r.site.Now().Upstreams), 1; got != want {
+		t.Errorf("upstreams: got %d, want %d", got, want)
+	}
+}
