--- a/internal/group/burdockgroup/change.go
+++ b/internal/group/burdockgroup/change.go
@@ -7,21 +7,6 @@
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 )
 
-// noteLead doubles the lead if a rank already stands at the step of the
-// change while the others still commit: the group loses steps.
-func (c *Controller) noteLead(s EngineStatus) {
-	deciding := c.machine.State() == ControllerArming || c.machine.State() == ControllerCommitting
-	if deciding && !c.cfg.ShortLead && s.Base != 0 && s.Held && s.Next == s.HoldAt && c.goal.At == s.HoldAt && !c.grown {
-		c.growLead()
-	}
-}
-
-// growLead doubles the lead, once for each change.
-func (c *Controller) growLead() {
-	c.lead = min(max(c.lead, 1)*2, c.cfg.MaxLead)
-	c.grown = true
-}
-
 func (c *Controller) enter(kind GoalKind, e controllerEvent) bool {
 	c.goal.Kind = kind
 	return c.fire(e, "")
@@ -228,71 +213,6 @@
 	return c.enter(GoalRelease, controllerAllCommitted)
 }
 
-// trimLead takes off the lead what this change left of it.
-//
-// Load: popularity that turns every few seconds, in a group whose steps are
-// short at one time and long at another. Harm prevented: a lead that grew while
-// steps were short puts each later change off by steps that are long, and those
-// steps are long because the change has yet to come. The steps that are left
-// when all ranks have committed were not needed: releasing takes less time than
-// the step that runs meanwhile, or holds the group for a part of one.
-func (c *Controller) trimLead() {
-	left := c.goal.At
-	for _, m := range c.members {
-		left = min(left, c.goal.At-m.status.Next)
-	}
-	c.lead = max(c.lead-max(left, 0), c.cfg.Lead, 1)
-}
-
-// stuck reports whether the change can neither go forward nor was let go at any
-// rank: all stop before its step, some have committed, and the others can't load
-// the map.
-//
-// Failure: a rank loses the next map after others have committed to it, as when
-// a newer controller has it load another one, and its engine takes no version
-// below the highest that it has had. Symptom: the ranks that have committed wait
-// for ever for the one that can't, and no request of the group is served again.
-// It is enough to take the commits back: no rank has been released, so none can
-// begin the step, and the group goes on with the map that it has. The same holds
-// when no agent has kept the map's content.
-func (c *Controller) stuck() bool {
-	failed := false
-	for _, m := range c.members {
-		if m.order != nil || !m.fresh || !m.status.heldAt(c.goal.At) || m.status.Next > c.goal.At {
-			return false
-		}
-		switch {
-		case m.status.Switch.Map == c.goal.Map:
-		case !m.status.has(c.goal.Map) && (m.status.Failed == c.goal.Map || c.lost(c.goal.Map)):
-			failed = true
-		default:
-			return false
-		}
-	}
-	return failed
-}
-
-// lost reports whether nobody knows the content of a map.
-func (c *Controller) lost(v burdockid.MapVersion) bool {
-	return c.contents[v] == nil && c.keeper(v) < 0
-}
-
-// withdrawAll takes the commits back and then lets the ranks go. A rank is let
-// go only when none has a switch any more.
-func (c *Controller) withdrawAll() bool {
-	if !c.drive() {
-		return false
-	}
-	c.wanted, c.target = nil, 0
-	for i, m := range c.members {
-		if !m.status.has(c.goal.Map) {
-			c.emit(MapRefused{Map: c.goal.Map, Rank: burdockid.Rank(i)})
-		}
-	}
-	c.goal = Goal{Kind: GoalRun, Base: c.goal.Base}
-	return c.fire(controllerAllWithdrawn, "")
-}
-
 func (c *Controller) releaseAll() bool {
 	if !c.drive() || !c.fire(controllerAllReleased, "") {
 		return false
--- /dev/null
+++ b/internal/group/burdockgroup/lead.go
@@ -0,0 +1,32 @@
+package burdockgroup
+
+// noteLead doubles the lead if a rank already stands at the step of the
+// change while the others still commit: the group loses steps.
+func (c *Controller) noteLead(s EngineStatus) {
+	deciding := c.machine.State() == ControllerArming || c.machine.State() == ControllerCommitting
+	if deciding && !c.cfg.ShortLead && s.Base != 0 && s.Held && s.Next == s.HoldAt && c.goal.At == s.HoldAt && !c.grown {
+		c.growLead()
+	}
+}
+
+// growLead doubles the lead, once for each change.
+func (c *Controller) growLead() {
+	c.lead = min(max(c.lead, 1)*2, c.cfg.MaxLead)
+	c.grown = true
+}
+
+// trimLead takes off the lead what this change left of it.
+//
+// Load: popularity that turns every few seconds, in a group whose steps are
+// short at one time and long at another. Harm prevented: a lead that grew while
+// steps were short puts each later change off by steps that are long, and those
+// steps are long because the change has yet to come. The steps that are left
+// when all ranks have committed were not needed: releasing takes less time than
+// the step that runs meanwhile, or holds the group for a part of one.
+func (c *Controller) trimLead() {
+	left := c.goal.At
+	for _, m := range c.members {
+		left = min(left, c.goal.At-m.status.Next)
+	}
+	c.lead = max(c.lead-max(left, 0), c.cfg.Lead, 1)
+}
