--- a/internal/serve/burdockrank/lease.go
+++ b/internal/serve/burdockrank/lease.go
@@ -64,8 +64,12 @@
 func (k *leaseKeeper) try() {
 	m := k.member
 	before := m.deps.Clock.Boot()
-	ctx, cancel := context.WithTimeout(m.ctx, k.patience().Duration())
-	defer cancel()
+	ctx := m.ctx
+	if k.held {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, k.patience().Duration())
+		defer cancel()
+	}
 	lease, err := m.deps.Store.Acquire(ctx, leaseName(m.seat.Group), k.holder, m.deps.Pace.LeaseTTL)
 	switch {
 	case err == nil:
@@ -85,8 +89,8 @@
 	}
 }
 
-// patience bounds one question to the store, so that one that hangs is over
-// while the lease is still held.
+// patience bounds the renewal of a lease that is held, so that one that hangs is
+// over while the lease still stands.
 func (k *leaseKeeper) patience() burdockclock.Millis {
 	pace := k.member.deps.Pace
 	return max((pace.LeaseTTL-pace.LeaseEvery)/questionsPerLease, pace.LeaseEvery)
--- a/internal/serve/burdockrank/tenure.go
+++ b/internal/serve/burdockrank/tenure.go
@@ -14,10 +14,10 @@
 // The store can't give the lease to anybody else while it is out for all. If it
 // is out for this VM alone, another agent gets the lease, reads all ranks with
 // its higher fencing number, and voids thereby every order of this one: the
-// ranks' numbers keep two controllers apart, the lease only saves them the
-// trouble. On 24 days, some of them without an outage, 0.666 of the worth was
-// earned with it and 0.632 without. A lease that has lapsed is not taken up again, so a VM that was frozen
-// is no controller when it wakes.
+// ranks' numbers keep two controllers apart, and the lease only saves them from
+// meeting. A lease that has lapsed is not taken up again, so a VM that was frozen
+// is no controller when it wakes. On 24 days, some of them without an outage,
+// 0.666 of the worth was earned with it and 0.632 without.
 type tenure struct {
 	ttl    burdockclock.Millis // of the lease
 	outage burdockclock.Millis // how long the lease is believed without the store
@@ -45,6 +45,7 @@
 // confirmed reports whether the store's word is all that the lease rests on.
 func (t *tenure) confirmed() bool { return t.until == t.asked+t.ttl }
 
+// end forgets the lease.
 func (t *tenure) end() { t.until = 0 }
 
 func (t *tenure) lease() burdockgroup.Lease {
