--- a/internal/serve/burdockhosted/agent.go
+++ b/internal/serve/burdockhosted/agent.go
@@ -79,11 +79,11 @@
 	changeLead    burdockid.Step = 1
 	changeLeadMax burdockid.Step = 8
 	// ranksPerLead is the number of ranks whose orders take one pass longer: the
-	// three rounds of a change take 2 ms a rank. With a lead of one, a group of 72
-	// stood for 60 to 85 ms at each change, and that pause alone made all its
-	// streams late: on a day of high load 788 and 792 streams of a kind were in
-	// time, with a lead of three 1,054.
-	ranksPerLead = 30
+	// three rounds of a change take 2 ms a rank, a pass 50 ms and more. With a
+	// lead of one, a group of 72 stood for 60 to 85 ms at each change, and that
+	// pause alone made all its streams late: on a day of high load 788 and 792
+	// streams of a kind were in time, with a lead of three 1,054.
+	ranksPerLead = 25
 	// armPatience is how long a group may stand for a rank that doesn't answer:
 	// several times what arming takes.
 	armPatience = 250 * burdockclock.Millis(1)
