Tell the controller how many experts of a layer a rank can load

Cause: the counts of another VM's rank came without the bound on new experts of one layer; only the controller's own rank told it. A plan for 12 layers, which allows 4 loads a rank, could put 3 of them into one layer, and a rank that has room for 2 refuses the whole map. Ruled out: with 4 layers a change brings each rank one load, so it can't happen. Change: the bound goes over the wire. TestCountsPassTheWireUnchanged fails without.

--- a/internal/serve/burdockrank/wire.go
+++ b/internal/serve/burdockrank/wire.go
@@ -183,6 +183,7 @@
 		Slots:       int32(c.Slots),
 		ExpertBytes: int64(c.ExpertBytes),
 		StoreRate:   int64(c.StoreRate),
+		MaxLoads:    int32(c.MaxLoads),
 	}
 	for _, tokens := range c.Tokens {
 		layer := &burdockwire.LayerCounts{}
@@ -200,6 +201,7 @@
 		Slots:       int(msg.GetSlots()),
 		ExpertBytes: burdockid.Bytes(msg.GetExpertBytes()),
 		StoreRate:   burdockid.BytesPerSecond(msg.GetStoreRate()),
+		MaxLoads:    int(msg.GetMaxLoads()),
 	}
 	for _, layer := range msg.GetLayers() {
 		tokens := make([]burdockid.Tokens, len(layer.GetTokens()))
--- a/internal/serve/burdockrank/wire_test.go
+++ b/internal/serve/burdockrank/wire_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/external/burdockengine"
 	"burdockbend.example/burdockbend/internal/group/burdockgroup"
 	"burdockbend.example/burdockbend/internal/wire/burdockwire"
 )
@@ -56,3 +57,15 @@
 		t.Errorf("report without a status: got %+v, want an error", got)
 	}
 }
+
+// A group's engines can load two new experts of a layer for one map. A controller
+// that is not told so plans three, and a rank refuses the map.
+func TestCountsPassTheWireUnchanged(t *testing.T) {
+	want := burdockengine.GroupCounts{
+		Life: "run", Tokens: [][]burdockid.Tokens{{1, 2}, {3, 4}}, Slots: 5, MaxLoads: 2,
+		ExpertBytes: 6, StoreRate: 7,
+	}
+	if got := countsFromWire(countsToWire(want)); !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
