Plan and place by the engines' speeds

Cause: one slow engine of a lock-stepped group makes every pass wait for the experts that it holds and for its own requests. The planner took each rank for usual, though reports tell the speed, and entries placed there as before. Change: agents tell the speed with counts and reports of orders; the planner gives a rank what its speed carries. While an engine is notably slow its agent keeps a record under a lease, by which entries place almost nothing there; it costs no call when all is well. A figure that can't be is logged once and taken for usual; speeds count against the median, so a group that is slow as a whole is even. What is left of the loss are the streams that run on the slow engine for some seconds more.

--- a/internal/external/burdockengine/group.go
+++ b/internal/external/burdockengine/group.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/decide/burdockspeed"
 	"burdockbend.example/burdockbend/internal/group/burdockgroup"
 )
 
@@ -34,6 +35,8 @@
 	MaxLoads    int                      `json:"maxLoads,omitempty"`
 	ExpertBytes burdockid.Bytes          `json:"expertBytes"`
 	StoreRate   burdockid.BytesPerSecond `json:"storeRate"`
+	// Speed is the engine's, as it was known when it counted; 0 if it is not.
+	Speed burdockspeed.Speed `json:"speed,omitempty"`
 }
 
 // GroupEngine is the engine of one rank of a lock-stepped group. Its agent
@@ -56,6 +59,13 @@
 	Held(ctx context.Context) (burdockid.MapVersion, [][]burdockid.Expert, error)
 }
 
+// SpeedTeller is a GroupEngine that tells how fast it is.
+type SpeedTeller interface {
+	// Speed returns the engine's speed as it was last known, at no call; 0 if it
+	// is not known.
+	Speed() burdockspeed.Speed
+}
+
 // ErrOldFence says that the engine has seen a higher fencing number and did not
 // carry out the order.
 var ErrOldFence = Errors.NewType("oldFence")
--- a/internal/serve/burdockdirect/entry.go
+++ b/internal/serve/burdockdirect/entry.go
@@ -16,6 +16,7 @@
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/decide/burdockspeed"
 	"burdockbend.example/burdockbend/internal/state/burdocksite"
 	"burdockbend.example/burdockbend/internal/wire/burdocktransport"
 	"github.com/VictoriaMetrics/metrics"
@@ -49,8 +50,9 @@
 	drainingAt atomic.Int64 // boot time of the planned stop; 0 before it
 	active     atomic.Int64
 
-	mu    sync.Mutex
-	pools map[burdockid.Service]*pool
+	mu     sync.Mutex
+	pools  map[burdockid.Service]*pool
+	speeds map[string]burdockspeed.Speed // of slow engines, by address
 }
 
 const (
@@ -156,11 +158,22 @@
 	p, ok := e.pools[name]
 	if !ok {
 		p = newPool(name, e)
+		p.setSpeeds(e.speeds)
 		e.pools[name] = p
 	}
 	return p
 }
 
+// SetSpeeds replaces the speeds of the engines that are slow, by address.
+func (e *Entry) SetSpeeds(speeds map[string]burdockspeed.Speed) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.speeds = speeds
+	for _, p := range e.pools {
+		p.setSpeeds(speeds)
+	}
+}
+
 // Follow hands a change of the site to the pools.
 func (e *Entry) Follow(snap *burdocksite.Snapshot) {
 	e.mu.Lock()
--- a/internal/serve/burdockdirect/gate.go
+++ b/internal/serve/burdockdirect/gate.go
@@ -112,10 +112,15 @@
 	}
 	return burdockpace.Engine{
 		Slots: e.Slots, Stride: e.Stride, StepMillis: e.StepMillis,
-		SequenceMillis: e.SequenceMillis + e.ContextMillis*float64(e.UsualPrompt)/tokensPerContext,
+		SequenceMillis: sequenceMillis(e),
 	}, true
 }
 
+// sequenceMillis is the part of a token step for each request with its context.
+func sequenceMillis(e *burdocksite.Engine) float64 {
+	return e.SequenceMillis + e.ContextMillis*float64(e.UsualPrompt)/tokensPerContext
+}
+
 func placesOf(members []burdocksite.Upstream) int {
 	places := 0
 	for _, u := range members {
@@ -206,6 +211,17 @@
 	g.advance()
 }
 
+// requests returns how many requests each engine has, on average; 0 for a plain
+// service.
+func (g *gate) requests() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.pace == nil {
+		return 0
+	}
+	return g.pace.State(g.clock.Boot()).Load
+}
+
 // load returns what runs and waits, and the present bound.
 func (g *gate) load() burdockqueue.Load {
 	g.mu.Lock()
--- a/internal/serve/burdockdirect/pool.go
+++ b/internal/serve/burdockdirect/pool.go
@@ -10,6 +10,7 @@
 	"burdockbend.example/burdockbend/internal/decide/burdockeject"
 	"burdockbend.example/burdockbend/internal/decide/burdockplace"
 	"burdockbend.example/burdockbend/internal/decide/burdockretry"
+	"burdockbend.example/burdockbend/internal/decide/burdockspeed"
 	"burdockbend.example/burdockbend/internal/state/burdocksite"
 	"go.uber.org/zap"
 )
@@ -42,6 +43,10 @@
 	engine  *burdocksite.Engine
 	config  *burdocksite.Config        // that was taken up last
 	own     map[burdockid.Upstream]int // offers in flight
+	// speeds are those of slow engines, by address, and bySpeed the weights that
+	// follow from them.
+	speeds  map[string]burdockspeed.Speed
+	bySpeed map[burdockid.Upstream]float64
 	// usualTook is how long an answer usually takes from its offer to its end.
 	usualTook burdockclock.Millis
 	// heardAt is when each upstream with offers in flight was last heard from, or
@@ -132,7 +137,7 @@
 // follow takes up the members that the site shows now.
 func (p *pool) follow(now burdockclock.Millis, snap *burdocksite.Snapshot) {
 	cfg := gateConfigOf(snap, p.service)
-	if p.takeUp(now, cfg.members, snap.Config) {
+	if p.takeUp(now, cfg.members, snap.Config, p.gate.requests()) {
 		p.gate.follow(cfg)
 	}
 }
@@ -145,7 +150,7 @@
 }
 
 // takeUp reports whether members or configuration are news.
-func (p *pool) takeUp(now burdockclock.Millis, members []burdocksite.Upstream, cfg *burdocksite.Config) bool {
+func (p *pool) takeUp(now burdockclock.Millis, members []burdocksite.Upstream, cfg *burdocksite.Config, requests float64) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	news := p.config != cfg
@@ -160,9 +165,10 @@
 		names = append(names, u.ID)
 	}
 	p.tracker.SetMembers(now, names)
+	p.bySpeed = speedWeights(engineOf(p.entry.deps.Site.Now(), p.service), p.members, p.speeds, requests)
 	placed := make([]burdockplace.Member, len(names))
 	for i, name := range names {
-		placed[i] = burdockplace.Member{Upstream: name, DataCentre: p.members[name].DataCentre, Weight: p.tracker.Weight(name)}
+		placed[i] = burdockplace.Member{Upstream: name, DataCentre: p.members[name].DataCentre, Weight: p.weightNow(name)}
 	}
 	p.placer.SetMembers(now, placed)
 	return true
@@ -244,7 +250,7 @@
 	if !changed {
 		return
 	}
-	p.placer.SetWeight(change.Upstream, change.Weight)
+	p.weigh(change.Upstream)
 	p.entry.deps.Log.Info("upstream weighted", zap.String("upstream", string(change.Upstream)),
 		zap.String("service", string(p.service)), zap.String("cause", string(change.Cause)), zap.Float64("weight", change.Weight))
 }
@@ -258,8 +264,8 @@
 func (p *pool) replaced(now burdockclock.Millis, u burdockid.Upstream) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if change, changed := p.tracker.Leave(now, u); changed {
-		p.placer.SetWeight(u, change.Weight)
+	if _, changed := p.tracker.Leave(now, u); changed {
+		p.weigh(u)
 		p.entry.deps.Log.Info("upstream replaced", zap.String("upstream", string(u)), zap.String("service", string(p.service)))
 	}
 }
--- /dev/null
+++ b/internal/serve/burdockdirect/speed_test.go
@@ -0,0 +1,98 @@
+package burdockdirect
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/decide/burdockspeed"
+	"burdockbend.example/burdockbend/internal/state/burdocksite"
+)
+
+// newEngines returns an entry before engines of one group.
+func newEngines(t *testing.T, upstreams ...*upstream) *fixture {
+	t.Helper()
+	f := newFixture(t, usualTimeout, upstreams...)
+	cfg := *f.site.Now().Config
+	cfg.Version++
+	cfg.Services = map[burdockid.Service]burdocksite.Service{"s": {Name: "s", Engine: &burdocksite.Engine{
+		Slots: 12, Stride: 4, StepMillis: 4.5, SequenceMillis: 0.9, ExpertShare: 0.85,
+	}}}
+	f.site.SetConfig(cfg)
+	return f
+}
+
+// slow tells the entry that an upstream's engine has a speed.
+func (f *fixture) slow(u *upstream, speed burdockspeed.Speed) {
+	f.entry.SetSpeeds(map[string]burdockspeed.Speed{strings.TrimPrefix(u.server.URL, "http://"): speed})
+}
+
+// serveStream writes the events that are left of six.
+func serveStream(w http.ResponseWriter, r *http.Request) {
+	sign(w, r)
+	w.Header().Set("Content-Type", "text/event-stream")
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	writeEvents(w, last+1, 6)
+}
+
+// One engine of a group turns slow, and all ranks wait for what runs on it. Its
+// callers see every stream of the group late; so new streams go elsewhere, until
+// it is sound again.
+func TestSlowEngineGetsNoNewStreams(t *testing.T) {
+	engines := []*upstream{newUpstream(t, serveStream), newUpstream(t, serveStream), newUpstream(t, serveStream)}
+	f := newEngines(t, engines...)
+	send := func(n int) {
+		for i := range n {
+			if got := f.send(t, context.Background(), "/stream/", map[string]string{"X-Id": fmt.Sprint(i)}); got.body != eventsOf(1, 6) {
+				t.Fatalf("got body %q, want events 1 to 6", got.body)
+			}
+		}
+	}
+	const streams = 60
+	f.slow(engines[0], 1/2.8)
+	send(streams)
+	if got, most := engines[0].seen(), streams/10; got > most {
+		t.Errorf("streams at the slow engine: got %d, want at most %d of %d", got, most, streams)
+	}
+	before := engines[0].seen()
+	f.entry.SetSpeeds(nil)
+	send(streams)
+	if got := engines[0].seen() - before; got == 0 {
+		t.Errorf("streams at the engine that is sound again: got none of %d", streams)
+	}
+}
+
+// All engines of a group turn slow alike. None is worse than the others, and the
+// entry must still place streams on all of them.
+func TestGroupThatIsSlowAsAWholeIsEven(t *testing.T) {
+	members := map[burdockid.Upstream]burdocksite.Upstream{"a": {ID: "a", Address: "1:1"}, "b": {ID: "b", Address: "2:1"}}
+	engine := &burdocksite.Engine{StepMillis: 4.5, SequenceMillis: 0.9, ExpertShare: 0.85}
+	if got := speedWeights(engine, members, map[string]burdockspeed.Speed{"1:1": 0.25, "2:1": 0.25}, 7); len(got) != 0 {
+		t.Errorf("weights: got %v, want none below 1", got)
+	}
+}
+
+// A request that may run once has been offered to an engine that turns slow. It
+// can't be offered again, so it stays: its caller gets the answer late.
+func TestRequestsThatRunOnceStayAtASlowEngine(t *testing.T) {
+	began, release := make(chan struct{}), make(chan struct{})
+	serve := func(w http.ResponseWriter, r *http.Request) {
+		close(began)
+		<-release
+		answerOK(w, r)
+	}
+	u := newUpstream(t, serve)
+	f := newEngines(t, u)
+	done := make(chan reply, 1)
+	go func() { done <- f.send(t, context.Background(), "/once/", nil) }()
+	<-began
+	f.slow(u, 0.1)
+	close(release)
+	if got := <-done; got.status != http.StatusOK || got.body != "whole answer" {
+		t.Errorf("got status %d body %q, want 200 and the answer", got.status, got.body)
+	}
+}
--- a/internal/serve/burdockhosted/agent.go
+++ b/internal/serve/burdockhosted/agent.go
@@ -123,6 +123,7 @@
 	log       *zap.Logger
 	host      *burdockrank.Host
 	directory *directory
+	announcer *announcer
 	readers   []reader
 	peers     *http.Server
 	admin     *http.Server
@@ -143,6 +144,7 @@
 	address := net.JoinHostPort(settings.IP, strconv.Itoa(settings.PeerPort))
 	a := &agent{log: log}
 	a.directory = newDirectory(p.NewRank, settings.UpstreamAddress, address, p.Store, spec, log)
+	a.announcer = newAnnouncer(p.Store, settings.UpstreamAddress, a.directory.speed, log)
 	a.host = burdockrank.NewHost(burdockid.Upstream(settings.UpstreamAddress), burdockrank.Deps{
 		Clock: clock, Engines: a.directory.engine, Remote: a.directory.remote, Store: newLeases(p.Store, mirror, log),
 		Directory: a.directory, Peers: burdocktransport.NewPeers(nil), Log: log, Pace: pace(),
@@ -169,6 +171,7 @@
 		r.Start()
 	}
 	a.directory.start()
+	a.announcer.start()
 	a.host.Start()
 	log.Info("agent started", zap.String("vm", string(settings.VM)), zap.String("upstream", settings.UpstreamAddress))
 	return a, nil
@@ -178,6 +181,7 @@
 func (a *agent) Stop() {
 	a.log.Info("stopping")
 	a.host.Close()
+	a.announcer.close()
 	a.directory.close()
 	for _, r := range a.readers {
 		r.Close()
--- a/internal/serve/burdockhosted/directory.go
+++ b/internal/serve/burdockhosted/directory.go
@@ -53,6 +53,7 @@
 	store   burdockkv.Store
 	spec    func() *burdocksite.Engine
 	log     *zap.Logger
+	speed   *ownSpeed // of the engine
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -68,7 +69,7 @@
 
 func newDirectory(ranks func(address string) Rank, replica, address string, store burdockkv.Store, spec func() *burdocksite.Engine, log *zap.Logger) *directory {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &directory{rank: ranks(replica), ranks: ranks, replica: replica, address: address, store: store, spec: spec, log: log, ctx: ctx, cancel: cancel}
+	return &directory{rank: ranks(replica), ranks: ranks, replica: replica, address: address, store: store, spec: spec, log: log, speed: newOwnSpeed(log), ctx: ctx, cancel: cancel}
 }
 
 func (d *directory) start() {
@@ -102,6 +103,7 @@
 	if err != nil {
 		return
 	}
+	d.speed.saw(report)
 	seat := burdockrank.Seat{}
 	if report.Open && report.Ranks > 1 && d.spec() != nil && d.spec().Layers > 0 {
 		seat = burdockrank.Seat{
@@ -209,12 +211,12 @@
 	if address == "" {
 		return nil
 	}
-	return &engine{rank: d.ranks(address), spec: d.spec, epoch: d.epochOf(group), lag: remoteLag}
+	return &engine{rank: d.ranks(address), spec: d.spec, epoch: d.epochOf(group), lag: remoteLag, speed: newOwnSpeed(d.log)}
 }
 
 // engine returns the engine of a seat.
 func (d *directory) engine(seat burdockrank.Seat) burdockengine.GroupEngine {
-	return &engine{rank: d.rank, spec: d.spec, epoch: d.epochOf(seat.Group)}
+	return &engine{rank: d.rank, spec: d.spec, epoch: d.epochOf(seat.Group), speed: d.speed}
 }
 
 func (d *directory) epochOf(group string) int64 {
--- a/internal/serve/burdockhosted/engine.go
+++ b/internal/serve/burdockhosted/engine.go
@@ -8,6 +8,7 @@
 
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/decide/burdockexpert"
+	"burdockbend.example/burdockbend/internal/decide/burdockspeed"
 	"burdockbend.example/burdockbend/internal/external/burdockengine"
 	"burdockbend.example/burdockbend/internal/group/burdockgroup"
 	"burdockbend.example/burdockbend/internal/state/burdocksite"
@@ -32,6 +33,8 @@
 	// based on an old one is void, and the status after an order is that of
 	// before until the lag has passed.
 	lag time.Duration
+	// speed is that of the engine, by all reports that are read of it.
+	speed *ownSpeed
 
 	mu      sync.Mutex
 	epoch   int64 // of the seat that the orders are for
@@ -116,6 +119,7 @@
 	if err != nil {
 		return report, err
 	}
+	e.speed.saw(report)
 	if !report.Open || report.Epoch != e.epoch {
 		return report, ErrNoGroup.New("epoch %d, open %t; the seat is in epoch %d", report.Epoch, report.Open, e.epoch)
 	}
@@ -214,7 +218,7 @@
 	}
 	out := burdockengine.GroupCounts{
 		Life: burdockengine.Life(strconv.FormatInt(epoch, 10)), Slots: spec.Places, MaxLoads: spec.Spare,
-		ExpertBytes: spec.ExpertBytes, StoreRate: spec.CopyRate,
+		ExpertBytes: spec.ExpertBytes, StoreRate: spec.CopyRate, Speed: e.speed.now(),
 	}
 	for l := 0; l < spec.Layers && (l+1)*spec.Experts <= len(counts); l++ {
 		out.Tokens = append(out.Tokens, counts[l*spec.Experts:(l+1)*spec.Experts])
@@ -234,6 +238,9 @@
 	return mapVersion(version), experts, nil
 }
 
+// Speed implements burdockengine.SpeedTeller.
+func (e *engine) Speed() burdockspeed.Speed { return e.speed.now() }
+
 // mapVersion is the version of a map in use.
 func mapVersion(v int64) burdockid.MapVersion {
 	if v == 0 {
--- a/internal/serve/burdockhosted/engine_test.go
+++ b/internal/serve/burdockhosted/engine_test.go
@@ -8,6 +8,7 @@
 	"burdockbend.example/burdockbend/internal/group/burdockgroup"
 	"burdockbend.example/burdockbend/internal/state/burdocksite"
 	"github.com/joomcode/errorx"
+	"go.uber.org/zap"
 )
 
 // deafRank leaves its first orders unanswered and undone.
@@ -30,7 +31,7 @@
 	group := &fakeGroup{used: map[int64]bool{}}
 	r := &deafRank{fakeRank: fakeRank{group: group}, deaf: deaf}
 	group.ranks = []*fakeRank{&r.fakeRank}
-	return r, &engine{rank: r, spec: func() *burdocksite.Engine { return nil }, epoch: 1}
+	return r, &engine{rank: r, spec: func() *burdocksite.Engine { return nil }, epoch: 1, speed: newOwnSpeed(zap.NewNop())}
 }
 
 // A group stands until an engine has carried out an order that it leaves
--- a/internal/serve/burdockhosted/rank.go
+++ b/internal/serve/burdockhosted/rank.go
@@ -29,6 +29,9 @@
 	ArmedStep burdockid.Step
 	Held      bool
 	HeldStep  burdockid.Step
+	// Slowdown is how many times as long as usual the engine takes; nil if it
+	// doesn't say.
+	Slowdown *float64
 }
 
 // RankOrder is one of Prepare, Arm, Disarm, Hold and Go.
--- a/internal/serve/burdockhosted/schedule_test.go
+++ b/internal/serve/burdockhosted/schedule_test.go
@@ -11,6 +11,7 @@
 	"burdockbend.example/burdockbend/internal/decide/burdockexpert"
 	"burdockbend.example/burdockbend/internal/group/burdockgroup"
 	"burdockbend.example/burdockbend/internal/state/burdocksite"
+	"go.uber.org/zap"
 )
 
 // fakeGroup is the platform's side of a group: engines that pass in lock-step,
@@ -230,7 +231,7 @@
 	for i := range ranks {
 		r := &fakeRank{group: s.fakeGroup, number: i}
 		s.ranks = append(s.ranks, r)
-		s.agents = append(s.agents, &agentModel{engine: &engine{rank: r, spec: spec, epoch: 1}})
+		s.agents = append(s.agents, &agentModel{engine: &engine{rank: r, spec: spec, epoch: 1, speed: newOwnSpeed(zap.NewNop())}})
 		s.restart(i)
 	}
 	for _, r := range s.ranks {
@@ -356,7 +357,7 @@
 	if p == nil {
 		spec := func() *burdocksite.Engine { return &burdocksite.Engine{Layers: 1, Experts: 4, Places: 2} }
 		cfg := burdockgroup.DefaultRankConfig(order.To, len(s.ranks), burdockid.NewIncarnation())
-		p = &proxyModel{rank: burdockgroup.NewRank(cfg), engine: &engine{rank: s.far[i], spec: spec, epoch: 1}}
+		p = &proxyModel{rank: burdockgroup.NewRank(cfg), engine: &engine{rank: s.far[i], spec: spec, epoch: 1, speed: newOwnSpeed(zap.NewNop())}}
 		s.proxies[controller][i] = p
 	}
 	s.doFar(p, controller, p.rank.Handle(s.now, burdockgroup.FenceFromStore{Fence: order.Number.Fence}))
--- a/internal/serve/burdockrank/duty.go
+++ b/internal/serve/burdockrank/duty.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/decide/burdockspeed"
 	"burdockbend.example/burdockbend/internal/group/burdockgroup"
 	"burdockbend.example/burdockbend/internal/state/burdockchart"
 	"burdockbend.example/burdockbend/internal/wire/burdockwire"
@@ -154,6 +155,7 @@
 			return burdockgroup.Report{}, false
 		}
 		report, err := m.order(ctx, order)
+		s.duty.plan.heardSpeed(order.To, m.speed())
 		return report, err == nil
 	}
 	if s.mayDirect() && m.proxies.silentNow(order.To) {
@@ -209,6 +211,7 @@
 		return burdockgroup.Report{}, err
 	}
 	m.traffic.received(res.Msg)
+	s.duty.plan.heardSpeed(order.To, burdockspeed.Speed(res.Msg.GetSpeed()))
 	report, err := reportFromWire(res.Msg)
 	if err == nil && report.From != order.To {
 		err = ErrMalformed.New("a report from rank %d", report.From)
--- a/internal/serve/burdockrank/planning.go
+++ b/internal/serve/burdockrank/planning.go
@@ -8,6 +8,7 @@
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/config/burdockprofile"
 	"burdockbend.example/burdockbend/internal/decide/burdockexpert"
+	"burdockbend.example/burdockbend/internal/decide/burdockspeed"
 	"burdockbend.example/burdockbend/internal/external/burdockengine"
 	"burdockbend.example/burdockbend/internal/group/burdockgroup"
 	"burdockbend.example/burdockbend/internal/wire/burdockwire"
@@ -22,8 +23,6 @@
 	// leastWeight stands for a weight of 0, which a profile may give to one of
 	// the two costs and which the planner can't divide by.
 	leastWeight = 1e-9
-	// normalSpeed is that of a rank whose speed nobody has measured.
-	normalSpeed = 1.0
 )
 
 // planning gathers the popularity of experts while the agent holds the group's
@@ -36,6 +35,8 @@
 	popularity *burdockexpert.Popularity
 	counts     []burdockengine.GroupCounts // by rank; without tokens until heard
 	observed   []bool                      // by rank: counted in the popularity
+	speeds     speeds                      // by rank
+	newSpeed   bool                        // a speed has changed since the planner was asked
 	asking     bool
 	askAt      burdockclock.Millis
 	askNext    burdockid.Rank
@@ -58,6 +59,7 @@
 	p.popularity = nil
 	p.counts = make([]burdockengine.GroupCounts, ranks)
 	p.observed = make([]bool, ranks)
+	p.speeds, p.newSpeed = newSpeeds(ranks), false
 	p.needFirst, p.needOld, p.wishedAt = false, 0, 0
 }
 
@@ -85,6 +87,21 @@
 	}
 }
 
+// heardSpeed takes in how fast a rank's engine is, 0 if its agent doesn't know.
+func (p *planning) heardSpeed(rank burdockid.Rank, told burdockspeed.Speed) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.noteSpeed(rank, told)
+}
+
+// noteSpeed is heardSpeed with the lock held.
+func (p *planning) noteSpeed(rank burdockid.Rank, told burdockspeed.Speed) {
+	if p.speeds.heard(rank, told) {
+		p.newSpeed = true
+		p.duty.member.deps.Log.Info("a rank's speed has changed", zap.Int("rank", int(rank)), zap.Stringer("speed", p.speeds[rank]))
+	}
+}
+
 // inForce notes the end of a change.
 func (p *planning) inForce(burdockid.MapVersion) {
 	p.mu.Lock()
@@ -198,6 +215,7 @@
 	p.shape(counts)
 	before := p.counts[rank]
 	p.counts[rank] = counts
+	p.noteSpeed(rank, counts.Speed)
 	if before.Life != counts.Life || len(before.Tokens) != len(counts.Tokens) {
 		return // counts since an engine's start say little of the last minute
 	}
@@ -256,7 +274,7 @@
 		return nil // a map is in use whose content has not come yet
 	}
 	move, ok := p.planner.Plan(now, in).(burdockexpert.Move)
-	p.observed = make([]bool, len(p.observed))
+	p.observed, p.newSpeed = make([]bool, len(p.observed)), false
 	if !ok {
 		return nil
 	}
@@ -276,7 +294,7 @@
 func (p *planning) occasion(now burdockclock.Millis, experts burdockprofile.Experts) occasion {
 	o := occasion{
 		now: now, wishedAt: p.wishedAt, changedAt: p.changedAt, gap: p.gap(experts),
-		first: p.needFirst, turning: p.popularity.Turning(),
+		first: p.needFirst, turning: p.popularity.Turning(), news: p.newSpeed,
 	}
 	for _, rank := range p.asked() {
 		o.unheard = o.unheard || p.counts[rank].Tokens == nil
@@ -330,7 +348,7 @@
 		}
 		in.Ranks = append(in.Ranks, burdockexpert.Rank{
 			Slots: c.Slots, MaxLoads: known.MaxLoads, MaxTotal: most,
-			Speed: normalSpeed,
+			Speed: float64(p.speeds[r]),
 			Empty: r < len(state.Ranks) && state.Ranks[r].Engine.Base == 0,
 		})
 	}
--- a/internal/serve/burdockrank/round.go
+++ b/internal/serve/burdockrank/round.go
@@ -93,6 +93,7 @@
 		p.shape(counts)
 		before := p.counts[rank]
 		p.counts[rank] = counts
+		p.noteSpeed(burdockid.Rank(rank), counts.Speed)
 		if before.Life == counts.Life && len(before.Tokens) == len(counts.Tokens) {
 			sum = addSince(sum, before.Tokens, counts.Tokens)
 			p.observed[rank] = true
--- a/internal/serve/burdockrank/service.go
+++ b/internal/serve/burdockrank/service.go
@@ -36,7 +36,9 @@
 	if err != nil {
 		return nil, connect.NewError(connect.CodeDeadlineExceeded, err)
 	}
-	return connect.NewResponse(reportToWire(report)), nil
+	msg := reportToWire(report)
+	msg.Speed = float64(m.speed())
+	return connect.NewResponse(msg), nil
 }
 
 // AskFence implements burdockwire.GroupServiceHandler.
--- a/internal/serve/burdockrank/size_test.go
+++ b/internal/serve/burdockrank/size_test.go
@@ -5,6 +5,7 @@
 
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/decide/burdockexpert"
+	"burdockbend.example/burdockbend/internal/decide/burdockspeed"
 	"burdockbend.example/burdockbend/internal/external/burdockengine"
 	"burdockbend.example/burdockbend/internal/group/burdockgroup"
 	"google.golang.org/protobuf/proto"
@@ -19,7 +20,7 @@
 	popularity := burdockexpert.NewPopularity(layers, experts, popularityHalfLife)
 	group := make([]burdockexpert.Rank, ranks)
 	for r := range group {
-		group[r] = burdockexpert.Rank{Slots: slots, Speed: normalSpeed}
+		group[r] = burdockexpert.Rank{Slots: slots, Speed: float64(burdockspeed.Usual)}
 	}
 	content, err := burdockexpert.Solve(popularity.Snapshot(), group).Encode()
 	if err != nil {
--- a/internal/serve/burdockrank/wire.go
+++ b/internal/serve/burdockrank/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/decide/burdockspeed"
 	"burdockbend.example/burdockbend/internal/external/burdockengine"
 	"burdockbend.example/burdockbend/internal/group/burdockgroup"
 	"burdockbend.example/burdockbend/internal/wire/burdockwire"
@@ -184,6 +185,7 @@
 		ExpertBytes: int64(c.ExpertBytes),
 		StoreRate:   int64(c.StoreRate),
 		MaxLoads:    int32(c.MaxLoads),
+		Speed:       float64(c.Speed),
 	}
 	for _, tokens := range c.Tokens {
 		layer := &burdockwire.LayerCounts{}
@@ -202,6 +204,7 @@
 		ExpertBytes: burdockid.Bytes(msg.GetExpertBytes()),
 		StoreRate:   burdockid.BytesPerSecond(msg.GetStoreRate()),
 		MaxLoads:    int(msg.GetMaxLoads()),
+		Speed:       burdockspeed.Speed(msg.GetSpeed()),
 	}
 	for _, layer := range msg.GetLayers() {
 		tokens := make([]burdockid.Tokens, len(layer.GetTokens()))
--- a/internal/serve/burdockrank/wire_test.go
+++ b/internal/serve/burdockrank/wire_test.go
@@ -63,7 +63,7 @@
 func TestCountsPassTheWireUnchanged(t *testing.T) {
 	want := burdockengine.GroupCounts{
 		Life: "run", Tokens: [][]burdockid.Tokens{{1, 2}, {3, 4}}, Slots: 5, MaxLoads: 2,
-		ExpertBytes: 6, StoreRate: 7,
+		ExpertBytes: 6, StoreRate: 7, Speed: 0.5,
 	}
 	if got := countsFromWire(countsToWire(want)); !reflect.DeepEqual(got, want) {
 		t.Errorf("got %+v, want %+v", got, want)
--- a/internal/state/burdockkv/mirror.go
+++ b/internal/state/burdockkv/mirror.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
@@ -29,6 +30,13 @@
 	return item, ok
 }
 
+// Items returns all keys, in no order.
+func (m *Mirror) Items() []Item {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Collect(maps.Values(m.items))
+}
+
 // Known reports whether the keys have been listed once.
 func (m *Mirror) Known() bool {
 	m.mu.Lock()
--- a/internal/state/burdocksite/site.go
+++ b/internal/state/burdocksite/site.go
@@ -90,6 +90,8 @@
 	Spare       int
 	ExpertBytes burdockid.Bytes
 	CopyRate    burdockid.BytesPerSecond
+	// ExpertShare is the part of the work for tokens that experts do.
+	ExpertShare float64
 	// UsualPrompt and UsualAnswer are mean lengths.
 	UsualPrompt burdockid.Tokens
 	UsualAnswer burdockid.Tokens
