See swaps of popularity against all counts, and plan on the first clear window

Cause: after a swap the estimate waited for a second window, a tenth of a second in which the most loaded rank has 3.1 to 4 times the mean; and a swap within a thin window was missed until the next swap, 3.6 s later. Change: windows are compared with the estimate; a group whose changes are cheap plans on the first window that breaks, unless a fifth or more of it may be of before; half-life 1.5 s.

--- a/internal/decide/burdockexpert/counts.go
+++ b/internal/decide/burdockexpert/counts.go
@@ -15,6 +15,7 @@
 	total       float64   // sum of weight*tokens
 	totalSquare float64   // sum of weight^2*tokens; with total it gives the effective sample
 	last        window
+	mixed       bool      // pending holds much of before
 	pending     window    // breaks with last and waits for the next to agree
 	dispersions []float64 // the newest, at most dispersionWindows
 }
@@ -33,6 +34,10 @@
 	// apart. Chance gives 8 experts' windows 4 times the mean in one of
 	// thousands; drift through the day gives 128 experts' about 2 times.
 	breakFactor = 8.0
+	// mostOldPart is the part of a window that may be of before a swap if the rest
+	// is to stand for what came after: what the copies of a change that is planned
+	// on it lose by the mixture is then less than the time of one more window.
+	mostOldPart = 0.2
 	// unknownDeviation is the deviation of a share of which nothing is known.
 	unknownDeviation = 1.0
 )
@@ -61,7 +66,7 @@
 //
 // Load: popularity that swaps from one window to the next. Harm prevented: an
 // average of before and after, after which experts are moved to where neither
-// needs them. A window that breaks with the one before is set aside; if the
+// needs them. A window that breaks with the estimate is set aside; if the
 // next agrees with it, the counts from before are forgotten. One window alone
 // may be a burst, and does not turn the estimate: hence the wait. If the next
 // agrees with neither, the swap came within the window that was set aside: that
@@ -71,7 +76,7 @@
 	case c.pending.total > 0:
 		c.confirm(w)
 	case c.breaks(w):
-		c.pending = w
+		c.pending, c.mixed = w, w.partOf(c.known()) > mostOldPart
 	default:
 		c.measureDispersion(w)
 		c.add(w)
@@ -102,15 +107,25 @@
 	c.totalSquare += w.total
 }
 
+// known returns the counts as one window.
+func (c *layerCounts) known() window { return window{counts: c.counts, total: c.total} }
+
 // forget drops the counts, but not what is known of their dispersion.
 func (c *layerCounts) forget() {
 	clear(c.counts)
 	c.total, c.totalSquare = 0, 0
 }
 
-// breaks reports whether a window is too far from the last one for noise.
+// breaks reports whether a window is too far from the estimate for noise.
+//
+// Failure: popularity swaps within a window that has few tokens. Symptom: neither
+// that window nor the next differs from its predecessor beyond chance, and the
+// estimate holds on to what is gone until the next swap. All counts since the last
+// swap are a better measure than one window: on the recorded counts of three days,
+// with a half-life of 1.5 s, the most loaded of 16 ranks had 1.68 times the mean
+// instead of 1.72.
 func (c *layerCounts) breaks(w window) bool {
-	return len(c.dispersions) >= knownWindows && w.dispersionFrom(c.last) > breakFactor*c.dispersion()
+	return len(c.dispersions) >= knownWindows && w.dispersionFrom(c.known()) > breakFactor*c.dispersion()
 }
 
 func (c *layerCounts) measureDispersion(w window) {
@@ -136,6 +151,18 @@
 	return max(least, sorted[len(sorted)/2])
 }
 
+// newest is estimate with a window that has yet to be confirmed taken for the
+// popularity.
+func (c *layerCounts) newest() (share, deviation []float64) {
+	if c.pending.total == 0 {
+		return c.estimate()
+	}
+	swapped := layerCounts{
+		counts: c.pending.counts, total: c.pending.total, totalSquare: c.pending.total, dispersions: c.dispersions,
+	}
+	return swapped.estimate()
+}
+
 func (c *layerCounts) estimate() (share, deviation []float64) {
 	share = make([]float64, len(c.counts))
 	deviation = make([]float64, len(c.counts))
--- a/internal/decide/burdockexpert/popularity.go
+++ b/internal/decide/burdockexpert/popularity.go
@@ -51,6 +51,17 @@
 	return false
 }
 
+// Unclear reports whether the newest counts of some layer break with those before
+// and are partly of before, so that they stand for neither.
+func (p *Popularity) Unclear() bool {
+	for i := range p.layers {
+		if p.layers[i].pending.total > 0 && p.layers[i].mixed {
+			return true
+		}
+	}
+	return false
+}
+
 // Snapshot is a popularity at one instant.
 type Snapshot struct {
 	Experts int
@@ -62,10 +73,16 @@
 }
 
 // Snapshot returns the present estimate.
-func (p *Popularity) Snapshot() Snapshot {
+func (p *Popularity) Snapshot() Snapshot { return p.snapshot((*layerCounts).estimate) }
+
+// Newest is Snapshot with counts that break with those before taken for the
+// popularity at once, before the next confirm it.
+func (p *Popularity) Newest() Snapshot { return p.snapshot((*layerCounts).newest) }
+
+func (p *Popularity) snapshot(estimate func(*layerCounts) (share, deviation []float64)) Snapshot {
 	s := Snapshot{Experts: p.experts}
 	for i := range p.layers {
-		share, deviation := p.layers[i].estimate()
+		share, deviation := estimate(&p.layers[i])
 		s.Share = append(s.Share, share)
 		s.Deviation = append(s.Deviation, deviation)
 	}
--- a/internal/decide/burdockexpert/popularity_test.go
+++ b/internal/decide/burdockexpert/popularity_test.go
@@ -134,3 +134,59 @@
 		}
 	}
 }
+
+// The experts in demand swap within a window in which hardly anything was read.
+// The window after it is all new, yet compared with that thin one alone it shows
+// nothing: the map would stay that of the old popularity until the next swap.
+func TestSwapWithinAThinWindowIsSeen(t *testing.T) {
+	p, d := NewPopularity(1, 64, testHalf), newDrift(3, 1, 64)
+	for window := range burdockclock.Millis(20) {
+		d.observe(p, window*scenarioWindow, 30)
+	}
+	old := d.truth().Share[0]
+	d.weights = newDrift(4, 1, 64).weights
+	swapped := d.truth().Share[0]
+	thin := make([]burdockid.Tokens, len(old))
+	for e := range thin {
+		thin[e] = burdockid.Tokens(200 * (old[e] + swapped[e]) / 2)
+	}
+	p.Observe(20*scenarioWindow, 0, thin)
+	for window := range burdockclock.Millis(2) {
+		d.observe(p, (21+window)*scenarioWindow, 30)
+	}
+	if got := distance(p.Snapshot().Share[0], swapped); got > 0.1 {
+		t.Errorf("distance from the popularity after the swap: got %.3f, want at most 0.1", got)
+	}
+}
+
+// A group whose changes are cheap plans on the first window after a swap; one that
+// holds much of before would make it load experts that nobody needs.
+func TestNewestFollowsAWindowThatIsAllOfTheSwap(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		old     float64 // part of the window
+		unclear bool
+	}{{"all new", 0, false}, {"half and half", 0.5, true}} {
+		p, d := NewPopularity(1, 64, testHalf), newDrift(3, 1, 64)
+		for window := range burdockclock.Millis(20) {
+			d.observe(p, window*scenarioWindow, 1)
+		}
+		before := d.truth().Share[0]
+		d.weights = newDrift(4, 1, 64).weights
+		after := d.truth().Share[0]
+		mixed := make([]burdockid.Tokens, len(before))
+		for e := range mixed {
+			mixed[e] = burdockid.Tokens(1e6 * (c.old*before[e] + (1-c.old)*after[e]))
+		}
+		p.Observe(20*scenarioWindow, 0, mixed)
+		if got := p.Unclear(); got != c.unclear {
+			t.Errorf("%s: got unclear %t, want %t", c.name, got, c.unclear)
+		}
+		if got := distance(p.Newest().Share[0], after); !c.unclear && got > 0.02 {
+			t.Errorf("%s: distance of the newest: got %.3f, want at most 0.02", c.name, got)
+		}
+		if got := distance(p.Snapshot().Share[0], before); got > 0.02 {
+			t.Errorf("%s: distance of the confirmed from before: got %.3f, want at most 0.02", c.name, got)
+		}
+	}
+}
--- a/internal/decide/burdockexpert/window.go
+++ b/internal/decide/burdockexpert/window.go
@@ -1,6 +1,11 @@
 package burdockexpert
 
-import "burdockbend.example/burdockbend/internal/base/burdockid"
+import (
+	"cmp"
+	"slices"
+
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+)
 
 // window holds the tokens of one layer's experts between two observations.
 type window struct {
@@ -34,3 +39,29 @@
 	}
 	return sum / float64(max(1, cells-1))
 }
+
+// leaders is how many of the most popular experts tell how much of a window is of
+// an earlier popularity.
+const leaders = 8
+
+// partOf returns how much of the window may be of an earlier popularity: no more
+// than what its experts that were in demand most still have.
+func (w window) partOf(old window) float64 {
+	part := 1.0
+	for _, e := range old.top(leaders) {
+		part = min(part, w.counts[e]/w.total*old.total/old.counts[e])
+	}
+	return part
+}
+
+// top returns the n experts with the largest counts, without those that have none.
+func (w window) top(n int) []int {
+	order := make([]int, 0, len(w.counts))
+	for e, count := range w.counts {
+		if count > 0 {
+			order = append(order, e)
+		}
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(w.counts[b], w.counts[a]) })
+	return order[:min(n, len(order))]
+}
--- a/internal/serve/burdockhosted/agent.go
+++ b/internal/serve/burdockhosted/agent.go
@@ -30,8 +30,10 @@
 	costWeight = 0.08
 	// expectedHold is how long a turn of popularity is expected to last.
 	expectedHold = 3 * burdockclock.Second
-	// popularityHalfLife is a few windows: a turn is to be seen at once.
-	popularityHalfLife burdockclock.Millis = 600
+	// popularityHalfLife is some windows, so that what single prompts ask for
+	// averages out; a swap is seen by itself. On the recorded counts of three days
+	// the most loaded rank had 1.61 times the mean with 1.5 s and 1.63 with 0.6 s.
+	popularityHalfLife burdockclock.Millis = 1500
 	countsEvery        burdockclock.Millis = 80
 	// leastRankLoads and layersPerLoad keep the copying of one change to some
 	// tenths of a second, a tenth for each load; what is left to gain follows
@@ -99,7 +101,7 @@
 
 func pace() burdockrank.Pace {
 	return burdockrank.Pace{
-		HalfLife: popularityHalfLife, CountsEvery: countsEvery, CountsRanks: countsRanks, RankLoads: rankLoads, Gap: changeGap, Tick: tick,
+		HalfLife: popularityHalfLife, CountsEvery: countsEvery, CountsRanks: countsRanks, TurnAtOnce: true, RankLoads: rankLoads, Gap: changeGap, Tick: tick,
 		LeaseTTL: leaseTTL, LeaseEvery: leaseEvery, LeaseOutage: leaseOutage, LeaseStagger: leaseStagger,
 		Watch: burdockclock.Second,
 		Controller: func(cfg *burdockgroup.ControllerConfig) {
--- a/internal/serve/burdockrank/pace.go
+++ b/internal/serve/burdockrank/pace.go
@@ -14,6 +14,12 @@
 	// CountsBytesPerSecond bounds what a controller receives for its planner; 0
 	// is no bound, and then all ranks are asked at once.
 	CountsBytesPerSecond int
+	// TurnAtOnce plans on counts that break with those before without waiting for
+	// the next to confirm them, unless they are partly of before. It suits groups
+	// whose popularity swaps at an instant and whose changes are cheap: on the
+	// recorded counts of three days the most loaded of 16 ranks had 1.61 times the
+	// mean with it and 1.68 without.
+	TurnAtOnce bool
 	// Gap is the least time between two changes; 0 takes the profile's.
 	Gap burdockclock.Millis
 	// CountsRanks is how many ranks are asked in one round. All ranks draw from
--- a/internal/serve/burdockrank/planning.go
+++ b/internal/serve/burdockrank/planning.go
@@ -294,7 +294,7 @@
 func (p *planning) occasion(now burdockclock.Millis, experts burdockprofile.Experts) occasion {
 	o := occasion{
 		now: now, wishedAt: p.wishedAt, changedAt: p.changedAt, gap: p.gap(experts),
-		first: p.needFirst, turning: p.popularity.Turning(), news: p.newSpeed,
+		first: p.needFirst, turning: p.turning(), news: p.newSpeed,
 	}
 	for _, rank := range p.asked() {
 		o.unheard = o.unheard || p.counts[rank].Tokens == nil
@@ -305,6 +305,22 @@
 	return o
 }
 
+// turning reports whether the newest counts don't tell yet what the popularity is.
+func (p *planning) turning() bool {
+	if p.duty.member.deps.Pace.TurnAtOnce {
+		return p.popularity.Unclear()
+	}
+	return p.popularity.Turning()
+}
+
+// known returns the popularity to plan on.
+func (p *planning) known() burdockexpert.Snapshot {
+	if p.duty.member.deps.Pace.TurnAtOnce {
+		return p.popularity.Newest()
+	}
+	return p.popularity.Snapshot()
+}
+
 // asked returns the ranks whose counts are to be known before a first decision.
 func (p *planning) asked() []burdockid.Rank {
 	if p.duty.member.deps.Pace.CountsBytesPerSecond == 0 {
@@ -327,7 +343,7 @@
 
 func (p *planning) input(state burdockgroup.ControllerState, experts burdockprofile.Experts) burdockexpert.Input {
 	in := burdockexpert.Input{
-		Popularity: p.popularity.Snapshot(),
+		Popularity: p.known(),
 		Weights:    burdockexpert.Weights{Skew: max(experts.SkewWeight, leastWeight), Cost: max(experts.CostWeight, leastWeight)},
 		Hold:       experts.HoldMillis,
 	}
