--- a/internal/decide/burdockexpert/popularity_test.go
+++ b/internal/decide/burdockexpert/popularity_test.go
@@ -135,17 +135,23 @@
 	}
 }
 
+// aboutToSwap returns an estimate after 20 windows of one popularity, whose next
+// windows d draws from another.
+func aboutToSwap(burst float64) (p *Popularity, d *drift, before, after []float64) {
+	p, d = NewPopularity(1, 64, testHalf), newDrift(3, 1, 64)
+	for window := range burdockclock.Millis(20) {
+		d.observe(p, window*scenarioWindow, burst)
+	}
+	before = d.truth().Share[0]
+	d.weights = newDrift(4, 1, 64).weights
+	return p, d, before, d.truth().Share[0]
+}
+
 // The experts in demand swap within a window in which hardly anything was read.
 // The window after it is all new, yet compared with that thin one alone it shows
 // nothing: the map would stay that of the old popularity until the next swap.
 func TestSwapWithinAThinWindowIsSeen(t *testing.T) {
-	p, d := NewPopularity(1, 64, testHalf), newDrift(3, 1, 64)
-	for window := range burdockclock.Millis(20) {
-		d.observe(p, window*scenarioWindow, 30)
-	}
-	old := d.truth().Share[0]
-	d.weights = newDrift(4, 1, 64).weights
-	swapped := d.truth().Share[0]
+	p, d, old, swapped := aboutToSwap(30)
 	thin := make([]burdockid.Tokens, len(old))
 	for e := range thin {
 		thin[e] = burdockid.Tokens(200 * (old[e] + swapped[e]) / 2)
@@ -167,13 +173,7 @@
 		old     float64 // part of the window
 		unclear bool
 	}{{"all new", 0, false}, {"half and half", 0.5, true}} {
-		p, d := NewPopularity(1, 64, testHalf), newDrift(3, 1, 64)
-		for window := range burdockclock.Millis(20) {
-			d.observe(p, window*scenarioWindow, 1)
-		}
-		before := d.truth().Share[0]
-		d.weights = newDrift(4, 1, 64).weights
-		after := d.truth().Share[0]
+		p, _, before, after := aboutToSwap(1)
 		mixed := make([]burdockid.Tokens, len(before))
 		for e := range mixed {
 			mixed[e] = burdockid.Tokens(1e6 * (c.old*before[e] + (1-c.old)*after[e]))
