Members of a service change without building the table of prefix owners

Cause: for each upstream that registers or goes an entry builds the table of prefix owners anew (some 700,000 bids for any number of members), and searches the list of engines once for each load report. Entries on the users' platform place requests without prefixes and never read the table.

Change: the table is built when a request with a prefix needs it, random candidates are drawn from the members themselves, and the limit keeps its reports by a set. A view of a lock-step group can be told that the group has opened, and how many refusals close it; placement, limit and suspicion can forget an upstream whose process was replaced.

Measured, benchmarks on one core of a shared machine, before and after: one of 768 members joins 7.2 and 0.50 ms (BenchmarkMemberJoins), the limit's engines 1.9 and 0.10 ms (BenchmarkSetEngines).

--- a/internal/base/burdockid/id.go
+++ b/internal/base/burdockid/id.go
@@ -43,6 +43,9 @@
 // Tokens counts prompt or output tokens.
 type Tokens int64
 
+// Group is the name of a lock-stepped group of engines.
+type Group string
+
 // Rank numbers a member of a lock-stepped group, from 0.
 type Rank int
 
--- a/internal/decide/burdocklimit/limit.go
+++ b/internal/decide/burdocklimit/limit.go
@@ -9,7 +9,6 @@
 import (
 	"maps"
 	"math"
-	"slices"
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
@@ -147,7 +146,11 @@
 // SetEngines replaces the engines.
 func (l *Limit) SetEngines(engines []burdockid.Upstream) {
 	l.engines = max(len(engines), 1)
-	maps.DeleteFunc(l.reports, func(u burdockid.Upstream, _ report) bool { return !slices.Contains(engines, u) })
+	known := make(map[burdockid.Upstream]bool, len(engines))
+	for _, u := range engines {
+		known[u] = true
+	}
+	maps.DeleteFunc(l.reports, func(u burdockid.Upstream, _ report) bool { return !known[u] })
 }
 
 // Report records how many requests one engine has running or waiting. own is how
@@ -156,6 +159,9 @@
 	l.reports[u] = report{others: float64(max(requests-own, 0)), own: l.own, receivedAt: now}
 }
 
+// Forget drops the report of an engine that was restarted.
+func (l *Limit) Forget(u burdockid.Upstream) { delete(l.reports, u) }
+
 // reportedLoad returns the mean number of requests at each engine according to the
 // latest reports: those of other entries, and those that this entry had when it
 // received the reports.
--- a/internal/decide/burdocklimit/limit_test.go
+++ b/internal/decide/burdocklimit/limit_test.go
@@ -222,3 +222,29 @@
 		t.Errorf("after one report: got %d streams, want at most %d", got, maxWant)
 	}
 }
+
+// An engine joins a service of 768 whose reports are all known: 1.9 ms with a search of
+// the list for each report, 0.10 ms with a set, on one core of a shared machine.
+func BenchmarkSetEngines(b *testing.B) {
+	const engines = 768
+	var all []burdockid.Upstream
+	l := New(Config{}, testEngine, engines, testMaxEventGap)
+	for e := range engines {
+		all = append(all, burdockid.Upstream(fmt.Sprint("i-", e)))
+		l.Report(0, all[e], 1, 0)
+	}
+	for b.Loop() {
+		l.SetEngines(all)
+	}
+}
+
+// The load of an engine that was restarted is not that of the process before.
+func TestForgottenReportDoesNotCount(t *testing.T) {
+	l := New(Config{}, testEngine, 2, testMaxEventGap)
+	l.Report(0, "a", 8, 0)
+	l.Report(0, "b", 2, 0)
+	l.Forget("a")
+	if got, want := l.State(1).Load, 2.0; got != want {
+		t.Errorf("load: got %.1f, want %.1f", got, want)
+	}
+}
--- a/internal/decide/burdocklockstep/lockstep.go
+++ b/internal/decide/burdocklockstep/lockstep.go
@@ -34,6 +34,10 @@
 	// FirstEventTimeout is used instead while no stream of the entry has had an event:
 	// first events take longer than later ones.
 	FirstEventTimeout burdockclock.Millis
+	// MinRefusals is the number of engines that have to refuse, without an event in
+	// between, for the group to count as closed. A single engine may have its own reason
+	// to refuse.
+	MinRefusals int
 	// MinProbeInterval and MaxProbeInterval bound the time between two offers that check
 	// whether a closed group has opened.
 	MinProbeInterval burdockclock.Millis
@@ -52,10 +56,7 @@
 	defaultMaxProbeInterval  burdockclock.Millis = 250
 	defaultClosedTTL                             = burdockclock.Second
 	defaultStalledClosedTTL                      = 6 * burdockclock.Second
-	// minRefusals is the number of engines that have to refuse, without an event in
-	// between, for the group to count as closed. A single engine may have its own reason
-	// to refuse.
-	minRefusals = 2
+	defaultMinRefusals                           = 2
 	// Each probe interval is longer than the one before by 1/probeGrowthDivisor.
 	probeGrowthDivisor = 2
 )
@@ -83,6 +84,7 @@
 func New(cfg Config) *View {
 	cfg.StallTimeout = cmp.Or(cfg.StallTimeout, defaultStallTimeout)
 	cfg.FirstEventTimeout = cmp.Or(cfg.FirstEventTimeout, defaultFirstEventTimeout)
+	cfg.MinRefusals = cmp.Or(cfg.MinRefusals, defaultMinRefusals)
 	cfg.MinProbeInterval = cmp.Or(cfg.MinProbeInterval, defaultMinProbeInterval)
 	cfg.MaxProbeInterval = cmp.Or(cfg.MaxProbeInterval, defaultMaxProbeInterval)
 	cfg.ClosedTTL = cmp.Or(cfg.ClosedTTL, defaultClosedTTL)
@@ -129,7 +131,7 @@
 // EngineAccepted records that an engine has started a response. The engines of a group
 // that refused everything don't do so before it has opened.
 func (v *View) EngineAccepted(now burdockclock.Millis) {
-	if v.closed && len(v.refusedBy) >= minRefusals {
+	if v.closed && len(v.refusedBy) >= v.cfg.MinRefusals {
 		v.StreamEvent(now)
 	}
 }
@@ -149,7 +151,7 @@
 func (v *View) EngineRefused(now burdockclock.Millis, u burdockid.Upstream) {
 	v.refusedBy[u] = true
 	v.closedUntil = max(v.closedUntil, now+v.cfg.ClosedTTL)
-	if v.State(now) == Closed || len(v.refusedBy) < minRefusals || v.started > 0 && now-v.lastEventAt < v.cfg.StallTimeout {
+	if v.State(now) == Closed || len(v.refusedBy) < v.cfg.MinRefusals || v.started > 0 && now-v.lastEventAt < v.cfg.StallTimeout {
 		return
 	}
 	v.close(now, v.cfg.ClosedTTL)
@@ -185,6 +187,15 @@
 // ProbeNow makes a probe due at once, after a report that the group has opened.
 func (v *View) ProbeNow(now burdockclock.Millis) { v.nextProbeAt, v.probeInterval = now, 0 }
 
+// ReportedOpen records a report from elsewhere that the group has opened. It ends the closed
+// state; engines that still refuse begin a new one.
+func (v *View) ReportedOpen(now burdockclock.Millis) {
+	if v.closed {
+		v.stoppedTime = v.stoppedTimeAt(now)
+		v.open()
+	}
+}
+
 // NextProbeAt returns when the next probe of a closed group is due.
 func (v *View) NextProbeAt() burdockclock.Millis { return v.nextProbeAt }
 
--- a/internal/decide/burdockplace/choose.go
+++ b/internal/decide/burdockplace/choose.go
@@ -47,6 +47,9 @@
 	req   *Request
 	bound float64
 	seen  candidates
+	// random means that candidates are drawn at random, and the next three fields don't
+	// apply.
+	random bool
 	// key determines an order of the members. Of this order, nextPosition returns
 	// the first width positions beginning at start and wrapping around, and then
 	// the positions after them.
@@ -68,7 +71,7 @@
 // candidates instead of the least loaded of all, which all entries with the same
 // stale view would pick at once.
 func (p *Placer) Choose(now burdockclock.Millis, req Request) (Choice, bool) {
-	if len(p.table) == 0 {
+	if len(p.members) == 0 {
 		return Choice{}, false
 	}
 	c := chooser{p: p, now: now, req: &req, bound: p.bound()}
@@ -104,7 +107,7 @@
 func (c *chooser) chooseOwner() (Choice, bool) {
 	cfg := &c.p.cfg
 	if len(c.req.Prefix) == 0 {
-		c.setOrder(c.p.rnd.Uint64(), 1, 0)
+		c.random = true
 		c.collect(cfg.Owners)
 		return c.pickWithinBound(0, ReasonNoPrefix)
 	}
@@ -136,9 +139,18 @@
 
 // setOrder sets the order of members that collect follows, from its beginning.
 func (c *chooser) setOrder(key uint64, width, start int) {
+	c.random = false
 	c.key, c.width, c.start, c.next = key, width, start, 0
 }
 
+// nextIndex returns the index of the next member to compare.
+func (c *chooser) nextIndex() int32 {
+	if c.random {
+		return int32(c.p.rnd.IntN(len(c.p.members)))
+	}
+	return c.p.owners().owner(c.key, c.nextPosition())
+}
+
 // nextPosition returns the next position in the order of members.
 func (c *chooser) nextPosition() int {
 	i := c.next
@@ -165,7 +177,7 @@
 // upstream.
 func (c *chooser) chooseOverflow() (Choice, bool) {
 	from := c.seen.n
-	c.setOrder(c.p.rnd.Uint64(), 1, 0)
+	c.random = true
 	c.collect(c.p.cfg.OverflowCandidates)
 	c.collectRecent(c.p.cfg.RecentCandidates)
 	reason := ReasonOverflow
@@ -186,7 +198,7 @@
 // collect adds up to n candidates in the order that setOrder has set.
 func (c *chooser) collect(n int) {
 	for n > 0 && c.probes < maxProbes && c.seen.n < maxCandidates {
-		index := c.p.table.owner(c.key, c.nextPosition())
+		index := c.nextIndex()
 		c.probes++
 		if c.seen.has(index) || !c.eligible(index) {
 			continue
--- a/internal/decide/burdockplace/members.go
+++ b/internal/decide/burdockplace/members.go
@@ -8,9 +8,9 @@
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 )
 
-// SetMembers replaces the members. Those that stay keep their load. It takes a few
-// milliseconds when upstreams join or leave and only a copy otherwise, so callers
-// should pass several changes together.
+// SetMembers replaces the members. Those that stay keep their load. The table of prefix
+// owners, which takes milliseconds to build, is built when a request with a prefix needs
+// it.
 func (p *Placer) SetMembers(_ burdockclock.Millis, members []Member) {
 	sorted := slices.Clone(members)
 	slices.SortFunc(sorted, func(a, b Member) int {
@@ -36,6 +36,13 @@
 	}
 }
 
+// Restarted drops the load that u reported, because another process has taken its name.
+func (p *Placer) Restarted(u burdockid.Upstream) {
+	if m := p.lookup(u); m != nil {
+		*m = member{upstream: m.upstream, dataCentre: m.dataCentre, weight: m.weight}
+	}
+}
+
 func (p *Placer) namesDiffer(sorted []Member) bool {
 	return !slices.EqualFunc(sorted, p.members, func(a Member, b member) bool {
 		return a.Upstream == b.upstream
@@ -43,11 +50,23 @@
 }
 
 func (p *Placer) reindex() {
+	p.index = newNameIndex(p.names())
+	p.table = nil
+	p.recent = recent{}
+}
+
+func (p *Placer) names() []burdockid.Upstream {
 	names := make([]burdockid.Upstream, len(p.members))
 	for i := range p.members {
 		names[i] = p.members[i].upstream
 	}
-	p.index = newNameIndex(names)
-	p.table = newTable(names)
-	p.recent = recent{}
+	return names
+}
+
+// owners returns the table of prefix owners.
+func (p *Placer) owners() table {
+	if p.table == nil {
+		p.table = newTable(p.names())
+	}
+	return p.table
 }
--- a/internal/decide/burdockplace/place.go
+++ b/internal/decide/burdockplace/place.go
@@ -99,7 +99,7 @@
 	rnd     *rand.Rand
 	members []member // ordered by name
 	index   nameIndex
-	table   table
+	table   table // nil until owners builds it
 	fleet   fleetLoad
 	recent  recent
 	widths  widths
--- a/internal/decide/burdockplace/table_test.go
+++ b/internal/decide/burdockplace/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"runtime"
 	"slices"
 	"testing"
@@ -174,3 +175,37 @@
 		})
 	}
 }
+
+// Upstreams register one after the other, and no request has a prefix. Building the table
+// of prefix owners each time would keep an entry busy for seconds after a power cut.
+func TestTableIsBuiltForPrefixesOnly(t *testing.T) {
+	p := New(Config{}, rand.New(rand.NewPCG(1, 2)))
+	var members []Member
+	for i := range 50 {
+		members = append(members, Member{Upstream: burdockid.Upstream(fmt.Sprint(i)), Weight: 1})
+		p.SetMembers(0, members)
+		if _, ok := p.Choose(0, Request{}); !ok {
+			t.Fatalf("%d members: none chosen", i+1)
+		}
+	}
+	if p.table != nil {
+		t.Error("the table was built for requests without a prefix")
+	}
+	if _, ok := p.Choose(0, Request{Prefix: []uint64{7}}); !ok || p.table == nil {
+		t.Errorf("a request with a prefix: chosen %t, table built %t, want both", ok, p.table != nil)
+	}
+}
+
+// One of 768 upstreams registers: 7.2 ms with the table of prefix owners built each time,
+// 0.50 ms without, on one core of a shared machine.
+func BenchmarkMemberJoins(b *testing.B) {
+	var members []Member
+	for i := range 768 {
+		members = append(members, Member{Upstream: burdockid.Upstream(fmt.Sprint("i-", i)), Weight: 1})
+	}
+	p := New(Config{}, rand.New(rand.NewPCG(1, 2)))
+	for i := 0; b.Loop(); i++ {
+		p.SetMembers(0, members[:len(members)-i%2])
+		p.Choose(0, Request{})
+	}
+}
--- a/internal/decide/burdocksuspicion/suspicion.go
+++ b/internal/decide/burdocksuspicion/suspicion.go
@@ -93,6 +93,9 @@
 	t.byUpstream[u] = m
 }
 
+// Forget drops the failures of an upstream that was restarted.
+func (t *Tracker) Forget(u burdockid.Upstream) { delete(t.byUpstream, u) }
+
 // Suspected returns the suspected upstreams. It returns none if too few of the members
 // would be left to carry the load.
 func (t *Tracker) Suspected(now burdockclock.Millis, members int) map[burdockid.Upstream]bool {
