Each lock-step group is waited for by itself; cold upstreams; restarts under one ID

Causes: an entry took all engines of a service for one lock-step group. With several groups, one that forms anew or is stalled stopped requests to all, and an entry with few requests used up the offers of many on finding out which are closed. An upstream that has just started, or whose data centre was taken back, could get more requests a second than it bears while it is cold. An upstream whose process started again under the same ID kept the failures, load and silence of the old process.

Change: an entry reads from the agents' addresses which engines form a group. A closed or stalled group gets nothing while another advances, and the limit counts the engines of the others; a group that is reported open is used at once. With one group, or while the groups are not known, all is as before. burdockcold shares the published rate of a cold upstream among the entries by their number, which they tell by records where a service has such a rate. An ID that returns with another start time is forgotten by ejection, placement, limit, suspicion and crash detection.

--- a/internal/serve/burdockdirect/attempt.go
+++ b/internal/serve/burdockdirect/attempt.go
@@ -45,8 +45,8 @@
 	ctx, cancel := context.WithCancelCause(httptrace.WithClientTrace(ctx, trace))
 	defer cancel(nil)
 	if a.offers.req.route.Stream {
-		a.offers.pool.gate.streamOffered()
-		defer func() { a.offers.pool.gate.streamEnded(a.gotFirstEvent) }()
+		a.offers.pool.gate.streamOffered(a.target.ID)
+		defer func() { a.offers.pool.gate.streamEnded(a.target.ID, a.gotFirstEvent) }()
 	}
 	if a.offers.req.route.Stream && a.offers.req.route.Repeatable() {
 		w := &offerWatch{attempt: a, cancel: cancel, mayMigrate: a.offers.mayMigrate(), done: make(chan struct{})}
@@ -150,7 +150,7 @@
 	case !head.FromUpstream && res.StatusCode < http.StatusMultipleChoices, res.Header.Get("Content-Encoding") != "":
 		return unknown{reason: "not the upstream's own answer"}
 	case res.StatusCode == http.StatusOK && isEventStream(res.Header):
-		a.offers.pool.gate.engineAccepted()
+		a.offers.pool.gate.engineAccepted(a.target.ID)
 		return (&stream{attempt: a, res: res, cancel: cancel}).forward(ctx)
 	case a.offers.caller.headWritten:
 		return broken{reason: "the stream was not resumed: " + http.StatusText(res.StatusCode)}
--- a/internal/serve/burdockdirect/crashes.go
+++ b/internal/serve/burdockdirect/crashes.go
@@ -141,13 +141,14 @@
 	}
 }
 
-// recordRemoved waits for the upstream's record to disappear. It reports false if the
+// recordRemoved waits for the upstream's record to disappear or become that of another
+// process. It reports false if the
 // record is still there after examineTimeout, or if the upstream was about to leave.
 func (x *examination) recordRemoved() bool {
 	ticker := time.NewTicker(examineInterval)
 	defer ticker.Stop()
 	for until := x.startedAt + examineTimeout; x.crashes.clock.Now() < until; <-ticker.C {
-		if u, there := x.crashes.site.Now().Upstreams[x.upstream.ID]; !there {
+		if u, there := x.crashes.site.Now().Upstreams[x.upstream.ID]; !there || restarted(x.upstream, u) {
 			return true
 		} else if u.Leaving {
 			return false
--- a/internal/serve/burdockdirect/entry.go
+++ b/internal/serve/burdockdirect/entry.go
@@ -65,6 +65,9 @@
 	mu     sync.Mutex
 	pools  map[burdockid.Service]*pool
 	speeds map[string]burdockspeed.Speed // of slow engines, by address
+	groups map[string]burdockid.Group    // of lock-step engines, by address
+	// entries is the number of entries that share the rates of cold upstreams.
+	entries int
 }
 
 const (
@@ -187,6 +190,19 @@
 	}
 }
 
+// SetEntries sets the number of entries, including this one, that share the rates of cold
+// upstreams.
+func (e *Entry) SetEntries(n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.entries = n
+	for _, p := range e.pools {
+		p.mu.Lock()
+		p.cold.SetEntries(n)
+		p.mu.Unlock()
+	}
+}
+
 // ApplySnapshot passes a change of the site to the pools.
 func (e *Entry) ApplySnapshot(snap *burdocksite.Snapshot) {
 	e.mu.Lock()
--- a/internal/serve/burdockdirect/gate.go
+++ b/internal/serve/burdockdirect/gate.go
@@ -7,6 +7,7 @@
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/decide/burdocklimit"
+	"burdockbend.example/burdockbend/internal/decide/burdocklockstep"
 	"burdockbend.example/burdockbend/internal/decide/burdockqueue"
 	"burdockbend.example/burdockbend/internal/state/burdocksite"
 	"go.uber.org/zap"
@@ -57,10 +58,13 @@
 
 	mu          sync.Mutex
 	queue       *burdockqueue.Queue
-	limit       *burdocklimit.Limit // nil for a plain service
-	limitEngine burdocklimit.Engine // that limit was created for
-	maxEventGap burdockclock.Millis // that limit was created for
-	group       *group              // nil unless the engines run in lock-step
+	limit       *burdocklimit.Limit   // nil for a plain service
+	limitEngine burdocklimit.Engine   // that limit was created for
+	maxEventGap burdockclock.Millis   // that limit was created for
+	groups      *groups               // nil unless the engines run in lock-step
+	state       burdocklockstep.State // of groups, as last updated
+	engines     []burdockid.Upstream
+	groupOf     map[burdockid.Upstream]burdockid.Group // as last set
 	slots       int
 	maxWait     burdockclock.Millis
 	waiting     map[burdockid.Request]*waiter
@@ -92,22 +96,24 @@
 
 // applyConfig rebuilds the limit if anything that it depends on has changed.
 func (g *gate) applyConfig(cfg gateConfig) {
+	g.engines = upstreamIDs(cfg.members)
 	g.maxWait = burdockclock.Millis(maxWaitFraction * float64(cfg.firstEventTimeout))
 	engine, ok := paceEngine(cfg)
 	switch {
 	case !ok:
-		g.limit, g.limitEngine, g.maxEventGap, g.group = nil, burdocklimit.Engine{}, 0, nil
+		g.limit, g.limitEngine, g.maxEventGap, g.groups = nil, burdocklimit.Engine{}, 0, nil
 		g.slots = totalSlots(cfg.members)
 	case g.limit == nil || engine != g.limitEngine || cfg.maxEventGap != g.maxEventGap:
 		g.limitEngine, g.maxEventGap = engine, cfg.maxEventGap
 		g.limit = burdocklimit.New(burdocklimit.Config{}, engine, len(cfg.members), cfg.maxEventGap)
-		g.group = nil
+		g.groups = nil
 		if cfg.engine.Layers > 0 {
-			g.group = newGroup(cfg.maxEventGap)
+			g.groups = newGroups(cfg.maxEventGap)
+			g.groups.setMembers(g.groupOf)
 		}
 		g.slots = max(g.slots, g.limit.MaxStreams(g.reportClock(), 0))
 	default:
-		g.limit.SetEngines(upstreamIDs(cfg.members))
+		g.limit.SetEngines(g.availableEngines(g.clock.Boot()))
 	}
 }
 
@@ -188,29 +194,41 @@
 	}
 }
 
+// forget drops the load that an engine reported.
+func (g *gate) forget(u burdockid.Upstream) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.limit != nil {
+		g.limit.Forget(u)
+	}
+}
+
 // observeEventGap records the time between two events of a stream.
-func (g *gate) observeEventGap(gap burdockclock.Millis) {
+func (g *gate) observeEventGap(u burdockid.Upstream, gap burdockclock.Millis) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.limit == nil {
 		return
 	}
-	if g.group != nil {
-		g.group.StreamEvent(g.clock.Boot())
+	isStep := true
+	if g.groups != nil {
+		view := g.groups.view(u)
+		view.StreamEvent(g.clock.Boot())
+		isStep = view.IsStepInterval(gap)
 	}
-	if g.group == nil || g.group.IsStepInterval(gap) {
+	if isStep {
 		g.limit.ObserveEventGap(g.reportClock(), gap)
 	}
 	g.dispatch()
 }
 
 // observeFirstEvent records the time from a stream's start to its first event.
-func (g *gate) observeFirstEvent(took burdockclock.Millis) {
+func (g *gate) observeFirstEvent(u burdockid.Upstream, took burdockclock.Millis) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.typicalFirstEvent += (took - g.typicalFirstEvent) / firstEventSamples
-	if g.group != nil {
-		g.group.FirstEvent(g.clock.Boot())
+	if g.groups != nil {
+		g.groups.view(u).FirstEvent(g.clock.Boot())
 		g.dispatch()
 	}
 }
@@ -297,8 +315,10 @@
 		g.timer = nil
 	}
 	at, ok := g.queue.WakeAt()
-	if g.groupClosed() && g.queue.Load().Queued > 0 && (!ok || g.group.NextProbeAt() < at) {
-		at, ok = g.group.NextProbeAt(), true
+	if g.groupsClosed() && g.queue.Load().Queued > 0 {
+		if probe, due := g.groups.nextProbeAt(g.clock.Boot()); due && (!ok || probe < at) {
+			at, ok = probe, true
+		}
 	}
 	if ok {
 		g.timer = time.AfterFunc(max(at-g.clock.Boot(), 1).Duration(), g.onTimer)
--- a/internal/serve/burdockdirect/offers.go
+++ b/internal/serve/burdockdirect/offers.go
@@ -249,7 +249,7 @@
 	case notRun:
 		if o.pool.gate.engineRefused(target.ID, res) {
 			o.preferred = ""
-			if !res.replaced {
+			if !res.replaced && o.pool.gate.openSignal() != nil {
 				delete(o.excluded, target.ID)
 				o.preferred = target.ID
 			}
--- a/internal/serve/burdockdirect/pool.go
+++ b/internal/serve/burdockdirect/pool.go
@@ -7,6 +7,7 @@
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/decide/burdockcold"
 	"burdockbend.example/burdockbend/internal/decide/burdockeject"
 	"burdockbend.example/burdockbend/internal/decide/burdockplace"
 	"burdockbend.example/burdockbend/internal/decide/burdockretry"
@@ -47,7 +48,11 @@
 	// follow from them.
 	speeds        map[string]burdockspeed.Speed
 	weightBySpeed map[burdockid.Upstream]float64
-	migrations    migrations
+	// groups holds the lock-step groups of engines by address.
+	groups     map[string]burdockid.Group
+	migrations migrations
+	// cold limits the requests to upstreams that have just started.
+	cold *burdockcold.Limiter
 	// suspected tracks the upstreams of a plain service that recently failed a request.
 	suspected *burdocksuspicion.Tracker
 	// typicalDuration is the mean time from an offer to the end of its answer; 0 until
@@ -75,14 +80,16 @@
 func newPool(service burdockid.Service, e *Entry) *pool {
 	random := rand.New(rand.NewPCG(e.deps.Seed, uint64(time.Now().UnixNano())))
 	p := &pool{
-		service: service, entry: e, random: random, inFlight: map[burdockid.Upstream]int{}, migrations: migrations{}, suspected: burdocksuspicion.New(burdocksuspicion.Config{}),
+		service: service, entry: e, random: random, groups: e.groups, inFlight: map[burdockid.Upstream]int{}, migrations: migrations{}, suspected: burdocksuspicion.New(burdocksuspicion.Config{}),
 		lastContact: map[burdockid.Upstream]contact{}, typicalFirstEvent: initialFirstEvent,
+		cold:    burdockcold.New(deriveRand(random)),
 		placer:  burdockplace.New(burdockplace.Config{}, deriveRand(random)),
 		tracker: burdockeject.New(burdockeject.Config{}, deriveRand(random)),
 		budget:  burdockretry.New(burdockretry.Config{RetryRatio: retryRatio, MinRetries: minRetries}, deriveRand(random)),
 	}
 	snap := e.deps.Site.Now()
 	p.engine = engineOf(snap, service)
+	p.cold.SetEntries(e.entries)
 	p.gate = newGate(e.deps.Clock, gateConfigOf(snap, service), p)
 	p.applySnapshot(e.now(), snap)
 	e.meters.exportGauges(p)
@@ -153,9 +160,14 @@
 func (p *pool) applySnapshot(now burdockclock.Millis, snap *burdocksite.Snapshot) {
 	cfg := gateConfigOf(snap, p.service)
 	p.setFirstEventTimeout(cfg.firstEventTimeout)
-	if p.updateMembers(now, cfg.members, snap.Config, p.gate.requestsPerEngine()) {
-		p.gate.reconfigure(cfg)
+	if !p.updateMembers(now, cfg.members, snap.Config, p.gate.requestsPerEngine()) {
+		return
 	}
+	p.gate.reconfigure(cfg)
+	p.mu.Lock()
+	of := p.groupOfMembers()
+	p.mu.Unlock()
+	p.gate.setGroups(of)
 }
 
 func (p *pool) setFirstEventTimeout(timeout burdockclock.Millis) {
@@ -177,15 +189,27 @@
 	defer p.mu.Unlock()
 	changed := p.config != cfg
 	p.config = cfg
+	if cfg != nil {
+		p.cold.SetRate(cfg.Services[p.service].ColdRate)
+	}
 	if p.members != nil && p.sameMembers(members) {
 		return changed
 	}
+	before := p.members
 	p.members = map[burdockid.Upstream]burdocksite.Upstream{}
 	var names []burdockid.Upstream
 	for _, u := range members {
 		p.members[u.ID] = u
 		names = append(names, u.ID)
+		old, known := before[u.ID]
+		if known && restarted(old, u) {
+			p.forget(now, u.ID)
+		}
+		if !known || old.ColdFor != u.ColdFor || restarted(old, u) {
+			p.cold.SetCold(now, u.ID, now+u.ColdFor)
+		}
 	}
+	p.cold.Retain(p.isMember)
 	p.tracker.SetMembers(now, names)
 	p.migrations.retain(p.members)
 	p.weightBySpeed = speedWeights(engineOf(p.entry.deps.Site.Now(), p.service), p.members, p.speeds, requests)
@@ -197,6 +221,24 @@
 	return true
 }
 
+// restarted reports whether a record is that of another process than an earlier one with
+// the same ID.
+func restarted(before, now burdocksite.Upstream) bool {
+	return before.StartedAt != now.StartedAt && before.StartedAt != 0 && now.StartedAt != 0
+}
+
+// forget drops what is known about an upstream whose process was replaced by another one
+// under the same ID: its load, its failures and its silence are those of the old process.
+// The lock must be held.
+func (p *pool) forget(now burdockclock.Millis, u burdockid.Upstream) {
+	p.tracker.Reset(now, u)
+	p.placer.Restarted(u)
+	p.gate.forget(u)
+	p.suspected.Forget(u)
+	delete(p.lastContact, u)
+	p.entry.deps.Log.Info("upstream restarted", zap.String("upstream", string(u)), zap.String("service", string(p.service)))
+}
+
 // size returns the number of upstreams.
 func (p *pool) size() int {
 	p.mu.Lock()
@@ -218,13 +260,16 @@
 
 // choose selects the upstream for one offer: preferred, if that is still a member.
 func (p *pool) choose(now burdockclock.Millis, req *request, excluded map[burdockid.Upstream]bool, preferred burdockid.Upstream) (burdocksite.Upstream, burdockplace.Reason, bool) {
+	unavailable := p.gate.unavailable()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.isMember(preferred) {
+	if p.isMember(preferred) && p.cold.Allows(now, preferred) {
 		p.offerStarted(now, preferred, req.cost)
 		return p.members[preferred], "stay", true
 	}
-	skip := func(u burdockid.Upstream) bool { return excluded[u] || p.isSilentLocked(now, u) }
+	skip := func(u burdockid.Upstream) bool {
+		return excluded[u] || unavailable(u) || !p.cold.Allows(now, u) || p.isSilentLocked(now, u)
+	}
 	avoid := p.suspectedFor(now, req)
 	choice, ok := p.placer.Choose(now, burdockplace.Request{
 		DataCentre: p.entry.cfg.DataCentre, Cost: req.cost,
@@ -236,7 +281,7 @@
 	// Only repeatable requests probe an ejected upstream. A probe that is due goes
 	// first: if it were skipped, the upstream would stay ejected for long.
 	if req.route.Repeatable() {
-		if probe, due := p.tracker.NextProbe(now); due && !excluded[probe] && p.isMember(probe) {
+		if probe, due := p.tracker.NextProbe(now); due && !excluded[probe] && !unavailable(probe) && p.cold.Allows(now, probe) && p.isMember(probe) {
 			choice.Upstream, choice.Reason, ok = probe, "probe", true
 		}
 	}
@@ -259,6 +304,7 @@
 // offerStarted records an offer to an upstream. The lock must be held.
 func (p *pool) offerStarted(now burdockclock.Millis, u burdockid.Upstream, cost burdockid.Tokens) {
 	p.placer.Sent(now, u, cost)
+	p.cold.Sent(now, u)
 	if p.inFlight[u]++; p.inFlight[u] == 1 {
 		p.lastContact[u] = contact{at: now}
 	}
@@ -358,11 +404,11 @@
 }
 
 // recordFirstEvent records the time from a stream's offer to its first event.
-func (p *pool) recordFirstEvent(took burdockclock.Millis) {
+func (p *pool) recordFirstEvent(u burdockid.Upstream, took burdockclock.Millis) {
 	p.mu.Lock()
 	p.typicalFirstEvent += (took - p.typicalFirstEvent) / firstEventSamples
 	p.mu.Unlock()
-	p.gate.observeFirstEvent(took)
+	p.gate.observeFirstEvent(u, took)
 }
 
 // firstEventLimit returns how long a stream may wait for its first event before its
--- a/internal/serve/burdockdirect/rules_test.go
+++ b/internal/serve/burdockdirect/rules_test.go
@@ -486,7 +486,7 @@
 		p := newFixture(t, testTimeout).entry.pool("s")
 		p.setFirstEventTimeout(2400)
 		for range 200 {
-			p.recordFirstEvent(test.typical)
+			p.recordFirstEvent("other", test.typical)
 		}
 		const sent burdockclock.Millis = 5000
 		p.lastContact["full"] = contact{at: sent}
--- a/internal/serve/burdockdirect/stream.go
+++ b/internal/serve/burdockdirect/stream.go
@@ -97,12 +97,12 @@
 	if !s.eventForwarded.Load() {
 		s.attempt.gotFirstEvent = true
 		o.firstEventTime = now - s.attempt.startedAt
-		o.pool.recordFirstEvent(o.firstEventTime)
+		o.pool.recordFirstEvent(s.attempt.target.ID, o.firstEventTime)
 		o.entry.meters.firstEvents.Update(o.firstEventTime.Duration().Seconds())
 	} else {
 		gap := now - burdockclock.Millis(s.lastEventAt.Load())
 		o.maxEventGap = max(o.maxEventGap, gap)
-		o.pool.gate.observeEventGap(gap)
+		o.pool.gate.observeEventGap(s.attempt.target.ID, gap)
 	}
 	s.eventForwarded.Store(true)
 	s.lastEventAt.Store(int64(now))
--- a/internal/serve/burdockhosted/entry.go
+++ b/internal/serve/burdockhosted/entry.go
@@ -65,6 +65,7 @@
 	ready    *http.Server
 	admin    *http.Server
 	follower *burdockkv.Follower
+	presence *presence
 	// crashPublisher and suspectedPublisher send notifications to the other entries.
 	crashPublisher     *publisher
 	suspectedPublisher *publisher
@@ -99,6 +100,8 @@
 	}
 	e.crashPublisher.start()
 	e.suspectedPublisher.start()
+	e.presence = newPresence(p.Store, settings.VM, site, clock, log)
+	e.presence.start()
 	e.follower.Start()
 	log.Info("entry started", zap.String("vm", string(settings.VM)), zap.String("dataCentre", string(settings.DataCentre)),
 		zap.String("callers", settings.CallerListen))
@@ -110,6 +113,8 @@
 func (e *entry) sink(records burdockfollow.Decoder, site *burdocksite.Site) burdockkv.Sink {
 	routes := []burdockkv.Route{
 		{Prefix: prefixNotifications, Sink: newNotificationReader(e.entry, e.log).mirror},
+		{Prefix: prefixRank, Sink: newGroupReader(e.entry).mirror},
+		{Prefix: prefixEntry, Sink: newEntryCounter(e.entry)},
 	}
 	for _, topic := range burdockfollow.Topics() {
 		routes = append(routes, burdockkv.Route{Prefix: records.Prefix(topic), Sink: burdockfollow.New(topic, records, site, e.clock, e.log)})
@@ -141,6 +146,7 @@
 		}
 		time.Sleep(idlePollInterval)
 	}
+	e.presence.close()
 	e.follower.Close()
 	e.crashPublisher.close()
 	e.suspectedPublisher.close()
--- /dev/null
+++ b/internal/serve/burdockhosted/groupreader_test.go
@@ -0,0 +1,67 @@
+package burdockhosted
+
+import (
+	"fmt"
+	"testing"
+
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/state/burdockkv"
+	"burdockbend.example/burdockbend/internal/state/burdocksite"
+	"go.uber.org/zap"
+)
+
+// An engine moves to a rank of another group, and the record of its former rank is still
+// there. Records that can't be read name no engine.
+func TestLatestRecordTellsGroup(t *testing.T) {
+	item := func(key, value string, rev burdockkv.Revision) burdockkv.Item {
+		return burdockkv.Item{Key: prefixRank + key, Value: []byte(value), Modified: burdockkv.Position{Revision: rev}}
+	}
+	got := readGroups([]burdockkv.Item{
+		item("g/a/0", "10.0.0.1:7000 10.0.0.1:80", 5),
+		item("b/7", "10.0.0.1:7000 10.0.0.1:80", 9),
+		item("c/2", "10.0.0.1:7000 10.0.0.1:80", 7),
+		item("g/a/1", "10.0.0.2:7000 10.0.0.2:80", 3),
+		item("c/3", "no engine", 1),
+		item("c/4", "alone", 1),
+		item("rankless", "10.0.0.3:7000 10.0.0.3:80", 1),
+	})
+	want := map[string]burdockid.Group{"10.0.0.1:80": "b", "10.0.0.2:80": "g/a", "engine": "c"}
+	if fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
+
+// Hundreds of entries write a record only where a service has a rate that they share. It is
+// renewed rarely, and written again when it has expired or the store has lost it.
+func TestPresenceIsWrittenWhereNeeded(t *testing.T) {
+	store, clock, site := newFakeKV(), burdockclock.NewManual(1), burdocksite.New()
+	store.era = 1
+	p := newPresence(store, "vm-1", site, clock.Clock(), zap.NewNop())
+	update := func(after burdockclock.Millis, what string, wantCalls int) {
+		t.Helper()
+		clock.Advance(after)
+		calls := store.calls
+		if err := p.update(); err != nil {
+			t.Fatal(err)
+		}
+		if got := store.calls - calls; got != wantCalls {
+			t.Errorf("%s: got %d calls, want %d", what, got, wantCalls)
+		}
+	}
+	update(0, "no shared rate", 0)
+	site.SetConfig(burdocksite.Config{Version: 1, Services: map[burdockid.Service]burdocksite.Service{"s": {ColdRate: 5}}})
+	update(0, "a shared rate", 2)
+	before := store.copy()
+	update(1000, "written", 0)
+	update(presenceRenewInterval, "renewed", 0)
+	for id := range store.leases {
+		store.lapse(id)
+	}
+	update(presenceRenewInterval, "expired", 2)
+	store.restore(before)
+	update(1000, "the store was restored", 2)
+	if _, ok := store.items[prefixEntry+"vm-1"]; !ok {
+		t.Error("the record is missing")
+	}
+}
--- a/internal/serve/burdockhosted/notifications.go
+++ b/internal/serve/burdockhosted/notifications.go
@@ -1,9 +1,9 @@
 package burdockhosted
 
 import (
-	"maps"
 	"strings"
 
+	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/serve/burdockdirect"
 	"burdockbend.example/burdockbend/internal/state/burdockkv"
 	"go.uber.org/zap"
@@ -47,10 +47,12 @@
 	n.entry.SetSpeeds(readSpeeds(byPrefix[prefixSpeed], n.log))
 	n.entry.AddCrashes(readCrashes(byPrefix[prefixCrash], n.log))
 	n.entry.MarkSuspected(n.suspected.updated(byPrefix[prefixSuspected]))
-	if !maps.Equal(n.opened, opened) {
-		n.opened = opened
-		n.entry.NotifyGroupOpened()
+	for name, epoch := range opened {
+		if n.opened[name] != epoch {
+			n.entry.NotifyGroupOpened(burdockid.Group(name))
+		}
 	}
+	n.opened = opened
 }
 
 // openKey returns the key and the value that announce that a group is open. The group's
