Callers wait for an entry that starts; it reads first what it needs first

Callers that came back were refused with "no configuration yet": 905 of 12,360 requests ended so. Besides, a request that met an upstream replaced by another process closed that upstream's group.

Change: the follower lists prefix after prefix in the order of need and then watches all of them with one call. Agents list the configuration at random within a second. A replaced upstream costs no offer and closes no group where there are several.

--- a/internal/serve/burdockdirect/entry.go
+++ b/internal/serve/burdockdirect/entry.go
@@ -61,6 +61,11 @@
 
 	drainingAt atomic.Int64 // boot time of the planned stop; 0 before it
 	active     atomic.Int64
+	// complete is closed when the site's snapshot is complete for the first time. starting
+	// is the number of requests that wait for that.
+	complete     chan struct{}
+	completeOnce sync.Once
+	starting     atomic.Int64
 
 	mu     sync.Mutex
 	pools  map[burdockid.Service]*pool
@@ -96,7 +101,7 @@
 
 // New returns an entry that has no pools yet.
 func New(cfg Config, deps Deps) *Entry {
-	e := &Entry{cfg: cfg, deps: deps, pools: map[burdockid.Service]*pool{}, meters: newMeters(deps.Metrics), crashes: newCrashDetector(deps, cfg.QuarantineMillis)}
+	e := &Entry{cfg: cfg, deps: deps, complete: make(chan struct{}), pools: map[burdockid.Service]*pool{}, meters: newMeters(deps.Metrics), crashes: newCrashDetector(deps, cfg.QuarantineMillis)}
 	e.client = &http.Client{
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		Transport: burdocktransport.NewOnce(&http.Transport{
@@ -106,6 +111,7 @@
 			DisableCompression:  true,
 		}),
 	}
+	e.noteComplete(deps.Site.Now())
 	return e
 }
 
@@ -136,6 +142,8 @@
 		return "stopping"
 	case e.deps.Site.Now().Config == nil:
 		return "no configuration yet"
+	case !e.deps.Site.Now().Complete():
+		return "upstreams not read yet"
 	}
 	return ""
 }
@@ -210,4 +218,5 @@
 	for _, p := range e.pools {
 		p.applySnapshot(e.now(), snap)
 	}
+	e.noteComplete(snap)
 }
--- a/internal/serve/burdockdirect/fixture_test.go
+++ b/internal/serve/burdockdirect/fixture_test.go
@@ -132,6 +132,7 @@
 		Clock: burdockclock.System(), Site: f.site, Dialect: testDialect{}, Log: zap.NewNop(), Metrics: metrics.NewSet(), Seed: 1,
 	})
 	f.site.Subscribe(f.entry.ApplySnapshot)
+	f.site.Update(func(b *burdocksite.Batch) { b.SetUpstreamsListed() })
 	f.web = httptest.NewServer(f.entry)
 	t.Cleanup(f.web.Close)
 	return f
--- a/internal/serve/burdockdirect/group.go
+++ b/internal/serve/burdockdirect/group.go
@@ -332,7 +332,8 @@
 	}
 }
 
-// engineRefused records an engine's refusal, and reports whether its group is closed.
+// engineRefused records an engine's refusal. It reports whether the refusal says nothing
+// about the request: the engine's group is closed, or its process was replaced by another.
 func (g *gate) engineRefused(u burdockid.Upstream, res notRun) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -340,6 +341,10 @@
 		return false
 	}
 	now := g.clock.Boot()
+	if res.replaced && g.groups.of != nil {
+		// Of several groups, this one need not be closed.
+		return true
+	}
 	view := g.groups.view(u)
 	view.EngineRefused(now, u)
 	g.updateGroupState(now)
--- a/internal/serve/burdockdirect/request.go
+++ b/internal/serve/burdockdirect/request.go
@@ -81,6 +81,9 @@
 		CallerHeaders: e.deps.Dialect.ParseRequest(r.Header),
 		method:        r.Method, target: r.RequestURI, host: r.Host, header: r.Header, arrived: e.now(),
 	}
+	if rejection := e.readWhileStarting(w, r, req); rejection != nil {
+		return req, rejection
+	}
 	cfg := e.deps.Site.Now().Config
 	if cfg == nil {
 		return req, &refusal{http.StatusServiceUnavailable, "no configuration yet", noConfigRetryAfter}
@@ -134,6 +137,12 @@
 	if limit <= 0 {
 		limit = defaultMaxBody
 	}
+	if req.body != nil { // read while the entry started
+		if int64(len(req.body)) > limit {
+			return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
+		}
+		return nil
+	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(bodyReadTimeout))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
--- a/internal/serve/burdockhosted/entry.go
+++ b/internal/serve/burdockhosted/entry.go
@@ -87,7 +87,7 @@
 		},
 	)
 	site.Subscribe(e.entry.ApplySnapshot)
-	e.follower = burdockkv.NewFollower(p.Store, burdockkv.WatchOptions{History: settings.StoreHistoryMillis}, e.sink(p.Records, site), clock, log)
+	e.follower = burdockkv.NewRoutedFollower(p.Store, burdockkv.WatchOptions{History: settings.StoreHistoryMillis}, e.routes(p.Records, site), clock, log)
 	e.callers = newServer(e.entry)
 	e.ready = newServer(http.HandlerFunc(e.serveReady))
 	e.admin = newServer(adminHandler(set, e.entry.CrashingRequests))
@@ -108,18 +108,19 @@
 	return e, nil
 }
 
-// sink returns the sink of all keys that an entry follows. One watch covers all of them;
-// see burdockkv.Router.
-func (e *entry) sink(records burdockfollow.Decoder, site *burdocksite.Site) burdockkv.Sink {
-	routes := []burdockkv.Route{
-		{Prefix: prefixNotifications, Sink: newNotificationReader(e.entry, e.log).mirror},
-		{Prefix: prefixRank, Sink: newGroupReader(e.entry).mirror},
-		{Prefix: prefixEntry, Sink: newEntryCounter(e.entry)},
-	}
+// routes returns the keys that an entry follows, in the order in which it needs them when
+// it starts. After a power cut, all processes of a fleet list at once, and the store's link
+// takes more than a second for all listings together.
+func (e *entry) routes(records burdockfollow.Decoder, site *burdocksite.Site) []burdockkv.Route {
+	var routes []burdockkv.Route
 	for _, topic := range burdockfollow.Topics() {
 		routes = append(routes, burdockkv.Route{Prefix: records.Prefix(topic), Sink: burdockfollow.New(topic, records, site, e.clock, e.log)})
 	}
-	return burdockkv.NewRouter(routes...)
+	return append(routes,
+		burdockkv.Route{Prefix: prefixNotifications, Sink: newNotificationReader(e.entry, e.log).mirror},
+		burdockkv.Route{Prefix: prefixRank, Sink: newGroupReader(e.entry).mirror},
+		burdockkv.Route{Prefix: prefixEntry, Sink: newEntryCounter(e.entry)},
+	)
 }
 
 func (e *entry) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/internal/serve/burdockhosted/fleet_test.go
+++ b/internal/serve/burdockhosted/fleet_test.go
@@ -104,7 +104,7 @@
 	for _, topic := range burdockfollow.Topics() {
 		routes = append(routes, burdockkv.Route{Prefix: fleetDecoder{}.Prefix(topic), Sink: burdockfollow.New(topic, fleetDecoder{}, site, clock, log)})
 	}
-	follower := burdockkv.NewFollower(f.store, burdockkv.WatchOptions{History: fleetHistory}, burdockkv.NewRouter(routes...), clock, log)
+	follower := burdockkv.NewRoutedFollower(f.store, burdockkv.WatchOptions{History: fleetHistory}, routes, clock, log)
 	follower.Start()
 	f.stops = append(f.stops, follower.Close)
 }
--- a/internal/state/burdockfollow/follow.go
+++ b/internal/state/burdockfollow/follow.go
@@ -147,6 +147,7 @@
 	}
 	switch r.topic {
 	case TopicUpstreams:
+		b.SetUpstreamsListed()
 		for id := range b.Upstreams() {
 			if !listed[id] {
 				r.markGone(b, id)
--- a/internal/state/burdockkv/era_test.go
+++ b/internal/state/burdockkv/era_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
@@ -119,18 +120,42 @@
 	}
 }
 
-func TestRouterSplitsByPrefix(t *testing.T) {
+// prefixStore returns one key under each prefix that is listed, and two changes in the
+// first watch.
+type prefixStore struct {
+	scriptedStore
+	listed []string
+}
+
+func (s *prefixStore) List(_ context.Context, prefix string, _ Read) ([]Item, Position, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listed = append(s.listed, prefix)
+	// Each listing is older than the one before, as stale copies may be.
+	return []Item{{Key: prefix + "1"}}, Position{Revision: Revision(10 - len(s.listed))}, nil
+}
+
+// One watch serves all prefixes, from the oldest of their listings on, and each sink gets
+// the keys under its own prefix.
+func TestRoutedFollowerSplitsByPrefix(t *testing.T) {
+	s := &prefixStore{}
+	s.watches = []watchAnswer{{items: []Item{
+		{Key: "b/2"}, {Key: "c/2"}, {Key: "a", Value: []byte("new")}, {Key: "b/1", Deleted: true, Modified: Position{Revision: 1}},
+	}, rev: 12}}
 	a, b := NewMirror(), NewMirror()
-	r := NewRouter(Route{Prefix: "a/", Sink: a}, Route{Prefix: "b/", Sink: b})
-	r.Listed([]Item{{Key: "a/1"}, {Key: "b/1"}, {Key: "c/1"}})
-	r.Changed([]Item{{Key: "b/2"}, {Key: "c/2"}, {Key: "a/1", Deleted: true, Modified: Position{Revision: 1}}})
-	if got, want := len(a.Items()), 0; got != want {
-		t.Errorf("keys under a/: got %d, want %d", got, want)
+	f := NewRoutedFollower(s, WatchOptions{}, []Route{{Prefix: "a", Sink: a}, {Prefix: "b/", Sink: b}}, burdockclock.System(), zap.NewNop())
+	f.Start()
+	t.Cleanup(f.Close)
+	awaitValue(t, a, "new")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if got, want := strings.Join(s.listed, " "), "a b/"; got != want {
+		t.Errorf("listed: got %q, want %q", got, want)
 	}
-	if got, want := len(b.Items()), 2; got != want {
-		t.Errorf("keys under b/: got %d, want %d", got, want)
+	if got, want := s.watchedAfter[0], Revision(8); got != want {
+		t.Errorf("watched after revision %d, want %d", got, want)
 	}
-	if !a.Synced() || !b.Synced() {
-		t.Error("a sink was not told of the listing")
+	if got, want := len(a.Items()), 2; got != want {
+		t.Errorf("keys under a: got %d, want %d", got, want)
 	}
 }
--- a/internal/state/burdockkv/follower.go
+++ b/internal/state/burdockkv/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -72,12 +73,18 @@
 	return min(burdockclock.Millis(historyFraction*float64(w.History)), watchWait)
 }
 
-// Follower keeps a Sink up to date with the keys under a prefix. It lists the keys once,
-// then watches them, and lists again whenever a watch fails.
+// Route sends the keys under a prefix to a sink.
+type Route struct {
+	Prefix string
+	Sink   Sink
+}
+
+// Follower keeps sinks up to date with the keys under their prefixes. It lists the keys
+// once, then watches them, and lists again whenever a watch fails.
 type Follower struct {
 	store   Store
 	options WatchOptions
-	sink    Sink
+	routes  []Route
 	clock   burdockclock.Clock
 	log     *zap.Logger
 
@@ -95,11 +102,19 @@
 	watchDelay       burdockclock.Millis // after the latest change
 }
 
-// NewFollower returns a follower that is not yet running.
+// NewFollower returns a follower of the keys under options.Prefix that is not yet running.
 func NewFollower(store Store, options WatchOptions, sink Sink, clock burdockclock.Clock, log *zap.Logger) *Follower {
+	return NewRoutedFollower(store, options, []Route{{Prefix: options.Prefix, Sink: sink}}, clock, log)
+}
+
+// NewRoutedFollower returns a follower for several sinks that is not yet running. Their
+// prefixes must not overlap, and begin with options.Prefix. It lists one prefix after the
+// other, in their order, and watches all of them with one call: a watch for each would
+// multiply the calls of a large fleet.
+func NewRoutedFollower(store Store, options WatchOptions, routes []Route, clock burdockclock.Clock, log *zap.Logger) *Follower {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Follower{
-		store: store, options: options, sink: sink, clock: clock,
+		store: store, options: options, routes: routes, clock: clock,
 		log: log.With(zap.String("prefix", options.Prefix)), ctx: ctx, cancel: cancel,
 	}
 }
@@ -130,21 +145,41 @@
 	}
 }
 
+// list lists all prefixes, and returns the position for the next watch: that of the oldest
+// listing.
 func (f *Follower) list(read Read) (Position, bool) {
 	f.idlePosition = Position{}
-	items, at, err := f.store.List(f.ctx, f.options.Prefix, read)
-	if err != nil {
-		f.backOff(err)
-		return Position{}, false
+	var oldest Position
+	for i, route := range f.routes {
+		items, at, err := f.store.List(f.ctx, route.Prefix, read)
+		if err == nil && i > 0 && at.Era != oldest.Era {
+			err = ErrRestored.New("the store was restored between two listings")
+		}
+		if err != nil {
+			f.backOff(err)
+			return Position{}, false
+		}
+		f.answered()
+		if i == 0 || at.Compare(oldest) < 0 {
+			oldest = at
+		}
+		if i == 0 {
+			f.noticeEra(at.Era)
+		}
+		route.Sink.Listed(items)
 	}
-	f.answered()
-	if f.listedEra != at.Era && f.listed {
-		f.log.Warn("store was restored from an older copy", zap.Int64("era", int64(at.Era)), zap.Int64("before", int64(f.listedEra)), zap.Int("keys", len(items)))
-		f.sink.StoreRestored()
+	return oldest, true
+}
+
+// noticeEra tells the sinks if the store was restored since the last listing.
+func (f *Follower) noticeEra(era Era) {
+	if f.listed && f.listedEra != era {
+		f.log.Warn("store was restored from an older copy", zap.Int64("era", int64(era)), zap.Int64("before", int64(f.listedEra)))
+		for _, route := range f.routes {
+			route.Sink.StoreRestored()
+		}
 	}
-	f.listedEra, f.listed = at.Era, true
-	f.sink.Listed(items)
-	return at, true
+	f.listedEra, f.listed = era, true
 }
 
 // watch returns the position for the next watch, and false if the keys must be listed again.
@@ -176,7 +211,11 @@
 		return at, true
 	}
 	f.idlePosition = Position{}
-	f.sink.Changed(items)
+	for _, route := range f.routes {
+		if own := underPrefix(items, route.Prefix); len(own) > 0 {
+			route.Sink.Changed(own)
+		}
+	}
 	f.sleep(f.nextDelay(f.clock.Boot() - calledAt))
 	return at.Later(next), true
 }
@@ -199,7 +238,9 @@
 	if f.unavailableSince != 0 {
 		outage := f.clock.Boot() - f.unavailableSince
 		f.log.Info("store regained", zap.Int64("silentMillis", int64(outage)))
-		f.sink.StoreRecovered(outage)
+		for _, route := range f.routes {
+			route.Sink.StoreRecovered(outage)
+		}
 	}
 	f.unavailableSince, f.retryPause = 0, 0
 }
@@ -226,3 +267,13 @@
 	case <-f.ctx.Done():
 	}
 }
+
+func underPrefix(items []Item, prefix string) []Item {
+	var own []Item
+	for _, item := range items {
+		if strings.HasPrefix(item.Key, prefix) {
+			own = append(own, item)
+		}
+	}
+	return own
+}
--- a/internal/state/burdockkv/poller.go
+++ b/internal/state/burdockkv/poller.go
@@ -27,9 +27,9 @@
 	done      sync.WaitGroup
 }
 
-// NewPoller returns a poller that is not yet running. It lists at once, watches until
-// satisfied reports that the sink has what it needs, and from then on lists once per
-// interval on average.
+// NewPoller returns a poller that is not yet running. It lists at a random time within
+// startSpread, watches until satisfied reports that the sink has what it needs, and from
+// then on lists once per interval on average.
 //
 // Hundreds of processes may start before the keys that they need have been written. The
 // watch saves the repeated listings of each of them until then.
@@ -52,6 +52,7 @@
 
 func (p *Poller) loop() {
 	defer p.done.Done()
+	p.sleep(burdockclock.Millis(rand.Int64N(int64(startSpread))))
 	for p.ctx.Err() == nil {
 		items, at, err := p.store.List(p.ctx, p.prefix, ReadStale)
 		if err == nil {
@@ -81,12 +82,22 @@
 // that had no change, so the wait need not be shorter than the store keeps its history.
 const pollerWatchWait = watchWait
 
+// startSpread is the time over which pollers that start together list first. After a power
+// cut hundreds of them would otherwise fill the store's link just when the processes that
+// serve callers need it.
+const startSpread = burdockclock.Second
+
 func (p *Poller) pause() {
 	wait := maxRetryPause/2 + burdockclock.Millis(rand.Int64N(int64(maxRetryPause)))
 	if p.satisfied() {
 		wait = p.interval/2 + burdockclock.Millis(rand.Int64N(int64(p.interval)))
 	}
-	timer := time.NewTimer(wait.Duration())
+	p.sleep(wait)
+}
+
+// sleep waits for d or until the poller is closed.
+func (p *Poller) sleep(d burdockclock.Millis) {
+	timer := time.NewTimer(d.Duration())
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/internal/state/burdocksite/batch.go
+++ b/internal/state/burdocksite/batch.go
@@ -36,6 +36,12 @@
 // Upstreams returns the upstreams as the batch leaves them. The map must not be changed.
 func (b *Batch) Upstreams() map[burdockid.Upstream]Upstream { return b.next.Upstreams }
 
+// SetUpstreamsListed records that all upstreams have been read.
+func (b *Batch) SetUpstreamsListed() {
+	b.changed = b.changed || !b.next.UpstreamsListed
+	b.next.UpstreamsListed = true
+}
+
 // PutUpstream adds or replaces one upstream. It reports whether that changed anything.
 func (b *Batch) PutUpstream(u Upstream) bool {
 	if old, ok := b.next.Upstreams[u.ID]; ok && old == u {
--- a/internal/state/burdocksite/site.go
+++ b/internal/state/burdocksite/site.go
@@ -160,6 +160,9 @@
 	// Config is nil until a configuration has been received.
 	Config    *Config
 	Upstreams map[burdockid.Upstream]Upstream
+	// UpstreamsListed reports that Upstreams holds all upstreams, not only those that have
+	// been read so far.
+	UpstreamsListed bool
 	// Evacuated holds the data centres whose upstreams get no new requests.
 	Evacuated map[burdockid.DataCentre]bool
 	// Generation is incremented with each change.
@@ -187,6 +190,9 @@
 	return members
 }
 
+// Complete reports whether requests can be served or refused by this snapshot.
+func (s *Snapshot) Complete() bool { return s.Config != nil && s.UpstreamsListed }
+
 // Accepts reports whether an upstream may get new requests.
 func (s *Snapshot) Accepts(u Upstream) bool { return !u.Leaving && !s.Evacuated[u.DataCentre] }
 
