--- a/internal/serve/burdockhosted/leaseorder.go
+++ b/internal/serve/burdockhosted/leaseorder.go
@@ -17,10 +17,12 @@
 	// again.
 	candidateWatchDelay burdockclock.Millis = 20
 	// heldPollInterval is the mean time between two reads of the lease by another agent
-	// while it has a holder, and freePollInterval while it has none. otherDelay is how long
+	// while it has a holder, and freePollInterval while it has none. The first may be long:
+	// those agents are needed only if no candidate is left, and a group without a controller
+	// keeps its map. otherDelay is how long
 	// a lease is free before the first of them tries: several reads, so that they know of
 	// a candidate that has acquired it.
-	heldPollInterval = 8 * burdockclock.Second
+	heldPollInterval = 20 * burdockclock.Second
 	freePollInterval = 1 * burdockclock.Second
 	otherDelay       = 3 * burdockclock.Second
 	// otherInterval is the time between the attempts of two other agents.
