After a power cut: agents read a small record, old records are not tried one by one

(2) An entry that knew only the records of the processes before the cut tried ten of them for one request, spent its retries, and refused the next after 1.7 s, though groups were open. (3) The delay between watches had grown to 0.8 s just as the new records came.

Change: a controller writes the figures of its engines with its lease (no call more); agents that find them read the configuration at a random time in the next 40 s. An agent looks its address up in a stale copy and writes it only if it is not there. Three members in a row that turn out to be replaced make the known ones count as outdated: requests wait for others. The delay between watches does not grow while callers wait.

--- a/internal/serve/burdockdirect/groups_test.go
+++ b/internal/serve/burdockdirect/groups_test.go
@@ -146,6 +146,46 @@
 	}
 }
 
+// After a power cut the entry knows only the records of the processes before it. Callers
+// must wait for the new ones, and not use up all retries on one old record after the other.
+func TestCallersWaitForNewRecords(t *testing.T) {
+	g := &lockStepGroup{}
+	g.open.Store(true)
+	replaced := newUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		sign(w, r)
+		w.Header().Set("X-Not-Run", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	})
+	f := newFixture(t, 30_000)
+	for range 20 {
+		f.put(replaced)
+	}
+	f.lockStep(20 * burdockclock.Second)
+	const callers = 10
+	replies := f.sendMany(t, callers, func() {
+		await(t, "the members count as outdated", func() bool { return f.entry.pool("s").outdated() != nil })
+		await(t, "all wait", func() bool {
+			load := f.entry.pool("s").gate.load()
+			return load.Running+load.Queued == callers && f.entry.CallersWait()
+		})
+		old := f.site.Now().Upstreams
+		f.put(newUpstream(t, g.serve))
+		f.site.Update(func(b *burdocksite.Batch) {
+			for id := range old {
+				b.DropUpstream(id)
+			}
+		})
+	})
+	for i, got := range replies {
+		if got.status != http.StatusOK {
+			t.Errorf("caller %d: got status %d, want 200", i, got.status)
+		}
+	}
+	if got, most := replaced.seen(), callers; got > most {
+		t.Errorf("offers to old processes: got %d, want %d at most", got, most)
+	}
+}
+
 // evacuate starts the evacuation of a data centre.
 func (f *fixture) evacuate(dc burdockid.DataCentre) {
 	f.site.Update(func(b *burdocksite.Batch) { b.SetEvacuated(dc, true) })
--- a/internal/serve/burdockdirect/offers.go
+++ b/internal/serve/burdockdirect/offers.go
@@ -137,7 +137,7 @@
 // the caller has its answer.
 func (o *offers) run(caller, ctx context.Context) bool {
 	for {
-		if !o.awaitGroupOpen(ctx) {
+		if !o.awaitMembers(ctx) || !o.awaitGroupOpen(ctx) {
 			o.groupStayedClosed(caller, ctx)
 			return false
 		}
--- a/internal/serve/burdockdirect/pool.go
+++ b/internal/serve/burdockdirect/pool.go
@@ -51,6 +51,7 @@
 	// groups holds the lock-step groups of engines by address.
 	groups     map[string]burdockid.Group
 	migrations migrations
+	memberAge  memberAge
 	// cold limits the requests to upstreams that have just started.
 	cold *burdockcold.Limiter
 	// suspected tracks the upstreams of a plain service that recently failed a request.
@@ -81,6 +82,7 @@
 	random := rand.New(rand.NewPCG(e.deps.Seed, uint64(time.Now().UnixNano())))
 	p := &pool{
 		service: service, entry: e, random: random, groups: e.groups, inFlight: map[burdockid.Upstream]int{}, migrations: migrations{}, suspected: burdocksuspicion.New(burdocksuspicion.Config{}),
+		memberAge:   newMemberAge(),
 		lastContact: map[burdockid.Upstream]contact{}, typicalFirstEvent: initialFirstEvent,
 		cold:    burdockcold.New(deriveRand(random)),
 		placer:  burdockplace.New(burdockplace.Config{}, deriveRand(random)),
@@ -195,6 +197,7 @@
 	if p.members != nil && p.sameMembers(members) {
 		return changed
 	}
+	p.memberAge.renew()
 	before := p.members
 	p.members = map[burdockid.Upstream]burdocksite.Upstream{}
 	var names []burdockid.Upstream
@@ -357,6 +360,7 @@
 func (p *pool) markReplaced(now burdockclock.Millis, u burdockid.Upstream) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.memberAge.replaced++
 	if _, changed := p.tracker.MarkLeaving(now, u); changed {
 		p.updateWeight(u)
 		p.entry.deps.Log.Info("upstream replaced", zap.String("upstream", string(u)), zap.String("service", string(p.service)))
@@ -389,6 +393,7 @@
 		p.typicalDuration = took
 	}
 	p.typicalDuration += (took - p.typicalDuration) / durationSamples
+	p.memberAge.replaced = 0
 	p.budget.RecordSuccess(now)
 }
 
--- a/internal/serve/burdockhosted/agent.go
+++ b/internal/serve/burdockhosted/agent.go
@@ -130,18 +130,14 @@
 	clock := burdockclock.System()
 	site := burdocksite.New()
 	mirror := burdockkv.NewMirror()
-	spec := func() *burdocksite.Engine {
-		cfg := site.Now().Config
-		if cfg == nil {
-			return nil
-		}
-		return cfg.Services[settings.UpstreamService].Engine
-	}
+	engines := newEngineSpec(p.Store, settings.UpstreamService, func() *burdocksite.Config { return site.Now().Config }, log)
+	spec := engines.current
 	address := net.JoinHostPort(settings.IP, strconv.Itoa(settings.PeerPort))
 	a := &agent{log: log}
 	a.directory = newDirectory(p.NewRank, settings.UpstreamAddress, address, p.Store, spec, log)
 	a.speedPublisher = newSpeedPublisher(p.Store, settings.UpstreamAddress, a.directory.speed, log)
 	leaseStore := newLeaseStore(p.Store, mirror, clock, a.directory.Assignment, log)
+	leaseStore.announcement = engines.announcement
 	a.host = burdockrank.NewHost(burdockid.Upstream(settings.UpstreamAddress), burdockrank.Deps{
 		Clock: clock, EngineFor: a.directory.engine, RemoteEngine: a.directory.remote, Store: leaseStore,
 		Directory: a.directory, Peers: burdocktransport.NewPeers(nil), Log: log, Tuning: tuning(settings.LinkMbps),
@@ -151,8 +147,9 @@
 		},
 	})
 	config := burdockfollow.New(burdockfollow.TopicConfig, p.Records, site, clock, log)
+	engines.poller = burdockkv.NewPoller(p.Store, p.Records.Prefix(burdockfollow.TopicConfig), config, configPollInterval, func() bool { return spec() != nil }, log)
 	a.readers = []storeReader{
-		burdockkv.NewPoller(p.Store, p.Records.Prefix(burdockfollow.TopicConfig), config, configPollInterval, func() bool { return spec() != nil }, log),
+		engines,
 		newLeaseReader(p.Store, leaseStore, settings.StoreHistoryMillis, clock, log),
 	}
 	mux := http.NewServeMux()
--- a/internal/serve/burdockhosted/directory.go
+++ b/internal/serve/burdockhosted/directory.go
@@ -152,7 +152,8 @@
 	switch {
 	case d.publishedKey != key:
 		if time.Since(d.publishTriedAt) >= addressRetryDelay {
-			d.writeAddress(key)
+			d.publishTriedAt = time.Now()
+			d.verifyAddress(key, burdockkv.ReadStale)
 		}
 	case d.publishedEra == d.store.Era():
 	case d.verifyAt.IsZero():
@@ -160,7 +161,7 @@
 		d.verifyAt = time.Now().Add(rand.N(verifySpread))
 	case !time.Now().Before(d.verifyAt):
 		d.verifyAt = time.Time{}
-		d.verifyAddress(key)
+		d.verifyAddress(key, burdockkv.ReadLatest)
 	}
 }
 
@@ -168,7 +169,6 @@
 func (d *directory) value() string { return d.address + " " + d.engineAddress }
 
 func (d *directory) writeAddress(key string) {
-	d.publishTriedAt = time.Now()
 	at, err := d.store.Write(d.ctx, nil, []burdockkv.Put{{Key: key, Value: []byte(d.value())}})
 	if err != nil {
 		d.log.Warn("failed to write the agent's address", zap.String("key", key), zap.Error(err))
@@ -177,15 +177,19 @@
 	d.publishedKey, d.publishedEra = key, at.Era
 }
 
-// verifyAddress writes the agent's address again if the restored store has lost it.
-func (d *directory) verifyAddress(key string) {
-	items, at, err := d.store.List(d.ctx, key, burdockkv.ReadLatest)
+// verifyAddress writes the agent's address unless the store has it.
+//
+// When all VMs start again after a power cut, the records are those of before. Writing them
+// again would cost the store a write by each agent, and each entry the reading of all of
+// them, at the moment at which the entries read the new upstreams.
+func (d *directory) verifyAddress(key string, read burdockkv.Read) {
+	items, at, err := d.store.List(d.ctx, key, read)
 	if err != nil {
-		return // verified again after another spread
+		return // tried again later
 	}
 	for _, item := range items {
 		if item.Key == key && string(item.Value) == d.value() {
-			d.publishedEra = at.Era
+			d.publishedKey, d.publishedEra = key, at.Era
 			return
 		}
 	}
--- a/internal/serve/burdockhosted/entry.go
+++ b/internal/serve/burdockhosted/entry.go
@@ -87,7 +87,7 @@
 		},
 	)
 	site.Subscribe(e.entry.ApplySnapshot)
-	e.follower = burdockkv.NewRoutedFollower(p.Store, burdockkv.WatchOptions{History: settings.StoreHistoryMillis}, e.routes(p.Records, site), clock, log)
+	e.follower = burdockkv.NewRoutedFollower(p.Store, burdockkv.WatchOptions{History: settings.StoreHistoryMillis, Urgent: e.entry.CallersWait}, e.routes(p.Records, site), clock, log)
 	e.callers = newServer(e.entry)
 	e.ready = newServer(http.HandlerFunc(e.serveReady))
 	e.admin = newServer(adminHandler(set, e.entry.CrashingRequests))
--- a/internal/serve/burdockhosted/fleet_test.go
+++ b/internal/serve/burdockhosted/fleet_test.go
@@ -143,8 +143,10 @@
 }
 
 func (k *fleetKeeper) run() {
-	key := rankKey(k.assignment.Group, k.assignment.Rank)
-	_, _ = k.fleet.store.Write(k.ctx, nil, []burdockkv.Put{{Key: key, Value: []byte("agent engine")}})
+	group, _, _ := strings.Cut(k.assignment.Group, epochSeparator)
+	key := rankKey(group, k.assignment.Rank)
+	d := newDirectory(func(string) Rank { return nil }, "engine", "agent", k.fleet.store, nil, zap.NewNop())
+	d.publish(key)
 	name := burdockrank.LeaseName(k.assignment.Group)
 	_, _ = k.leases.Fence(k.ctx, name)
 	for k.ctx.Err() == nil {
--- a/internal/serve/burdockhosted/leasestore.go
+++ b/internal/serve/burdockhosted/leasestore.go
@@ -42,7 +42,9 @@
 	mirror     *burdockkv.Mirror
 	clock      burdockclock.Clock
 	assignment func() burdockrank.Assignment // rank assignment of this agent
-	log        *zap.Logger
+	// announcement, if set, returns what a new holder writes together with its lease.
+	announcement func() []burdockkv.Put
+	log          *zap.Logger
 
 	mu      sync.Mutex
 	held    map[string]heldLease
@@ -201,10 +203,11 @@
 		return heldLease{}, burdockstore.ErrUnavailable.Wrap(err, "lease %s", name)
 	}
 	openedKey, epoch := openKey(l.assignment().Group)
-	at, err := l.store.Write(ctx, []burdockkv.Condition{{Key: key}}, []burdockkv.Put{
-		{Key: key, Value: []byte(holder), Lease: id},
-		{Key: openedKey, Value: epoch},
-	})
+	puts := []burdockkv.Put{{Key: key, Value: []byte(holder), Lease: id}, {Key: openedKey, Value: epoch}}
+	if l.announcement != nil {
+		puts = append(puts, l.announcement()...)
+	}
+	at, err := l.store.Write(ctx, []burdockkv.Condition{{Key: key}}, puts)
 	switch {
 	case err == nil && at.Era != id.Era:
 		// The store was restored between the two calls, and the key may be attached to a
--- a/internal/state/burdockkv/follower.go
+++ b/internal/state/burdockkv/follower.go
@@ -63,6 +63,9 @@
 	History burdockclock.Millis
 	// Delay, if set, is the time after a change before the next watch.
 	Delay burdockclock.Millis
+	// Urgent, if set, reports that something waits for changes. The time after a change
+	// then does not grow.
+	Urgent func() bool
 }
 
 // wait returns how long one watch waits.
@@ -226,7 +229,7 @@
 	if f.options.Delay > 0 {
 		return f.options.Delay
 	}
-	if waited > f.watchDelay {
+	if waited > f.watchDelay || f.options.Urgent != nil && f.options.Urgent() {
 		f.watchDelay = minWatchDelay
 	} else {
 		f.watchDelay = min(burdockclock.Millis(watchDelayGrowth*float64(f.watchDelay)), maxWatchDelay)
