--- a/internal/decide/burdockplace/choose.go
+++ b/internal/decide/burdockplace/choose.go
@@ -177,7 +177,11 @@
 // upstream.
 func (c *chooser) chooseOverflow() (Choice, bool) {
 	from := c.seen.n
-	c.random = true
+	if len(c.req.Prefix) == 0 {
+		c.random = true
+	} else {
+		c.setOrder(c.p.rnd.Uint64(), 1, 0)
+	}
 	c.collect(c.p.cfg.OverflowCandidates)
 	c.collectRecent(c.p.cfg.RecentCandidates)
 	reason := ReasonOverflow
