--- a/internal/serve/burdockdirect/group.go
+++ b/internal/serve/burdockdirect/group.go
@@ -82,8 +82,8 @@
 	return &group{View: burdocklockstep.New(cfg), state: burdocklockstep.Advancing}
 }
 
-// view returns the view of an engine's group. An engine whose group is not known has a view
-// of its own kind, which nothing closes.
+// view returns the view of an engine's group. For an engine whose group is not known it
+// returns one that is not kept, so nothing closes it.
 func (s *groups) view(u burdockid.Upstream) *group {
 	if g := s.views[s.of[u]]; g != nil {
 		return g
@@ -91,8 +91,8 @@
 	return s.newView(1)
 }
 
-// state returns the state of the group that is furthest: callers can be served while any
-// group advances.
+// state returns Advancing if any group advances, as callers can be served then; otherwise
+// Stalled if any is stalled, and Closed if all are closed.
 func (s *groups) state(now burdockclock.Millis) burdocklockstep.State {
 	best := burdocklockstep.Closed
 	for _, g := range s.views {
--- a/internal/serve/burdockdirect/outdated.go
+++ b/internal/serve/burdockdirect/outdated.go
@@ -11,6 +11,9 @@
 	// outdatedAfter is the number of upstreams in a row that were found replaced by another
 	// process before the known members count as outdated.
 	outdatedAfter = 3
+	// outdatedTTL is how long they do after the latest one. A request then tries again,
+	// in case the others are alive.
+	outdatedTTL = burdockclock.Second
 	// membersPollInterval bounds one wait for other members.
 	membersPollInterval burdockclock.Millis = 100
 )
@@ -22,12 +25,19 @@
 // the other use up the retries of all entries, and are given up just when the new members
 // are known. The pool's lock protects it.
 type memberAge struct {
-	replaced int           // members found replaced since the last change or answer
-	changed  chan struct{} // closed when the members change
+	replaced   int                 // members found replaced since the last change or answer
+	replacedAt burdockclock.Millis // when the latest one was
+	changed    chan struct{}       // closed when the members change
 }
 
 func newMemberAge() memberAge { return memberAge{changed: make(chan struct{})} }
 
+// recordReplaced records that a member was replaced by another process.
+func (m *memberAge) recordReplaced(now burdockclock.Millis) {
+	m.replaced++
+	m.replacedAt = now
+}
+
 // renew records that the members have changed.
 func (m *memberAge) renew() {
 	m.replaced = 0
@@ -40,7 +50,7 @@
 func (p *pool) outdated() <-chan struct{} {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.memberAge.replaced < outdatedAfter {
+	if p.memberAge.replaced < outdatedAfter || p.entry.now()-p.memberAge.replacedAt >= outdatedTTL {
 		return nil
 	}
 	return p.memberAge.changed
--- a/internal/serve/burdockdirect/pool.go
+++ b/internal/serve/burdockdirect/pool.go
@@ -270,9 +270,8 @@
 		p.offerStarted(now, preferred, req.cost)
 		return p.members[preferred], "stay", true
 	}
-	skip := func(u burdockid.Upstream) bool {
-		return excluded[u] || unavailable(u) || !p.cold.Allows(now, u) || p.isSilentLocked(now, u)
-	}
+	barred := func(u burdockid.Upstream) bool { return excluded[u] || unavailable(u) || !p.cold.Allows(now, u) }
+	skip := func(u burdockid.Upstream) bool { return barred(u) || p.isSilentLocked(now, u) }
 	avoid := p.suspectedFor(now, req)
 	choice, ok := p.placer.Choose(now, burdockplace.Request{
 		DataCentre: p.entry.cfg.DataCentre, Cost: req.cost,
@@ -284,7 +283,7 @@
 	// Only repeatable requests probe an ejected upstream. A probe that is due goes
 	// first: if it were skipped, the upstream would stay ejected for long.
 	if req.route.Repeatable() {
-		if probe, due := p.tracker.NextProbe(now); due && !excluded[probe] && !unavailable(probe) && p.cold.Allows(now, probe) && p.isMember(probe) {
+		if probe, due := p.tracker.NextProbe(now); due && !barred(probe) && p.isMember(probe) {
 			choice.Upstream, choice.Reason, ok = probe, "probe", true
 		}
 	}
@@ -360,7 +359,7 @@
 func (p *pool) markReplaced(now burdockclock.Millis, u burdockid.Upstream) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.memberAge.replaced++
+	p.memberAge.recordReplaced(now)
 	if _, changed := p.tracker.MarkLeaving(now, u); changed {
 		p.updateWeight(u)
 		p.entry.deps.Log.Info("upstream replaced", zap.String("upstream", string(u)), zap.String("service", string(p.service)))
--- a/internal/serve/burdockdirect/startup.go
+++ b/internal/serve/burdockdirect/startup.go
@@ -13,19 +13,22 @@
 	// stream's caller leaves after two seconds without an event, and the rest is for the
 	// engine.
 	maxStartupWait burdockclock.Millis = 1500
-	// maxStartupWaiting is the number of requests that may wait. At a few kilobytes each
-	// they take some megabytes.
-	maxStartupWaiting = 1024
+	// maxStartupWaiting is the number of requests that may wait, and maxStartupBody the size
+	// of their bodies. Together they bound the memory that a flood of requests can take
+	// before the operators' limits are known.
+	maxStartupWaiting = 256
+	maxStartupBody    = 64 << 10
 )
 
 // readWhileStarting reads a request's body and waits until the entry knows the
-// configuration and the upstreams, if it does not yet.
+// configuration and the upstreams, if it does not yet. Requests with a body that is large
+// or of unknown length don't wait.
 //
 // After a power cut the entries are back a second or two before they have read the store,
 // which all processes of the fleet read at the same moment. A caller comes back once, and
 // may have lost its first attempt to the power cut: if it is refused, it is never served.
 func (e *Entry) readWhileStarting(w http.ResponseWriter, r *http.Request, req *request) *refusal {
-	if e.deps.Site.Now().Complete() {
+	if e.deps.Site.Now().Complete() || r.ContentLength < 0 || r.ContentLength > maxStartupBody {
 		return nil
 	}
 	if e.starting.Add(1) > maxStartupWaiting {
@@ -33,7 +36,7 @@
 		return &refusal{http.StatusServiceUnavailable, "not run: too many requests while this entry starts", noConfigRetryAfter}
 	}
 	defer e.starting.Add(-1)
-	if rejection := req.readBody(w, r, defaultMaxBody); rejection != nil {
+	if rejection := req.readBody(w, r, maxStartupBody); rejection != nil {
 		return rejection
 	}
 	wait := maxStartupWait
