--- a/internal/serve/burdockhosted/leaseorder.go
+++ b/internal/serve/burdockhosted/leaseorder.go
@@ -19,12 +19,12 @@
 	// heldPollInterval is the mean time between two reads of the lease by another agent
 	// while it has a holder, and freePollInterval while it has none. The first may be long:
 	// those agents are needed only if no candidate is left, and a group without a controller
-	// keeps its map. otherDelay is how long
-	// a lease is free before the first of them tries: several reads, so that they know of
-	// a candidate that has acquired it.
+	// keeps its map.
 	heldPollInterval = 20 * burdockclock.Second
 	freePollInterval = 1 * burdockclock.Second
-	otherDelay       = 3 * burdockclock.Second
+	// otherDelay is how long a lease is free before the first of them tries: several reads,
+	// so that they know of a candidate that has acquired it.
+	otherDelay = 3 * burdockclock.Second
 	// otherInterval is the time between the attempts of two other agents.
 	otherInterval burdockclock.Millis = 30
 )
@@ -33,8 +33,7 @@
 // false if it is not one of them.
 //
 // The candidates are always the same, so that only they have to watch the lease. They are
-// spread over the ranks, as neighbouring ranks may be in one data centre, and at no regular
-// distance from the group's size, as every other VM may be down at the same time.
+// spread over the ranks, as neighbouring ranks may be in one data centre.
 func candidateIndex(rank burdockid.Rank, ranks int) (int, bool) {
 	step := candidateStep(ranks)
 	for i := range min(candidateCount, ranks) {
@@ -46,7 +45,8 @@
 }
 
 // candidateStep returns the distance between the ranks of two candidates. It has no divisor
-// in common with the number of ranks, so no two candidates have the same rank.
+// in common with the number of ranks. So no two candidates have the same rank, and a fault
+// that takes down every other rank leaves some of them.
 func candidateStep(ranks int) int {
 	if ranks <= candidateCount {
 		return 1
