Each 3xx and 4xx of any layer leaves a line with host, path, configuration, and a count

The observer reads the status from what is written to a connection, so that it sees every layer; attempts log the status and whether the upstream itself created the response.

Its wrapper, and that of the connection limit, now pass on CloseWrite, which net/http uses so that a response is not lost with a reset when it closes.

Not observed: responses to processes of the product's own cluster over TLS.

--- a/internal/serve/burdockdirect/attempt.go
+++ b/internal/serve/burdockdirect/attempt.go
@@ -24,6 +24,8 @@
 	target        burdocksite.Upstream
 	startedAt     burdockclock.Millis
 	gotFirstEvent bool // a stream had its first event
+	status        int  // of the response; 0 if there was none
+	fromUpstream  bool // the upstream itself created the response
 }
 
 // bufferedAnswer is an answer that has been read to its end.
@@ -130,6 +132,7 @@
 func (a *attempt) handleResponse(ctx context.Context, cancel context.CancelCauseFunc, res *http.Response) result {
 	defer func() { _ = res.Body.Close() }()
 	head := a.offers.entry.deps.Dialect.ParseResponse(res.StatusCode, res.Header)
+	a.status, a.fromUpstream = res.StatusCode, head.FromUpstream
 	if head.RequestID != a.offers.req.ID && (head.RequestID != "" || !head.NotRun) {
 		// The connection carries the response to another request. With the body
 		// unread, it is closed and not used again.
--- a/internal/serve/burdockdirect/offers.go
+++ b/internal/serve/burdockdirect/offers.go
@@ -9,7 +9,6 @@
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/decide/burdockeject"
-	"burdockbend.example/burdockbend/internal/decide/burdockplace"
 	"burdockbend.example/burdockbend/internal/decide/burdockretry"
 	"burdockbend.example/burdockbend/internal/state/burdocksite"
 	"go.uber.org/zap"
@@ -147,10 +146,11 @@
 			return false
 		}
 		began := o.entry.now()
-		res := (&attempt{offers: o, target: target, startedAt: began}).run(ctx)
+		att := &attempt{offers: o, target: target, startedAt: began}
+		res := att.run(ctx)
 		o.pool.offerEnded(o.entry.now(), target.ID, o.req.cost)
 		o.observe(target, res, began)
-		o.logOffer(target, reason, res, began)
+		o.logOffer(att, reason, res)
 		if _, ok := res.(answered); ok {
 			return true
 		}
@@ -160,49 +160,6 @@
 	}
 }
 
-// outcome names how an offer ended, for logs and metrics.
-type outcome string
-
-// Outcomes of an offer.
-const (
-	outcomeAnswered  outcome = "answered"
-	outcomeNotRun    outcome = "notRun"
-	outcomeUnreached outcome = "unreached"
-	outcomeUnknown   outcome = "unknown"
-	outcomeBroken    outcome = "broken"
-	outcomeEnded     outcome = "ended" // the caller left, or its time is over
-)
-
-// describe returns the outcome of a result, and its cause if one is known.
-func describe(res result) (outcome, string) {
-	switch res := res.(type) {
-	case notRun:
-		return outcomeNotRun, http.StatusText(res.status)
-	case unreached:
-		return outcomeUnreached, res.err.Error()
-	case unknown:
-		return outcomeUnknown, res.reason
-	case broken:
-		return outcomeBroken, res.reason
-	case ended:
-		return outcomeEnded, ""
-	}
-	return outcomeAnswered, ""
-}
-
-// logOffer logs the end of an offer and records it in the metrics.
-func (o *offers) logOffer(target burdocksite.Upstream, reason burdockplace.Reason, res result, began burdockclock.Millis) {
-	took := o.entry.now() - began
-	outcome, cause := describe(res)
-	o.entry.meters.recordOffer(o.req.service, outcome, took)
-	load := o.pool.gate.load()
-	o.entry.logEnd(o.req, "offer ended", zap.String("outcome", string(outcome)), zap.String("cause", cause),
-		zap.String("upstream", string(target.ID)), zap.String("placed", string(reason)), zap.Int("offers", o.sent+o.unreached+1),
-		zap.Int64("waitMillis", int64(o.admittedAt-o.req.arrived)), zap.Int64("firstEventMillis", int64(o.firstEventTime)),
-		zap.Int64("offerMillis", int64(took)), zap.Int("events", o.eventCount), zap.Int64("longestPauseMillis", int64(o.maxEventGap)),
-		zap.Int("running", load.Running), zap.Int("waiting", load.Queued), zap.Int("limit", load.Slots))
-}
-
 // observe records what the offer showed about the upstream's health. A stream that broke
 // shows nothing: all ranks of a group stall when one of them fails.
 func (o *offers) observe(target burdocksite.Upstream, res result, began burdockclock.Millis) {
--- a/internal/serve/burdockdirect/request.go
+++ b/internal/serve/burdockdirect/request.go
@@ -12,7 +12,6 @@
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/decide/burdockqueue"
 	"burdockbend.example/burdockbend/internal/state/burdocksite"
-	"go.uber.org/zap"
 )
 
 const (
@@ -176,19 +175,3 @@
 	}
 	return ""
 }
-
-// logEnd writes the log line of a failed request or of an offer.
-func (e *Entry) logEnd(req *request, outcome string, fields ...zap.Field) {
-	var service burdockid.Service
-	var route string
-	if req != nil {
-		service = req.service
-		if req.route != nil {
-			route = req.route.Name
-		}
-	}
-	e.deps.Log.Info(outcome, append([]zap.Field{
-		zap.String("requestId", string(req.ID)), zap.String("route", route), zap.String("service", string(service)),
-		zap.Int64("tookMillis", int64(e.now()-req.arrived)),
-	}, fields...)...)
-}
--- a/internal/serve/burdockhosted/agent.go
+++ b/internal/serve/burdockhosted/agent.go
@@ -155,9 +155,9 @@
 	mux := http.NewServeMux()
 	mux.Handle(burdockwire.NewGroupServiceHandler(a.host, burdocktransport.HandlerOptions(maxHeader, maxHeader)...))
 	a.peers, a.admin = newServer(mux), newServer(adminHandler(p.metrics(), nil))
-	err := listenAll(log,
-		endpoint{a.peers, address},
-		endpoint{a.admin, net.JoinHostPort(settings.IP, strconv.Itoa(settings.AdminPort))})
+	err := listenAll(log, p.metrics(),
+		endpoint{name: "peers", server: a.peers, address: address},
+		endpoint{name: "admin", server: a.admin, address: net.JoinHostPort(settings.IP, strconv.Itoa(settings.AdminPort))})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/serve/burdockhosted/entry.go
+++ b/internal/serve/burdockhosted/entry.go
@@ -91,10 +91,10 @@
 	e.callers = newServer(e.entry)
 	e.ready = newServer(http.HandlerFunc(e.serveReady))
 	e.admin = newServer(adminHandler(set, e.entry.CrashingRequests))
-	err := listenAll(log,
-		endpoint{e.callers, settings.CallerListen},
-		endpoint{e.ready, settings.ReadyListen},
-		endpoint{e.admin, net.JoinHostPort(settings.IP, strconv.Itoa(settings.AdminPort))})
+	err := listenAll(log, set,
+		endpoint{name: "callers", server: e.callers, address: settings.CallerListen, describe: e.entry.Describe},
+		endpoint{name: "ready", server: e.ready, address: settings.ReadyListen},
+		endpoint{name: "admin", server: e.admin, address: net.JoinHostPort(settings.IP, strconv.Itoa(settings.AdminPort))})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/serve/burdockhosted/server.go
+++ b/internal/serve/burdockhosted/server.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"burdockbend.example/burdockbend/internal/decide/burdockcrash"
+	"burdockbend.example/burdockbend/internal/serve/burdockstatus"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
@@ -43,17 +44,22 @@
 
 // endpoint is a server and the address where it listens.
 type endpoint struct {
+	name    string
 	server  *http.Server
 	address string
+	// describe returns the log fields of a request; nil for none.
+	describe burdockstatus.Describe
 }
 
-func listenAll(log *zap.Logger, all ...endpoint) error {
+// listenAll starts all servers. Their 3xx and 4xx responses are logged, and counted in set.
+func listenAll(log *zap.Logger, set *metrics.Set, all ...endpoint) error {
 	for _, l := range all {
 		listener, err := net.Listen("tcp", l.address)
 		if err != nil {
-			return errorx.Decorate(err, "listen")
+			return errorx.Decorate(err, "listen for %s", l.name)
 		}
-		go server{l.server, listener, log}.run()
+		observed := burdockstatus.New(l.name, log, set, l.describe).Observe(l.server, listener)
+		go server{l.server, observed, log}.run()
 	}
 	return nil
 }
--- a/internal/serve/burdockprocess/entry.go
+++ b/internal/serve/burdockprocess/entry.go
@@ -70,7 +70,7 @@
 	mux.Handle("GET "+burdockadmin.PathReady, burdockadmin.NewReady(e))
 	mux.Handle("/", e.entry.Handler())
 	return burdockserver.Listen(burdockserver.Config{
-		Name: "callers", Address: settings.Listen, Limits: settings.Limits, Log: e.log,
+		Name: "callers", Address: settings.Listen, Limits: settings.Limits, Log: e.log, Metrics: e.metrics,
 	}, mux)
 }
 
--- a/internal/serve/burdockprocess/node.go
+++ b/internal/serve/burdockprocess/node.go
@@ -92,13 +92,13 @@
 func (n *node) listen(peerHandler http.Handler, p burdockadmin.Process) error {
 	var err error
 	n.peer, err = burdockserver.Listen(burdockserver.Config{
-		Name: "peers", Address: n.settings.PeerListen, TLS: n.serverTLS, Limits: n.settings.Limits, Log: n.log,
+		Name: "peers", Address: n.settings.PeerListen, TLS: n.serverTLS, Limits: n.settings.Limits, Log: n.log, Metrics: n.metrics,
 	}, peerHandler)
 	if err != nil {
 		return err
 	}
 	n.admin, err = burdockserver.Listen(burdockserver.Config{
-		Name: "operators", Address: n.settings.AdminListen, Limits: n.settings.Limits, Log: n.log,
+		Name: "operators", Address: n.settings.AdminListen, Limits: n.settings.Limits, Log: n.log, Metrics: n.metrics,
 	}, burdockadmin.NewHandler(p))
 	if err != nil {
 		n.peer.Close(0)
--- a/internal/serve/burdockserver/limit.go
+++ b/internal/serve/burdockserver/limit.go
@@ -44,6 +44,15 @@
 	once     sync.Once
 }
 
+// CloseWrite closes the sending side. net/http does so before it closes a connection, so
+// that the response is not lost with a reset.
+func (c *limitedConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
 // Close implements net.Conn.
 func (c *limitedConn) Close() error {
 	err := c.Conn.Close()
--- a/internal/serve/burdockserver/server.go
+++ b/internal/serve/burdockserver/server.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"burdockbend.example/burdockbend/internal/config/burdocksettings"
+	"burdockbend.example/burdockbend/internal/serve/burdockstatus"
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 )
@@ -34,6 +36,7 @@
 	TLS     *tls.Config // nil for plain TCP
 	Limits  burdocksettings.Limits
 	Log     *zap.Logger
+	Metrics *metrics.Set
 }
 
 // headerSlackFactor times the header limit is what the server still reads, so that a
@@ -48,11 +51,7 @@
 		return nil, errorx.Decorate(err, "listen for %s", cfg.Name)
 	}
 	limited := &limitedListener{Listener: tcp, limit: int64(cfg.Limits.MaxConnections)}
-	var serve net.Listener = limited
-	if cfg.TLS != nil {
-		serve = tls.NewListener(limited, cfg.TLS)
-	}
-	s := &Server{name: cfg.Name, listener: limited, serveListener: serve, log: cfg.Log, done: make(chan struct{})}
+	s := &Server{name: cfg.Name, listener: limited, log: cfg.Log, done: make(chan struct{})}
 	s.server = &http.Server{
 		Handler:           s.closeWhileDraining(withBodyTimeout(cfg.Limits.BodyTimeoutMillis.Duration(), handler)),
 		MaxHeaderBytes:    headerSlackFactor * cfg.Limits.MaxHeaderBytes,
@@ -60,6 +59,11 @@
 		IdleTimeout:       cfg.Limits.IdleTimeoutMillis.Duration(),
 		ErrorLog:          zap.NewStdLog(cfg.Log),
 	}
+	if cfg.TLS != nil {
+		s.serveListener = tls.NewListener(limited, cfg.TLS)
+	} else {
+		s.serveListener = burdockstatus.New(cfg.Name, cfg.Log, cfg.Metrics, nil).Observe(s.server, limited)
+	}
 	go s.run()
 	return s, nil
 }
--- a/internal/state/burdockfollow/follow.go
+++ b/internal/state/burdockfollow/follow.go
@@ -243,6 +243,7 @@
 func (r *Records) apply(b *burdocksite.Batch, item burdockkv.Item, change Change) {
 	switch c := change.(type) {
 	case ConfigWritten:
+		c.Config.AppliedAt = r.clock.Boot()
 		if b.SetConfig(c.Config) {
 			r.log.Info("configuration in force", zap.Uint64("version", uint64(c.Config.Version)),
 				zap.Int("routes", len(c.Config.Routes)), zap.Int("customers", len(c.Config.Customers)))
--- a/internal/state/burdocksite/site.go
+++ b/internal/state/burdocksite/site.go
@@ -132,6 +132,8 @@
 	// Customers is empty if requests need no key.
 	Customers []Customer
 	Limits    Limits
+	// AppliedAt is the boot time at which this process received the version.
+	AppliedAt burdockclock.Millis
 
 	byHost map[string][]*Route
 	byKey  map[string]*Customer
