--- a/internal/serve/burdockstatus/observer.go
+++ b/internal/serve/burdockstatus/observer.go
@@ -85,5 +85,5 @@
 	o.log.Info("3xx or 4xx sent", append(fields, o.describe(r)...)...)
 	// There are few servers, layers and statuses.
 	labels := fmt.Sprintf("{server=%q,layer=%q,status=%q}", o.server, layer, strconv.Itoa(status))
-	o.set.GetOrCreateCounter("burdock_http_3xx_4xx_total" + labels).Inc()
+	o.set.GetOrCreateCounter("burdock_http_client_errors_total" + labels).Inc()
 }
--- a/internal/serve/burdockstatus/observer_test.go
+++ b/internal/serve/burdockstatus/observer_test.go
@@ -118,7 +118,7 @@
 			}
 			var text strings.Builder
 			s.set.WritePrometheus(&text)
-			want := fmt.Sprintf("burdock_http_3xx_4xx_total{server=\"callers\",layer=%q,status=%q} 1\n", c.want["layer"], c.want["status"])
+			want := fmt.Sprintf("burdock_http_client_errors_total{server=\"callers\",layer=%q,status=%q} 1\n", c.want["layer"], c.want["status"])
 			if got := text.String(); got != want {
 				t.Errorf("metrics: got %q, want %q", got, want)
 			}
