Reproduce proper requests that are turned away: entries of the users' platform as separate processes

The hosted program had never run as a separate process in a test. It does now, against stand-ins of the platform's store and replicas that are written from the published protocol. The test's cache now depends on platform/ too.

--- /dev/null
+++ b/internal/proof/burdockhostedproof/denied_test.go
@@ -0,0 +1,139 @@
+package burdockhostedproof
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+)
+
+var (
+	timeFlag = flag.Duration("faults", 10*time.Second, "how long faults are injected")
+	seedFlag = flag.Uint64("seed", 1, "seed of the random faults and load")
+)
+
+// Guards against proper requests that are answered 3xx or 4xx while entries are slow,
+// freeze, restart, and get new configurations.
+func TestFaultsDenyNoProperRequest(t *testing.T) {
+	s := startSite(t, 4, 3, nil)
+	l := s.startLoad(16, *seedFlag)
+	f := &faults{t: t, site: s, random: rand.New(rand.NewPCG(*seedFlag, 1)), counts: map[string]int{}}
+	for end := time.Now().Add(*timeFlag); time.Now().Before(end); {
+		f.injectOne()
+	}
+	check(t, *seedFlag, l.stop())
+	t.Logf("faults: %v", f.counts)
+	f.checkBodies()
+}
+
+// faults injects random faults into a site, one after the other.
+type faults struct {
+	t      *testing.T
+	site   *site
+	random *rand.Rand
+	counts map[string]int
+}
+
+// The kinds of faults are many short stops, as of a process that gets little processor
+// time, a long stop, a kill, a planned stop, and new versions of the configuration.
+const (
+	sliceRun    = 10 * time.Millisecond
+	sliceStop   = 40 * time.Millisecond
+	slices2s    = 40
+	freezeTime  = 1500 * time.Millisecond
+	restartTime = 300 * time.Millisecond
+	grace       = 10 * time.Second
+)
+
+func (f *faults) injectOne() {
+	e := f.site.entries[f.random.IntN(len(f.site.entries))]
+	switch f.random.IntN(5) {
+	case 0:
+		f.counts["slow"]++
+		f.slow()
+	case 1:
+		f.counts["freeze"]++
+		e.Freeze()
+		time.Sleep(freezeTime)
+		e.Thaw()
+	case 2:
+		f.counts["kill"]++
+		e.Kill()
+		time.Sleep(restartTime)
+		e.start(f.t)
+	case 3:
+		f.counts["stop"]++
+		e.Terminate()
+		e.Wait(f.t, grace)
+		e.start(f.t)
+	case 4:
+		f.counts["configuration"]++
+		f.change()
+	}
+}
+
+// slow stops all entries again and again for a short time.
+func (f *faults) slow() {
+	for range slices2s {
+		for _, e := range f.site.entries {
+			e.Freeze()
+		}
+		time.Sleep(sliceStop)
+		for _, e := range f.site.entries {
+			e.Thaw()
+		}
+		time.Sleep(sliceRun)
+	}
+}
+
+// change writes some versions of the configuration: other timeouts, and a route that comes
+// and goes. The routes of the callers are in all of them.
+func (f *faults) change() {
+	s := f.site
+	for range 5 {
+		s.routes = slices.Clone(s.routes[:2])
+		for i := range s.routes {
+			s.routes[i].Timeout = 400 + 100*f.random.IntN(8)
+		}
+		if f.random.IntN(2) == 0 {
+			s.routes = append(s.routes, route{Name: "more", Hostname: host, Prefix: fmt.Sprintf("/my66/more%d/", s.version), Type: "idempotent", Service: service, Attempts: 1})
+		}
+		s.configure()
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// checkBodies fails the test for each request that reached a replica in another form.
+func (f *faults) checkBodies() {
+	for _, r := range f.site.replicas {
+		for _, a := range r.Arrivals() {
+			if a.Method == "GET" && a.Chunked {
+				f.t.Errorf("seed %d: request %s arrived with a body in chunks, want none as its caller sent it", *seedFlag, a.ID)
+			}
+		}
+	}
+}
+
+// Guards against proper requests that are answered 3xx or 4xx because something in front of
+// the replicas, which echoes the request's ID, turned them away.
+func TestForeignAnswersDenyNoProperRequest(t *testing.T) {
+	const foreignShare = 0.2
+	statuses := []int{http.StatusMovedPermanently, http.StatusBadRequest, http.StatusNotFound, http.StatusRequestEntityTooLarge}
+	front := func(replica http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if rand.Float64() >= foreignShare {
+				replica.ServeHTTP(w, r)
+				return
+			}
+			w.Header().Set("Burdockbend-Attempt-Id", r.Header.Get("Burdockbend-Attempt-Id"))
+			w.WriteHeader(statuses[rand.IntN(len(statuses))])
+		})
+	}
+	s := startSite(t, 2, 3, front)
+	l := s.startLoad(8, *seedFlag)
+	time.Sleep(2 * time.Second)
+	check(t, *seedFlag, l.stop())
+}
--- a/internal/proof/burdockprograms/build.go
+++ b/internal/proof/burdockprograms/build.go
@@ -17,6 +17,7 @@
 	entryProgram   = "burdock-entry"
 	agentProgram   = "burdock-agent"
 	standinProgram = "burdock-standin"
+	hostedProgram  = "burdock-hosted"
 	// OperatorProgram is the operators' command-line tool.
 	OperatorProgram = "burdock"
 )
@@ -75,7 +76,7 @@
 // test for unchanged and prints the cached result from before the change. The cache does
 // take into account the files that a test has opened or examined with Stat.
 func statSources(root string) error {
-	for _, dir := range []string{"cmd", "internal", "go.mod", "go.sum"} {
+	for _, dir := range []string{"cmd", "internal", "platform", "go.mod", "go.sum"} {
 		err := filepath.WalkDir(filepath.Join(root, dir), func(path string, _ fs.DirEntry, err error) error {
 			if err != nil {
 				return err
--- a/internal/proof/burdockprograms/process.go
+++ b/internal/proof/burdockprograms/process.go
@@ -5,7 +5,9 @@
 	"bytes"
 	"io"
 	"net/http"
+	"os"
 	"os/exec"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -26,7 +28,7 @@
 // which states its address.
 func start(t testing.TB, name, program string, wantAddress bool, args ...string) (*Process, string) {
 	t.Helper()
-	p := &Process{Name: name, cmd: exec.Command(program, args...), log: &tail{}, exit: make(chan struct{})}
+	p := newProcess(name, program, args...)
 	p.cmd.Stderr = p.log
 	var stdout io.Reader
 	if wantAddress {
@@ -52,6 +54,25 @@
 	return p, address
 }
 
+func newProcess(name, program string, args ...string) *Process {
+	return &Process{Name: name, cmd: exec.Command(program, args...), log: &tail{}, exit: make(chan struct{})}
+}
+
+// StartHosted starts an entry or agent for the users' platform with a settings file, which
+// the environment variable names. It logs to standard output.
+func StartHosted(t testing.TB, name, variable, settings string) *Process {
+	t.Helper()
+	p := newProcess(name, filepath.Join(Build(t), hostedProgram))
+	p.cmd.Env = append(os.Environ(), variable+"="+settings)
+	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
+	if err := p.cmd.Start(); err != nil {
+		t.Fatalf("%s: %v", name, err)
+	}
+	t.Cleanup(func() { p.finish(t) })
+	go p.run()
+	return p
+}
+
 func (p *Process) run() {
 	p.err = p.cmd.Wait()
 	close(p.exit)
