A request whose time is over before a retry, or whose caller left the queue, gets no empty 200

What callers saw: an empty 200 without an upstream's mark.

Cause: two ways out of a request wrote no answer, and net/http then sends a success of its own. One was taken when the time ended in the wait before a retry (a process that is stopped for that long is enough), or before a retry that was paid for; the other when a caller's cancellation reached the queue.

Why it is enough: the wait has one way out that answers, and the handler aborts the connection whenever no answer was begun, whatever the way.

--- a/internal/serve/burdockdirect/caller.go
+++ b/internal/serve/burdockdirect/caller.go
@@ -13,7 +13,8 @@
 	entry       *Entry
 	w           http.ResponseWriter
 	control     *http.ResponseController
-	headWritten bool // the head has been written
+	headWritten bool // the head of an upstream's answer has been written
+	answered    bool // any answer has been written, or begun
 }
 
 // connectionHeaders are the hop-by-hop headers, which are not forwarded.
@@ -24,7 +25,7 @@
 // writeHead writes an upstream's status and headers. If length is negative, net/http
 // frames the body.
 func (c *caller) writeHead(status int, h http.Header, length int64) {
-	c.headWritten = true
+	c.headWritten, c.answered = true, true
 	out := c.w.Header()
 	for name, values := range h {
 		out[name] = values
@@ -56,6 +57,7 @@
 
 // refuse answers a request with a refusal by the entry itself.
 func (c *caller) refuse(req *request, rejection refusal) {
+	c.answered = true
 	h := c.w.Header()
 	if rejection.retryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(float64(rejection.retryAfter)/float64(burdockclock.Second), 'f', 3, 64))
--- a/internal/serve/burdockdirect/fixture_test.go
+++ b/internal/serve/burdockdirect/fixture_test.go
@@ -185,6 +185,18 @@
 	return reply{status: res.StatusCode, header: res.Header, body: string(body), err: err}
 }
 
+// post sends a request and drops its response.
+func (f *fixture) post(path string) {
+	req, err := http.NewRequest(http.MethodPost, f.web.URL+path, strings.NewReader("question"))
+	if err != nil {
+		return
+	}
+	req.Header.Set("X-Key", "key")
+	if res, err := http.DefaultTransport.RoundTrip(req); err == nil {
+		_ = res.Body.Close()
+	}
+}
+
 // await waits until a condition holds.
 func await(t *testing.T, what string, condition func() bool) {
 	t.Helper()
--- a/internal/serve/burdockdirect/offers.go
+++ b/internal/serve/burdockdirect/offers.go
@@ -214,20 +214,20 @@
 			return false
 		}
 		o.sent++
-		return o.retryOrGiveUp(ctx, burdockretry.Refused{})
+		return o.retryOrGiveUp(caller, ctx, burdockretry.Refused{})
 	case unreached:
 		o.unreached++
-		return o.retryOrGiveUp(ctx, burdockretry.ConnectFailed{})
+		return o.retryOrGiveUp(caller, ctx, burdockretry.ConnectFailed{})
 	case unknown:
 		o.sent++
 		o.lastUnknown = &res
-		return o.retryOrGiveUp(ctx, burdockretry.Failed{})
+		return o.retryOrGiveUp(caller, ctx, burdockretry.Failed{})
 	case broken:
 		o.sent++
 		if !o.req.route.Resumable {
 			o.caller.abort()
 		}
-		return o.retryOrGiveUp(ctx, burdockretry.Failed{})
+		return o.retryOrGiveUp(caller, ctx, burdockretry.Failed{})
 	}
 	return true
 }
@@ -268,10 +268,9 @@
 
 // retryOrGiveUp asks the retry budget whether the request may be offered again. It reports
 // true if the request has ended.
-func (o *offers) retryOrGiveUp(ctx context.Context, outcome burdockretry.Outcome) bool {
+func (o *offers) retryOrGiveUp(caller, ctx context.Context, outcome burdockretry.Outcome) bool {
 	if o.retryPaid.Swap(false) {
-		o.entry.meters.retries.Inc()
-		return ctx.Err() != nil
+		return o.retryAfter(caller, ctx, 0)
 	}
 	_, connectFailed := outcome.(burdockretry.ConnectFailed)
 	d := o.pool.decideRetry(o.entry.now(), burdockretry.Attempt{
@@ -287,8 +286,7 @@
 		o.giveUp(burdockretry.GiveUp{Reason: burdockretry.ReasonMaxOffers, RetryAfter: retrySpread})
 		return true
 	}
-	o.entry.meters.retries.Inc()
-	if !sleep(ctx, retry.Delay) {
+	if o.retryAfter(caller, ctx, retry.Delay) {
 		return true
 	}
 	if o.entry.crashes.quarantined(o.req) > 0 {
@@ -298,6 +296,20 @@
 	return false
 }
 
+// retryAfter waits before a retry. It reports true if the request has ended meanwhile.
+func (o *offers) retryAfter(caller, ctx context.Context, delay burdockclock.Millis) bool {
+	o.entry.meters.retries.Inc()
+	switch {
+	case sleep(ctx, delay):
+		return false
+	case caller.Err() != nil:
+		o.caller.abort()
+	default:
+		o.giveUp(burdockretry.GiveUp{Reason: burdockretry.ReasonDeadline})
+	}
+	return true
+}
+
 // sleep waits before a retry. It reports false if the context ended first.
 func sleep(ctx context.Context, d burdockclock.Millis) bool {
 	if d <= 0 {
--- a/internal/serve/burdockdirect/request.go
+++ b/internal/serve/burdockdirect/request.go
@@ -72,6 +72,10 @@
 	}
 	e.meters.requests.Inc()
 	e.serve(r, req, c)
+	if !c.answered {
+		// net/http would send an empty success.
+		c.abort()
+	}
 }
 
 // readRequest reads and validates a request, the cheapest checks first.
