Requests in equivalent forms are served; a late body is a timeout, not a wrong request

What callers saw: 404 for a host in capitals or with a final dot, for a path with an escaped letter and for an absolute target whose path is escaped; an absolute target reached the upstream as it was, and a path that begins with two slashes as a URL with the second segment as host. A body that came late was answered 400, final for the caller, and the answer itself waited for the rest of the body.

Cause: host and path were compared as written; the target was sent through url.URL.Opaque, which net/http completes when it begins with two slashes; every failure to read a body was called the caller's mistake. Class: a proper request taken for a wrong one, by the entry itself.

Evidence: TestEquivalentFormsAreServed (6 of 9 cases), TestPathOfTwoSlashesStaysAPath and TestLateBodyIsATimeout failed before; TestOtherPathsAreNotServed holds the other side (an escaped slash separates nothing).

408 promises that the request has not run, which is true, and callers return. Reading of bodies and matching of routes have files of their own now.

--- a/internal/serve/burdockdirect/attempt.go
+++ b/internal/serve/burdockdirect/attempt.go
@@ -7,7 +7,6 @@
 	"mime"
 	"net/http"
 	"net/http/httptrace"
-	"net/url"
 	"sync/atomic"
 	"time"
 
@@ -117,9 +116,8 @@
 	}
 	a.offers.entry.deps.Dialect.Prepare(header, out)
 	return &http.Request{
-		Method: req.method,
-		// Opaque keeps the path and query byte for byte.
-		URL:           &url.URL{Scheme: "http", Host: a.target.Address, Opaque: req.target},
+		Method:        req.method,
+		URL:           upstreamURL(a.target.Address, req.target),
 		Host:          req.host,
 		Header:        header,
 		Body:          io.NopCloser(bytes.NewReader(req.body)),
--- a/internal/serve/burdockdirect/entry.go
+++ b/internal/serve/burdockdirect/entry.go
@@ -32,6 +32,9 @@
 	// QuarantineMillis is how long a request is kept from upstreams after it has crashed
 	// some; 0 selects the default.
 	QuarantineMillis burdockclock.Millis
+	// BodyTimeoutMillis is how long the body of a request may take to arrive; 0 selects
+	// the default.
+	BodyTimeoutMillis burdockclock.Millis
 }
 
 // Deps holds what an entry depends on.
--- a/internal/serve/burdockdirect/fixture_test.go
+++ b/internal/serve/burdockdirect/fixture_test.go
@@ -145,13 +145,29 @@
 
 func (f *fixture) configure(version burdockid.Version, timeout burdockclock.Millis) {
 	share := []burdocksite.Share{{Service: "s", Weight: 1}}
+	f.apply(version,
+		burdocksite.Route{Name: "once", Host: "127.0.0.1", Prefix: "/once/", Timeout: timeout, Objective: 200, Repeat: burdocksite.RepeatNever, MaxAttempts: 2, Shares: share},
+		burdocksite.Route{Name: "again", Host: "127.0.0.1", Prefix: "/again/", Timeout: timeout, Objective: 200, Repeat: burdocksite.RepeatAlways, MaxAttempts: 2, Shares: share},
+		burdocksite.Route{Name: "stream", Host: "127.0.0.1", Prefix: "/stream/", Timeout: timeout, Objective: 200, MaxEventGap: 100, Stream: true, Resumable: true, MaxAttempts: 2, Shares: share},
+	)
+}
+
+// configureHost applies a configuration whose only route is /again/ of a host.
+func (f *fixture) configureHost(version burdockid.Version, host string) {
+	f.configurePrefix(version, host, "/again/")
+}
+
+// configurePrefix applies a configuration with one idempotent route.
+func (f *fixture) configurePrefix(version burdockid.Version, host, prefix string) {
+	f.apply(version, burdocksite.Route{
+		Name: "again", Host: host, Prefix: prefix, Timeout: testTimeout, Objective: 200,
+		Repeat: burdocksite.RepeatAlways, MaxAttempts: 2, Shares: []burdocksite.Share{{Service: "s", Weight: 1}},
+	})
+}
+
+func (f *fixture) apply(version burdockid.Version, routes ...burdocksite.Route) {
 	f.site.SetConfig(burdocksite.Config{
-		Version: version,
-		Routes: []burdocksite.Route{
-			{Name: "once", Host: "127.0.0.1", Prefix: "/once/", Timeout: timeout, Objective: 200, Repeat: burdocksite.RepeatNever, MaxAttempts: 2, Shares: share},
-			{Name: "again", Host: "127.0.0.1", Prefix: "/again/", Timeout: timeout, Objective: 200, Repeat: burdocksite.RepeatAlways, MaxAttempts: 2, Shares: share},
-			{Name: "stream", Host: "127.0.0.1", Prefix: "/stream/", Timeout: timeout, Objective: 200, MaxEventGap: 100, Stream: true, Resumable: true, MaxAttempts: 2, Shares: share},
-		},
+		Version: version, Routes: routes,
 		Services:  map[burdockid.Service]burdocksite.Service{"s": {Name: "s"}},
 		Customers: []burdocksite.Customer{{Name: "acme", Keys: []string{"key"}}},
 	})
--- a/internal/serve/burdockdirect/request.go
+++ b/internal/serve/burdockdirect/request.go
@@ -1,12 +1,8 @@
 package burdockdirect
 
 import (
-	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
-	"strings"
-	"time"
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
@@ -15,11 +11,6 @@
 )
 
 const (
-	// defaultMaxBody bounds a request body when the configuration sets no limit.
-	defaultMaxBody = 8 << 20
-	// bodyReadTimeout bounds the reading of a body. A caller that sends slowly would
-	// otherwise hold a connection and memory for as long as it likes.
-	bodyReadTimeout = 10 * time.Second
 	// defaultTimeout applies where neither route nor caller sets a timeout.
 	defaultTimeout = burdockclock.Minute
 	// noConfigRetryAfter is the Retry-After of an entry that has just started: its first
@@ -82,7 +73,7 @@
 func (e *Entry) readRequest(w http.ResponseWriter, r *http.Request) (*request, *refusal) {
 	req := &request{
 		CallerHeaders: e.deps.Dialect.ParseRequest(r.Header),
-		method:        r.Method, target: r.RequestURI, host: r.Host, header: r.Header, arrived: e.now(),
+		method:        r.Method, target: originForm(r.RequestURI), host: r.Host, header: r.Header, arrived: e.now(),
 	}
 	if rejection := e.readWhileStarting(w, r, req); rejection != nil {
 		return req, rejection
@@ -91,7 +82,7 @@
 	if cfg == nil {
 		return req, &refusal{http.StatusServiceUnavailable, "no configuration yet", noConfigRetryAfter}
 	}
-	route, ok := cfg.Match(hostOnly(r.Host), r.URL.EscapedPath())
+	route, ok := cfg.Match(r.Host, targetPath(req.target))
 	if !ok {
 		return req, &refusal{status: http.StatusNotFound, reason: "no route"}
 	}
@@ -99,7 +90,7 @@
 	if rejection := req.authenticate(cfg); rejection != nil {
 		return req, rejection
 	}
-	if rejection := req.readBody(w, r, cfg.Limits.BodyBytes); rejection != nil {
+	if rejection := req.readBody(w, r, cfg.Limits.BodyBytes, e.cfg.bodyTimeout()); rejection != nil {
 		return req, rejection
 	}
 	req.service = pickService(route.Shares)
@@ -115,11 +106,6 @@
 	return req, nil
 }
 
-func hostOnly(host string) string {
-	name, _, _ := strings.Cut(host, ":")
-	return name
-}
-
 func (req *request) authenticate(cfg *burdocksite.Config) *refusal {
 	req.class = burdockqueue.Class(max(req.route.Priority, 0))
 	if len(cfg.Customers) == 0 || req.route.Public {
@@ -136,31 +122,6 @@
 	return nil
 }
 
-func (req *request) readBody(w http.ResponseWriter, r *http.Request, limit int64) *refusal {
-	if limit <= 0 {
-		limit = defaultMaxBody
-	}
-	if req.body != nil { // read while the entry started
-		if int64(len(req.body)) > limit {
-			return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
-		}
-		return nil
-	}
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(bodyReadTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	_ = control.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return &refusal{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
-	case err != nil:
-		return &refusal{status: http.StatusBadRequest, reason: "body not read: " + err.Error()}
-	}
-	req.body = body
-	return nil
-}
-
 // pickService selects the service of a split route at random, by the weights of its
 // shares.
 func pickService(shares []burdocksite.Share) burdockid.Service {
--- a/internal/serve/burdockdirect/startup.go
+++ b/internal/serve/burdockdirect/startup.go
@@ -36,7 +36,7 @@
 		return &refusal{http.StatusServiceUnavailable, "not run: too many requests while this entry starts", noConfigRetryAfter}
 	}
 	defer e.starting.Add(-1)
-	if rejection := req.readBody(w, r, maxStartupBody); rejection != nil {
+	if rejection := req.readBody(w, r, maxStartupBody, e.cfg.bodyTimeout()); rejection != nil {
 		return rejection
 	}
 	wait := maxStartupWait
--- a/internal/state/burdocksite/site.go
+++ b/internal/state/burdocksite/site.go
@@ -61,6 +61,8 @@
 	// Public means that requests need no key.
 	Public bool
 	Shares []Share
+
+	prefix string // Prefix in the form that Match compares
 }
 
 // Repeatable reports whether a request may be offered to another upstream after an
@@ -198,17 +200,6 @@
 // Accepts reports whether an upstream may get new requests.
 func (s *Snapshot) Accepts(u Upstream) bool { return !u.Leaving && !s.Evacuated[u.DataCentre] }
 
-// Match returns the route of a request. Among the routes of the host it is the one with
-// the longest matching path prefix.
-func (c *Config) Match(host, path string) (*Route, bool) {
-	for _, r := range c.byHost[host] {
-		if strings.HasPrefix(path, r.Prefix) {
-			return r, true
-		}
-	}
-	return nil, false
-}
-
 // ByKey returns the customer that a key belongs to.
 func (c *Config) ByKey(key string) (*Customer, bool) {
 	customer, ok := c.byKey[key]
@@ -217,14 +208,8 @@
 
 // index builds the lookup maps of Match and ByKey.
 func (c *Config) index() {
-	c.byHost, c.byKey = map[string][]*Route{}, map[string]*Customer{}
-	for i := range c.Routes {
-		r := &c.Routes[i]
-		c.byHost[r.Host] = append(c.byHost[r.Host], r)
-	}
-	for _, routes := range c.byHost {
-		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
-	}
+	c.indexRoutes()
+	c.byKey = map[string]*Customer{}
 	for i := range c.Customers {
 		for _, key := range c.Customers[i].Keys {
 			c.byKey[key] = &c.Customers[i]
