--- a/internal/config/burdockkey/key.go
+++ b/internal/config/burdockkey/key.go
@@ -46,3 +46,16 @@
 	b, err := hex.DecodeString(digits)
 	return err == nil && len(b) == sha256.Size
 }
+
+// bearerScheme is the authentication scheme of keys.
+const bearerScheme = "Bearer"
+
+// FromAuthorization returns the key in an Authorization header; false if the header has
+// another scheme. The name of a scheme is case-insensitive (RFC 9110, 11.1).
+func FromAuthorization(header string) (string, bool) {
+	scheme, key, ok := strings.Cut(header, " ")
+	if !ok || !strings.EqualFold(scheme, bearerScheme) {
+		return "", false
+	}
+	return strings.TrimSpace(key), true
+}
--- a/internal/config/burdockkey/key_test.go
+++ b/internal/config/burdockkey/key_test.go
@@ -29,3 +29,18 @@
 		}
 	}
 }
+
+// Guards against a 401 for a proper key because of how its scheme is written.
+func TestFromAuthorization(t *testing.T) {
+	for _, c := range []struct {
+		header, want string
+		wantOK       bool
+	}{
+		{"Bearer abc", "abc", true}, {"bearer abc", "abc", true}, {"BEARER  abc ", "abc", true},
+		{"Basic abc", "", false}, {"Bearerabc", "", false}, {"", "", false},
+	} {
+		if got, ok := FromAuthorization(c.header); got != c.want || ok != c.wantOK {
+			t.Errorf("%q: got %q, %v, want %q, %v", c.header, got, ok, c.want, c.wantOK)
+		}
+	}
+}
--- a/internal/serve/burdockentry/request.go
+++ b/internal/serve/burdockentry/request.go
@@ -26,7 +26,6 @@
 	headerIdempotencyKey = "Idempotency-Key"
 	headerID             = "Burdock-Request-Id"
 	headerPrefix         = "Burdock-"
-	bearerPrefix         = "Bearer "
 	// maxIdempotencyKeyBytes bounds what an agent stores for each key.
 	maxIdempotencyKeyBytes = 255
 	// bytesPerToken converts the body size of a plain request to tokens, in which
@@ -100,7 +99,7 @@
 // authenticate identifies the customer. A wrong API key and a missing one get the same
 // response.
 func (rd *requestReader) authenticate() *burdockapi.Problem {
-	key, ok := strings.CutPrefix(rd.r.Header.Get("Authorization"), bearerPrefix)
+	key, ok := burdockkey.FromAuthorization(rd.r.Header.Get("Authorization"))
 	customer, known := rd.fleet.ByKeyHash[burdockkey.Hash(key)]
 	if !ok || !known {
 		return &burdockapi.Problem{
