An entry's first listing of the configuration is never a stale copy

What callers saw: 404 from an entry that had just started and called itself ready, for a route that had been added before it started.

Class: a final decision by a view of unknown age.

--- a/internal/serve/burdockhosted/entry.go
+++ b/internal/serve/burdockhosted/entry.go
@@ -111,10 +111,16 @@
 // routes returns the keys that an entry follows, in the order in which it needs them when
 // it starts. After a power cut, all processes of a fleet list at once, and the store's link
 // takes more than a second for all listings together.
+//
+// The configuration is never read from a stale copy: a 404 or 401 by an old one is final
+// for a caller.
 func (e *entry) routes(records burdockfollow.Decoder, site *burdocksite.Site) []burdockkv.Route {
 	var routes []burdockkv.Route
 	for _, topic := range burdockfollow.Topics() {
-		routes = append(routes, burdockkv.Route{Prefix: records.Prefix(topic), Sink: burdockfollow.New(topic, records, site, e.clock, e.log)})
+		routes = append(routes, burdockkv.Route{
+			Prefix: records.Prefix(topic), Sink: burdockfollow.New(topic, records, site, e.clock, e.log),
+			NeedsLatest: topic == burdockfollow.TopicConfig,
+		})
 	}
 	return append(routes,
 		burdockkv.Route{Prefix: prefixNotifications, Sink: newNotificationReader(e.entry, e.log).mirror},
--- a/internal/state/burdockkv/follower.go
+++ b/internal/state/burdockkv/follower.go
@@ -80,6 +80,16 @@
 type Route struct {
 	Prefix string
 	Sink   Sink
+	// NeedsLatest means that the first listing must not be stale either, because decisions
+	// by these keys are final.
+	NeedsLatest bool
+}
+
+func (r Route) read(usual Read) Read {
+	if r.NeedsLatest {
+		return ReadLatest
+	}
+	return usual
 }
 
 // Follower keeps sinks up to date with the keys under their prefixes. It lists the keys
@@ -154,7 +164,7 @@
 	f.idlePosition = Position{}
 	var oldest Position
 	for i, route := range f.routes {
-		items, at, err := f.store.List(f.ctx, route.Prefix, read)
+		items, at, err := f.store.List(f.ctx, route.Prefix, route.read(read))
 		if err == nil && i > 0 && at.Era != oldest.Era {
 			err = ErrRestored.New("the store was restored between two listings")
 		}
--- a/internal/state/burdockkv/follower_test.go
+++ b/internal/state/burdockkv/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -167,3 +168,18 @@
 		t.Errorf("got %d watches, want %d", got, want)
 	}
 }
+
+// Guards against final decisions by a copy of the keys that is seconds old.
+func TestFirstListingIsStaleUnlessLatestIsNeeded(t *testing.T) {
+	s := &scriptedStore{value: "1", rev: 5}
+	settled, urgent := NewMirror(), NewMirror()
+	f := NewRoutedFollower(s, WatchOptions{}, []Route{{Prefix: "a", Sink: urgent, NeedsLatest: true}, {Prefix: "b", Sink: settled}}, burdockclock.System(), zap.NewNop())
+	f.Start()
+	t.Cleanup(f.Close)
+	awaitValue(t, settled, "1")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if got, want := s.reads, []Read{ReadLatest, ReadStale}; !slices.Equal(got, want) {
+		t.Errorf("reads: got %v, want %v", got, want)
+	}
+}
