A request without a body reaches the upstream without one

Bodiless requests were given an empty body of unknown length so that net/http never sends them twice. A POST therefore arrived in chunks, which servers may answer 411, and for a GET net/http started a goroutine that had 200 ms to read a byte before the GET went out in chunks as well.

A bodiless POST with an idempotency key still goes out in chunks, since net/http would repeat it otherwise.

--- a/internal/serve/burdockdirect/attempt.go
+++ b/internal/serve/burdockdirect/attempt.go
@@ -115,12 +115,16 @@
 		TimeBudget: req.deadline - a.offers.entry.now(),
 	}
 	a.offers.entry.deps.Dialect.Prepare(header, out)
+	var body io.ReadCloser = http.NoBody
+	if len(req.body) > 0 {
+		body = io.NopCloser(bytes.NewReader(req.body))
+	}
 	return &http.Request{
 		Method:        req.method,
 		URL:           upstreamURL(a.target.Address, req.target),
 		Host:          req.host,
 		Header:        header,
-		Body:          io.NopCloser(bytes.NewReader(req.body)),
+		Body:          body,
 		ContentLength: int64(len(req.body)),
 		Proto:         "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
--- a/internal/serve/burdockdirect/forms_test.go
+++ b/internal/serve/burdockdirect/forms_test.go
@@ -111,3 +111,18 @@
 		t.Errorf("body in time: got status %d, want %d", got, want)
 	}
 }
+
+// Guards against a request without a body that reaches the upstream as one with a body.
+func TestBodilessRequestStaysBodiless(t *testing.T) {
+	for method, wantLength := range map[string]string{http.MethodGet: "", http.MethodPost: "0"} {
+		u := newUpstream(t, answerOK)
+		f := newFixture(t, testTimeout, u)
+		text := method + " /again/ HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Id: id-1\r\nX-Key: key\r\nContent-Length: 0\r\n\r\n"
+		if got, want := f.sendRaw(t, text), http.StatusOK; got != want {
+			t.Fatalf("%s: got status %d, want %d", method, got, want)
+		}
+		if got := u.runs[0]; len(got.TransferEncoding) > 0 || got.Header.Get("Content-Length") != wantLength {
+			t.Errorf("%s: got coding %q and length %q, want no coding and length %q", method, got.TransferEncoding, got.Header.Get("Content-Length"), wantLength)
+		}
+	}
+}
--- a/internal/wire/burdocktransport/once.go
+++ b/internal/wire/burdocktransport/once.go
@@ -30,17 +30,44 @@
 func (o once) RoundTrip(req *http.Request) (*http.Response, error) {
 	sent := req.WithContext(req.Context()) // a shallow copy
 	sent.GetBody = nil
-	if sent.Body == nil || sent.Body == http.NoBody {
-		sent.Body = io.NopCloser(onceReader{bytes.NewReader(nil)})
-		// With an unknown length net/http reads the body, finds it empty and sends none.
-		// With a length of 0 it would treat the body as absent.
-		sent.ContentLength = -1
-	} else {
+	switch {
+	case sent.Body != nil && sent.Body != http.NoBody:
 		sent.Body = onceBody{sent.Body}
+	case lacksBodyUsually(sent.Method):
+		sent.Body, sent.ContentLength = emptyBody(), unknownLength
+		// Without a coding, net/http tries for a while to read a byte of a body of unknown
+		// length, and sends the request in chunks if that takes too long.
+		sent.TransferEncoding = []string{"identity"}
+	case hasIdempotencyKey(sent.Header):
+		sent.Body, sent.ContentLength = emptyBody(), unknownLength
+	default:
+		sent.Body, sent.ContentLength = http.NoBody, 0
 	}
 	return o.next.RoundTrip(sent)
 }
 
+// unknownLength is the ContentLength of a body whose length is not known. With 0, net/http
+// would treat an empty body as absent.
+const unknownLength = -1
+
+// lacksBodyUsually reports whether net/http repeats requests with this method unless they
+// have a body.
+func lacksBodyUsually(method string) bool {
+	switch method {
+	case "", http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	}
+	return false
+}
+
+// hasIdempotencyKey reports whether net/http repeats a bodiless request with these headers.
+func hasIdempotencyKey(h http.Header) bool {
+	return len(h["Idempotency-Key"]) > 0 || len(h["X-Idempotency-Key"]) > 0
+}
+
+// emptyBody returns an empty body that net/http does not recognize as such.
+func emptyBody() io.ReadCloser { return io.NopCloser(onceReader{bytes.NewReader(nil)}) }
+
 // onceReader and onceBody hide methods by which the wrapped body could be read again.
 type onceReader struct{ io.Reader }
 
