Headers that a Connection header names are not forwarded

An upstream got a header that a caller had declared to be for its own connection only, and the other way round; the entry of the product's own cluster drops them. TestConnectionHeadersAreNotForwarded failed before. RFC 9110, 7.6.1.

--- a/internal/serve/burdockdirect/attempt.go
+++ b/internal/serve/burdockdirect/attempt.go
@@ -104,9 +104,7 @@
 func (a *attempt) upstreamRequest() *http.Request {
 	req := a.offers.req
 	header := req.header.Clone()
-	for _, name := range connectionHeaders {
-		header.Del(name)
-	}
+	dropConnectionHeaders(header)
 	if _, ok := header["User-Agent"]; !ok {
 		header.Set("User-Agent", "") // suppresses the default of net/http
 	}
--- a/internal/serve/burdockdirect/caller.go
+++ b/internal/serve/burdockdirect/caller.go
@@ -17,11 +17,6 @@
 	answered    bool // any answer has been written, or begun
 }
 
-// connectionHeaders are the hop-by-hop headers, which are not forwarded.
-var connectionHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
 // writeHead writes an upstream's status and headers. If length is negative, net/http
 // frames the body.
 func (c *caller) writeHead(status int, h http.Header, length int64) {
@@ -31,9 +26,7 @@
 		out[name] = values
 	}
 	closing := c.entry.drainingAt.Load() != 0
-	for _, name := range connectionHeaders {
-		out.Del(name)
-	}
+	dropConnectionHeaders(out)
 	out.Del("Content-Length")
 	if closing {
 		out.Set("Connection", "close")
--- a/internal/serve/burdockdirect/forms_test.go
+++ b/internal/serve/burdockdirect/forms_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -126,3 +127,20 @@
 		}
 	}
 }
+
+// Guards against headers of one connection that reach the other side of the entry.
+func TestConnectionHeadersAreNotForwarded(t *testing.T) {
+	u := newUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Connection", "X-Hop")
+		w.Header().Set("X-Hop", "upstream")
+		answerOK(w, r)
+	})
+	f := newFixture(t, testTimeout, u)
+	got := f.send(t, context.Background(), "/again/", map[string]string{"Connection": "x-hop, keep-alive", "X-Hop": "caller", "X-End": "kept"})
+	if got.header.Get("X-Hop") != "" {
+		t.Errorf("X-Hop at the caller: got %q, want none", got.header.Get("X-Hop"))
+	}
+	if header := u.runs[0].Header; header.Get("X-Hop") != "" || header.Get("X-End") != "kept" {
+		t.Errorf("at the upstream: got X-Hop %q and X-End %q, want none and %q", header.Get("X-Hop"), header.Get("X-End"), "kept")
+	}
+}
