--- a/internal/proof/burdockhostedproof/denied_test.go
+++ b/internal/proof/burdockhostedproof/denied_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 )
@@ -42,7 +43,7 @@
 const (
 	sliceRun    = 10 * time.Millisecond
 	sliceStop   = 40 * time.Millisecond
-	slices2s    = 40
+	slowSlices  = 40
 	freezeTime  = 1500 * time.Millisecond
 	restartTime = 300 * time.Millisecond
 	grace       = 10 * time.Second
@@ -77,7 +78,7 @@
 
 // slow stops all entries again and again for a short time.
 func (f *faults) slow() {
-	for range slices2s {
+	for range slowSlices {
 		for _, e := range f.site.entries {
 			e.Freeze()
 		}
@@ -120,20 +121,41 @@
 // Guards against proper requests that are answered 3xx or 4xx because something in front of
 // the replicas, which echoes the request's ID, turned them away.
 func TestForeignAnswersDenyNoProperRequest(t *testing.T) {
-	const foreignShare = 0.2
-	statuses := []int{http.StatusMovedPermanently, http.StatusBadRequest, http.StatusNotFound, http.StatusRequestEntityTooLarge}
-	front := func(replica http.Handler) http.Handler {
-		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if rand.Float64() >= foreignShare {
-				replica.ServeHTTP(w, r)
-				return
-			}
-			w.Header().Set("Burdockbend-Attempt-Id", r.Header.Get("Burdockbend-Attempt-Id"))
-			w.WriteHeader(statuses[rand.IntN(len(statuses))])
-		})
-	}
-	s := startSite(t, 2, 3, front)
+	random := rand.New(rand.NewPCG(*seedFlag, 2))
+	s := startSite(t, 2, 3, func(replica http.Handler) http.Handler {
+		return &front{replica: replica, random: rand.New(rand.NewPCG(random.Uint64(), 0))}
+	})
 	l := s.startLoad(8, *seedFlag)
 	time.Sleep(2 * time.Second)
 	check(t, *seedFlag, l.stop())
 }
+
+// front answers some requests in place of a replica, with the request's ID, and passes on
+// the others.
+type front struct {
+	replica http.Handler
+	mu      sync.Mutex
+	random  *rand.Rand
+}
+
+// foreignShare is the share of requests that a front answers itself.
+const foreignShare = 0.2
+
+var foreignStatuses = []int{http.StatusMovedPermanently, http.StatusBadRequest, http.StatusNotFound, http.StatusRequestEntityTooLarge}
+
+// ServeHTTP implements http.Handler.
+func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	status, foreign := f.draw()
+	if !foreign {
+		f.replica.ServeHTTP(w, r)
+		return
+	}
+	w.Header().Set("Burdockbend-Attempt-Id", r.Header.Get("Burdockbend-Attempt-Id"))
+	w.WriteHeader(status)
+}
+
+func (f *front) draw() (status int, foreign bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return foreignStatuses[f.random.IntN(len(foreignStatuses))], f.random.Float64() < foreignShare
+}
--- a/internal/proof/burdockhostedproof/site_test.go
+++ b/internal/proof/burdockhostedproof/site_test.go
@@ -51,16 +51,14 @@
 }
 
 type route struct {
-	Name       string `json:"name"`
-	Hostname   string `json:"hostname"`
-	Prefix     string `json:"prefix"`
-	Type       string `json:"route_type"`
-	Timeout    int    `json:"timeout_ms"`
-	Objective  int    `json:"target_latency_ms"`
-	Service    string `json:"service"`
-	Attempts   int    `json:"attempts"`
-	IsPublic   bool   `json:"public"`
-	IsResuming bool   `json:"resumable"`
+	Name      string `json:"name"`
+	Hostname  string `json:"hostname"`
+	Prefix    string `json:"prefix"`
+	Type      string `json:"route_type"`
+	Timeout   int    `json:"timeout_ms"`
+	Objective int    `json:"target_latency_ms"`
+	Service   string `json:"service"`
+	Attempts  int    `json:"attempts"`
 }
 
 type config struct {
--- a/internal/serve/burdockdirect/headers.go
+++ b/internal/serve/burdockdirect/headers.go
@@ -5,7 +5,6 @@
 	"strings"
 )
 
-
 // connectionHeaders are the hop-by-hop headers, which are not forwarded.
 var connectionHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
