Split the files of an entry's pool and of its groups by their jobs

Declarations are moved as they were: apart from package clauses and imports the sorted lines of the old files and the new ones are the same.

--- a/internal/serve/burdockdirect/pool.go
+++ b/internal/serve/burdockdirect/pool.go
@@ -71,13 +71,6 @@
 	eventsSince burdockclock.Millis
 }
 
-// contact is when an upstream last sent an event or, if it has sent none, when the first
-// of its offers in flight was made.
-type contact struct {
-	at      burdockclock.Millis
-	isEvent bool
-}
-
 func newPool(service burdockid.Service, e *Entry) *pool {
 	random := rand.New(rand.NewPCG(e.deps.Seed, uint64(time.Now().UnixNano())))
 	p := &pool{
@@ -102,39 +95,6 @@
 	return rand.New(rand.NewPCG(random.Uint64(), random.Uint64()))
 }
 
-func engineOf(snap *burdocksite.Snapshot, service burdockid.Service) *burdocksite.Engine {
-	if snap.Config == nil {
-		return nil
-	}
-	return snap.Config.Services[service].Engine
-}
-
-// streamTimeouts returns how long callers of a service's streams wait for a first event,
-// and the gap between events that they accept. Each is the minimum over all routes, or 0
-// if there is none.
-func streamTimeouts(snap *burdocksite.Snapshot, service burdockid.Service) (firstEventTimeout, maxEventGap burdockclock.Millis) {
-	if snap.Config == nil {
-		return 0, 0
-	}
-	for _, route := range snap.Config.Routes {
-		for _, share := range route.Shares {
-			if share.Service == service && route.Stream {
-				firstEventTimeout = minNonZero(firstEventTimeout, route.EventTimeout)
-				maxEventGap = minNonZero(maxEventGap, route.MaxEventGap)
-			}
-		}
-	}
-	return firstEventTimeout, maxEventGap
-}
-
-// minNonZero returns the shorter of two times, where 0 means none.
-func minNonZero(a, b burdockclock.Millis) burdockclock.Millis {
-	if a == 0 || b != 0 && b < a {
-		return b
-	}
-	return a
-}
-
 // initialEngineDuration and initialPlainDuration are the assumed durations of an answer
 // until one has completed. They are longer than answers usually take.
 const (
@@ -158,109 +118,6 @@
 	return initialPlainDuration
 }
 
-// applySnapshot applies the members and the configuration of a site snapshot.
-func (p *pool) applySnapshot(now burdockclock.Millis, snap *burdocksite.Snapshot) {
-	cfg := gateConfigOf(snap, p.service)
-	p.setFirstEventTimeout(cfg.firstEventTimeout)
-	if !p.updateMembers(now, cfg.members, snap.Config, p.gate.requestsPerEngine()) {
-		return
-	}
-	p.gate.reconfigure(cfg)
-	p.mu.Lock()
-	of := p.groupOfMembers()
-	p.mu.Unlock()
-	p.gate.setGroups(of)
-}
-
-func (p *pool) setFirstEventTimeout(timeout burdockclock.Millis) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.firstEventTimeout = timeout
-}
-
-// gateConfigOf returns the gate configuration of a service.
-func gateConfigOf(snap *burdocksite.Snapshot, service burdockid.Service) gateConfig {
-	cfg := gateConfig{engine: engineOf(snap, service), members: snap.Members(service)}
-	cfg.firstEventTimeout, cfg.maxEventGap = streamTimeouts(snap, service)
-	return cfg
-}
-
-// updateMembers applies members and configuration, and reports whether either has changed.
-func (p *pool) updateMembers(now burdockclock.Millis, members []burdocksite.Upstream, cfg *burdocksite.Config, requests float64) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	changed := p.config != cfg
-	p.config = cfg
-	if cfg != nil {
-		p.cold.SetRate(cfg.Services[p.service].ColdRate)
-	}
-	if p.members != nil && p.sameMembers(members) {
-		return changed
-	}
-	p.memberAge.renew()
-	before := p.members
-	p.members = map[burdockid.Upstream]burdocksite.Upstream{}
-	var names []burdockid.Upstream
-	for _, u := range members {
-		p.members[u.ID] = u
-		names = append(names, u.ID)
-		old, known := before[u.ID]
-		if known && restarted(old, u) {
-			p.forget(now, u.ID)
-		}
-		if !known || old.ColdFor != u.ColdFor || restarted(old, u) {
-			p.cold.SetCold(now, u.ID, now+u.ColdFor)
-		}
-	}
-	p.cold.Retain(p.isMember)
-	p.tracker.SetMembers(now, names)
-	p.migrations.retain(p.members)
-	p.weightBySpeed = speedWeights(engineOf(p.entry.deps.Site.Now(), p.service), p.members, p.speeds, requests)
-	placed := make([]burdockplace.Member, len(names))
-	for i, name := range names {
-		placed[i] = burdockplace.Member{Upstream: name, DataCentre: p.members[name].DataCentre, Weight: p.effectiveWeight(name)}
-	}
-	p.placer.SetMembers(now, placed)
-	return true
-}
-
-// restarted reports whether a record is that of another process than an earlier one with
-// the same ID.
-func restarted(before, now burdocksite.Upstream) bool {
-	return before.StartedAt != now.StartedAt && before.StartedAt != 0 && now.StartedAt != 0
-}
-
-// forget drops what is known about an upstream whose process was replaced by another one
-// under the same ID: its load, its failures and its silence are those of the old process.
-// The lock must be held.
-func (p *pool) forget(now burdockclock.Millis, u burdockid.Upstream) {
-	p.tracker.Reset(now, u)
-	p.placer.Restarted(u)
-	p.gate.forget(u)
-	p.suspected.Forget(u)
-	delete(p.lastContact, u)
-	p.entry.deps.Log.Info("upstream restarted", zap.String("upstream", string(u)), zap.String("service", string(p.service)))
-}
-
-// size returns the number of upstreams.
-func (p *pool) size() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.members)
-}
-
-func (p *pool) sameMembers(members []burdocksite.Upstream) bool {
-	if len(members) != len(p.members) {
-		return false
-	}
-	for _, u := range members {
-		if p.members[u.ID] != u {
-			return false
-		}
-	}
-	return true
-}
-
 // choose selects the upstream for one offer: preferred, if that is still a member.
 func (p *pool) choose(now burdockclock.Millis, req *request, excluded map[burdockid.Upstream]bool, preferred burdockid.Upstream) (burdocksite.Upstream, burdockplace.Reason, bool) {
 	unavailable := p.gate.unavailable()
@@ -298,11 +155,6 @@
 	return p.members[choice.Upstream], choice.Reason, true
 }
 
-func (p *pool) isMember(u burdockid.Upstream) bool {
-	_, member := p.members[u]
-	return member
-}
-
 // offerStarted records an offer to an upstream. The lock must be held.
 func (p *pool) offerStarted(now burdockclock.Millis, u burdockid.Upstream, cost burdockid.Tokens) {
 	p.placer.Sent(now, u, cost)
@@ -395,81 +247,3 @@
 	p.memberAge.replaced = 0
 	p.budget.RecordSuccess(now)
 }
-
-// recordEvent records an event of a stream.
-func (p *pool) recordEvent(now burdockclock.Millis, u burdockid.Upstream) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if now-p.lastEventAt > silenceTimeout/2 {
-		p.eventsSince = now
-	}
-	p.lastEventAt = now
-	p.lastContact[u] = contact{at: now, isEvent: true}
-}
-
-// recordFirstEvent records the time from a stream's offer to its first event.
-func (p *pool) recordFirstEvent(u burdockid.Upstream, took burdockclock.Millis) {
-	p.mu.Lock()
-	p.typicalFirstEvent += (took - p.typicalFirstEvent) / firstEventSamples
-	p.mu.Unlock()
-	p.gate.observeFirstEvent(u, took)
-}
-
-// firstEventLimit returns how long a stream may wait for its first event before its
-// connection counts as lost.
-//
-// When engines are full, streams wait in their queues, and a first event may take longer
-// than silenceTimeout. Taking that for a lost connection would tell the caller that the
-// outcome is unknown while the engine works for nobody. The limit therefore grows with the
-// typical time to a first event, but leaves another engine enough time to answer before
-// the caller gives up.
-func (p *pool) firstEventLimit() burdockclock.Millis {
-	return max(min(firstEventFactor*p.typicalFirstEvent, p.firstEventTimeout-p.typicalFirstEvent), silenceTimeout)
-}
-
-// firstEventFactor is how many times the typical time a first event may take.
-const firstEventFactor = 4
-
-// isSilent reports whether an upstream that has offers is silent while others are not.
-func (p *pool) isSilent(now burdockclock.Millis, u burdockid.Upstream) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !p.isSilentLocked(now, u) {
-		return false
-	}
-	if last := p.lastContact[u]; !last.isEvent {
-		// Otherwise the longest waits for a first event would never enter the mean.
-		p.typicalFirstEvent += (now - last.at - p.typicalFirstEvent) / firstEventSamples
-	}
-	return true
-}
-
-// isSilentLocked is isSilent with the lock held, and leaves the mean as it is.
-//
-// When an upstream's VM is frozen or cut off, requests to it wait in buffers, and their
-// callers give up after some seconds without an event. Engines in lock-step emit events at
-// the same pace, so one that has sent none for many steps while others have is
-// unreachable.
-func (p *pool) isSilentLocked(now burdockclock.Millis, u burdockid.Upstream) bool {
-	last, busy := p.lastContact[u]
-	limit := silenceTimeout
-	if !last.isEvent {
-		limit = p.firstEventLimit()
-	}
-	return busy && p.othersActive(now, last.at, limit)
-}
-
-// othersActive reports whether other streams have had events for longer than limit since
-// an instant, so that a stream without any has lost its connection. Events right after the
-// whole group stalled don't count: its ranks resume one by one.
-func (p *pool) othersActive(now, since, limit burdockclock.Millis) bool {
-	return now-max(since, p.eventsSince) > limit && now-p.lastEventAt < silenceTimeout/2
-}
-
-// connectionLost reports whether a stream without an event since an instant has lost its
-// connection.
-func (p *pool) connectionLost(now, since burdockclock.Millis) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.othersActive(now, since, silenceTimeout)
-}
