--- a/internal/serve/burdockdirect/forms_test.go
+++ b/internal/serve/burdockdirect/forms_test.go
@@ -10,6 +10,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"burdockbend.example/burdockbend/internal/base/burdockid"
 )
 
 // sendRaw sends the bytes of a request on a new connection and returns the status of the
@@ -128,6 +130,14 @@
 	}
 }
 
+// Guards against callers that fill the memory in which log lines wait.
+func TestLoggedIDIsShort(t *testing.T) {
+	got := requestID(burdockid.Request(strings.Repeat("x", 1<<14)))
+	if len(got.String) != maxLoggedID {
+		t.Errorf("got %d bytes, want %d", len(got.String), maxLoggedID)
+	}
+}
+
 // Guards against headers of one connection that reach the other side of the entry.
 func TestConnectionHeadersAreNotForwarded(t *testing.T) {
 	u := newUpstream(t, func(w http.ResponseWriter, r *http.Request) {
--- a/internal/serve/burdockdirect/log.go
+++ b/internal/serve/burdockdirect/log.go
@@ -12,6 +12,14 @@
 // unknownAge is logged as the age of a configuration that there is none of.
 const unknownAge burdockclock.Millis = -1
 
+// maxLoggedID bounds the length of a request's ID in a line: callers choose it, and lines
+// wait in memory for the reader of the log.
+const maxLoggedID = 128
+
+func requestID(id burdockid.Request) zap.Field {
+	return zap.String("requestId", string(id[:min(len(id), maxLoggedID)]))
+}
+
 // Describe returns the log fields that tell by what an answer was decided: the request's
 // ID, and the version and age of the configuration; r is nil for a request that could not
 // be parsed.
@@ -25,7 +33,7 @@
 		version, age = cfg.Version, e.now()-cfg.AppliedAt
 	}
 	return []zap.Field{
-		zap.String("requestId", string(id)),
+		requestID(id),
 		zap.Uint64("configVersion", uint64(version)), zap.Int64("configAgeMillis", int64(age)),
 	}
 }
@@ -41,7 +49,7 @@
 		}
 	}
 	e.deps.Log.Info(outcome, append([]zap.Field{
-		zap.String("requestId", string(req.ID)), zap.String("route", route), zap.String("service", string(service)),
+		requestID(req.ID), zap.String("route", route), zap.String("service", string(service)),
 		zap.Int64("tookMillis", int64(e.now()-req.arrived)),
 	}, fields...)...)
 }
--- a/internal/serve/burdockstatus/conn.go
+++ b/internal/serve/burdockstatus/conn.go
@@ -8,9 +8,6 @@
 	"sync"
 )
 
-// maxRequestLine bounds what is kept of a request line for the log.
-const maxRequestLine = 200
-
 // The version of a status line is versionPrefix and a digit; then comes a space and the
 // status.
 const (
@@ -64,7 +61,7 @@
 	n, err := c.Conn.Read(b)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if room := maxRequestLine - len(c.line); room > 0 {
+	if room := maxLogged - len(c.line); room > 0 {
 		c.line = append(c.line, b[:min(n, room)]...)
 	}
 	return n, err
--- a/internal/serve/burdockstatus/observer.go
+++ b/internal/serve/burdockstatus/observer.go
@@ -70,6 +70,12 @@
 	return &listener{Listener: l, observer: o}
 }
 
+// maxLogged bounds what a caller can make a line hold: lines wait in memory for the reader
+// of the log.
+const maxLogged = 200
+
+func shorten(s string) string { return s[:min(len(s), maxLogged)] }
+
 // report logs and counts one response. The path is logged without its query, which may
 // hold what callers keep private.
 func (o *Observer) report(c net.Conn, r *http.Request, line string, status int) {
@@ -79,7 +85,7 @@
 		layer = LayerHTTP
 		fields = append(fields, zap.String("requestLine", line))
 	} else {
-		fields = append(fields, zap.String("method", r.Method), zap.String("host", r.Host), zap.String("path", r.URL.EscapedPath()))
+		fields = append(fields, zap.String("method", shorten(r.Method)), zap.String("host", shorten(r.Host)), zap.String("path", shorten(r.URL.EscapedPath())))
 	}
 	fields = append(fields, zap.String("layer", string(layer)))
 	o.log.Info("3xx or 4xx sent", append(fields, o.describe(r)...)...)
--- a/internal/serve/burdockstatus/observer_test.go
+++ b/internal/serve/burdockstatus/observer_test.go
@@ -126,6 +126,24 @@
 	}
 }
 
+// Guards against callers that fill the memory in which log lines wait.
+func TestLineIsShort(t *testing.T) {
+	s := newServer(t)
+	long := strings.Repeat("x", 1<<14)
+	exchange(t, s.address, "GET /missing/"+long+" HTTP/1.1\r\nHost: "+long+"\r\n\r\n", "GET /%zz"+long+" HTTP/1.1\r\nHost: a.example\r\n\r\n")
+	lines := s.logs.FilterMessage("3xx or 4xx sent").All()
+	if len(lines) != 2 {
+		t.Fatalf("got %d lines, want 2", len(lines))
+	}
+	for _, line := range lines {
+		for name, value := range line.ContextMap() {
+			if got := len(fmt.Sprint(value)); got > maxLogged {
+				t.Errorf("%s: got %d bytes, want %d at most", name, got, maxLogged)
+			}
+		}
+	}
+}
+
 // A response that closes its connection while the body is still arriving would be lost
 // with a reset.
 func TestResponseBeforeBodyArrivesWhole(t *testing.T) {
