The test of a restored store no longer hangs when the listing comes before the change

The follower lists again at random within half a second after the watch that ends with ErrRestored; when that was at once, it listed before the test had put the store into its new era, and nothing told of it any more. The store now changes with the answer of that watch. The same is asserted as before, the known value before the change included; 30 runs with -race passed.

--- a/internal/state/burdockkv/era_test.go
+++ b/internal/state/burdockkv/era_test.go
@@ -68,15 +68,17 @@
 // the process would miss all changes until then. The keys are listed again, and keys with
 // lower revisions than before replace the known ones.
 func TestStoreEraListsAgainFromRestoredStore(t *testing.T) {
-	s := &scriptedStore{value: "old", era: 1, rev: 900, watches: []watchAnswer{{err: ErrRestored.New("")}}}
 	sink := &restoredSink{Mirror: NewMirror(), restored: make(chan struct{}, 1)}
+	restore := func(s *scriptedStore) {
+		if item, _ := sink.Get("a"); string(item.Value) != "old" {
+			t.Errorf("before the return: got %q, want %q", item.Value, "old")
+		}
+		s.value, s.era, s.rev = "copy", 2, 400
+	}
+	s := &scriptedStore{value: "old", era: 1, rev: 900, watches: []watchAnswer{{err: ErrRestored.New(""), before: restore}}}
 	f := NewFollower(s, WatchOptions{}, sink, burdockclock.System(), zap.NewNop())
 	f.Start()
 	t.Cleanup(f.Close)
-	awaitValue(t, sink.Mirror, "old")
-	s.mu.Lock()
-	s.value, s.era, s.rev = "copy", 2, 400
-	s.mu.Unlock()
 	<-sink.restored
 	awaitValue(t, sink.Mirror, "copy")
 	sink.Changed([]Item{{Key: "a", Value: []byte("written again"), Modified: Position{Era: 2, Revision: 401}}})
--- a/internal/state/burdockkv/follower_test.go
+++ b/internal/state/burdockkv/follower_test.go
@@ -27,6 +27,8 @@
 	items []Item
 	rev   Revision
 	err   error
+	// before, if set, changes the store before the answer.
+	before func(s *scriptedStore)
 }
 
 func (s *scriptedStore) at(rev Revision) Position { return Position{Era: s.era, Revision: rev} }
@@ -44,6 +46,9 @@
 	if len(s.watches) > 0 {
 		answer := s.watches[0]
 		s.watches = s.watches[1:]
+		if answer.before != nil {
+			answer.before(s)
+		}
 		s.mu.Unlock()
 		return answer.items, Position{Era: after.Era, Revision: answer.rev}, answer.err
 	}
