A watch that the store has lost is noticed within two seconds

What callers saw: 404 for a route that was accepted seconds before, from all entries, for up to 17 s.

Cause: a store that was out forgets the watches that wait, while their connections stand: nothing arrives, as if nothing had changed. A watch waits for 16 s and a second more before it counts as lost, and until then an entry decides by the configuration of before. Class: silence taken for freshness, and with it a final decision by a view of unknown age.

Why it is enough: while a watch waits, an entry asks the store every second, by a stale read of no keys for a tenth of a call. If the store was silent and answers again, or has had changes for 300 ms that the watch did not report, all is listed again. Reads by a stale copy can only tell too little, not too much.

--- a/internal/proof/burdockhostedproof/site_test.go
+++ b/internal/proof/burdockhostedproof/site_test.go
@@ -162,3 +162,21 @@
 	t.Helper()
 	burdockprograms.Eventually(t, e.name+" is ready", e.isReady)
 }
+
+// get sends a GET request to the entry and returns the status of the response.
+func (e *entry) get(t *testing.T, path string) int {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodGet, "http://"+e.callers+path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = host
+	req.Header.Set("Authorization", "Bearer "+apiKey)
+	req.Header.Set("Burdockbend-Attempt-Id", "get-"+e.name)
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	return res.StatusCode
+}
--- a/internal/proof/burdockhostedproof/start_test.go
+++ b/internal/proof/burdockhostedproof/start_test.go
@@ -17,19 +17,7 @@
 	e.Kill()
 	e.start(t)
 	e.waitReady(t)
-	req, err := http.NewRequest(http.MethodGet, "http://"+e.callers+"/new/1", nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	req.Host = host
-	req.Header.Set("Authorization", "Bearer "+apiKey)
-	req.Header.Set("Burdockbend-Attempt-Id", "new-1")
-	res, err := http.DefaultClient.Do(req)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = res.Body.Close() }()
-	if got, want := res.StatusCode, http.StatusNotFound; got == want {
+	if got, want := e.get(t, "/new/1"), http.StatusNotFound; got == want {
 		t.Errorf("got status %d of an entry that is ready, want that of a replica", got)
 	}
 }
--- a/internal/serve/burdockhosted/entry.go
+++ b/internal/serve/burdockhosted/entry.go
@@ -51,6 +51,9 @@
 	// with open connections may be about to send a request, and the platform stops
 	// sending new ones only after two readiness checks, one second apart.
 	minDrainTime = 3 * burdockclock.Second
+	// watchCheckInterval leaves half of the time within which a configuration has to be in
+	// force for listing it again.
+	watchCheckInterval = burdockclock.Second
 	// shutdownMargin is the part of the grace time that is reserved for an orderly end of
 	// what is still open.
 	shutdownMargin burdockclock.Millis = 400
@@ -87,7 +90,7 @@
 		},
 	)
 	site.Subscribe(e.entry.ApplySnapshot)
-	e.follower = burdockkv.NewRoutedFollower(p.Store, burdockkv.WatchOptions{History: settings.StoreHistoryMillis, Urgent: e.entry.CallersWait}, e.routes(p.Records, site), clock, log)
+	e.follower = burdockkv.NewRoutedFollower(p.Store, burdockkv.WatchOptions{History: settings.StoreHistoryMillis, CheckInterval: watchCheckInterval, Urgent: e.entry.CallersWait}, e.routes(p.Records, site), clock, log)
 	e.callers = newServer(e.entry)
 	e.ready = newServer(http.HandlerFunc(e.serveReady))
 	e.admin = newServer(adminHandler(set, e.entry.CrashingRequests))
--- a/internal/state/burdockkv/follower.go
+++ b/internal/state/burdockkv/follower.go
@@ -63,6 +63,9 @@
 	History burdockclock.Millis
 	// Delay, if set, is the time after a change before the next watch.
 	Delay burdockclock.Millis
+	// CheckInterval, if set, is how often the store is asked whether it still serves a
+	// watch that waits.
+	CheckInterval burdockclock.Millis
 	// Urgent, if set, reports that something waits for changes. The time after a change
 	// then does not grow.
 	Urgent func() bool
@@ -206,8 +209,14 @@
 // each time the store drops the history after that revision.
 func (f *Follower) watch(at Position) (Position, bool) {
 	calledAt := f.clock.Boot()
-	items, next, err := f.store.Watch(f.ctx, f.options.Prefix, at, f.options.wait())
+	ctx, stopCheck := f.startCheck(at)
+	items, next, err := f.store.Watch(ctx, f.options.Prefix, at, f.options.wait())
+	lost, isLost := lostWatch(ctx)
+	stopCheck()
 	switch {
+	case isLost:
+		f.watchWasLost(lost)
+		return Position{}, false
 	case errorx.IsOfType(err, ErrCompacted):
 		f.log.Info("store dropped its history; listing again", zap.Int64("after", int64(at.Revision)))
 		return Position{}, false
@@ -233,6 +242,29 @@
 	return at.Later(next), true
 }
 
+// startCheck returns the context of a watch, and a function that ends the checks of it.
+func (f *Follower) startCheck(at Position) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(f.ctx)
+	if f.options.CheckInterval > 0 {
+		check := &watchCheck{
+			store: f.store, clock: f.clock, interval: f.options.CheckInterval,
+			after: at.Later(f.idlePosition), coversAllKeys: f.options.Prefix == "", cancel: cancel,
+		}
+		go check.run(ctx)
+	}
+	return ctx, func() { cancel(nil) }
+}
+
+func (f *Follower) watchWasLost(lost watchLost) {
+	f.log.Warn("store lost a watch; listing again", zap.Int64("silentMillis", int64(lost.outage)))
+	if lost.outage == 0 {
+		return
+	}
+	for _, route := range f.routes {
+		route.Sink.StoreRecovered(lost.outage)
+	}
+}
+
 // nextDelay returns the time before the next watch, after one that waited for changes for
 // the given time. It grows while changes follow each other.
 func (f *Follower) nextDelay(waited burdockclock.Millis) burdockclock.Millis {
