--- a/internal/serve/burdockhosted/leasereader.go
+++ b/internal/serve/burdockhosted/leasereader.go
@@ -68,7 +68,7 @@
 
 // follow watches a lease while it is that of the agent's group.
 func (r *leaseReader) follow(key string) {
-	options := burdockkv.WatchOptions{Prefix: key, History: r.history, Delay: candidateWatchDelay}
+	options := burdockkv.WatchOptions{Prefix: key, History: r.history, CheckInterval: watchCheckInterval, Delay: candidateWatchDelay}
 	follower := burdockkv.NewFollower(r.store, options, r.leases.mirror, r.clock, r.log)
 	follower.Start()
 	defer follower.Close()
