An upstream's rate limit leaves a line and a gauge

Incident of the exceeded rate limit: no line and no metric told whether an entry knows a limit that an upstream names (Server-Limit). Now the first response that names one, changes it or ends it leaves a line with value, request and whether the request was refused, and burdock_direct_rate_limited_upstreams counts the upstreams that have one. An entry that knows a limit and exceeds it can so be told from one that does not.

A limit is lowered by any response of the upstream, but raised or ended only by the response to a request that was offered after it was last stated: responses overtake each other. Text that is no rate changes nothing. Nothing obeys the limit yet.

--- a/internal/serve/burdockdirect/dialect.go
+++ b/internal/serve/burdockdirect/dialect.go
@@ -5,6 +5,7 @@
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/decide/burdockratelimit"
 )
 
 // CallerHeaders holds what a caller's headers contain.
@@ -46,6 +47,8 @@
 	Load         *Load
 	// RefusingUpstream is the upstream that the refusal is due to, "" if it isn't stated.
 	RefusingUpstream burdockid.Upstream
+	// RateLimit is the limit that the upstream names for all entries together.
+	RateLimit burdockratelimit.Statement
 }
 
 // Dialect translates between a platform's headers and the entry's types. It decides
--- a/internal/serve/burdockdirect/metrics.go
+++ b/internal/serve/burdockdirect/metrics.go
@@ -45,10 +45,11 @@
 func (m *meters) exportGauges(p *pool) {
 	label := fmt.Sprintf("{service=%q}", p.service)
 	for name, value := range map[string]func() float64{
-		"burdock_direct_running":  func() float64 { return float64(p.gate.load().Running) },
-		"burdock_direct_waiting":  func() float64 { return float64(p.gate.load().Queued) },
-		"burdock_direct_limit":    func() float64 { return float64(p.gate.load().Slots) },
-		"burdock_direct_upstream": func() float64 { return float64(p.size()) },
+		"burdock_direct_running":                func() float64 { return float64(p.gate.load().Running) },
+		"burdock_direct_waiting":                func() float64 { return float64(p.gate.load().Queued) },
+		"burdock_direct_limit":                  func() float64 { return float64(p.gate.load().Slots) },
+		"burdock_direct_rate_limited_upstreams": func() float64 { return float64(p.rateLimited()) },
+		"burdock_direct_upstream":               func() float64 { return float64(p.size()) },
 	} {
 		m.set.NewGauge(name+label, value)
 	}
--- a/internal/serve/burdockdirect/pool.go
+++ b/internal/serve/burdockdirect/pool.go
@@ -10,6 +10,7 @@
 	"burdockbend.example/burdockbend/internal/decide/burdockcold"
 	"burdockbend.example/burdockbend/internal/decide/burdockeject"
 	"burdockbend.example/burdockbend/internal/decide/burdockplace"
+	"burdockbend.example/burdockbend/internal/decide/burdockratelimit"
 	"burdockbend.example/burdockbend/internal/decide/burdockretry"
 	"burdockbend.example/burdockbend/internal/decide/burdockspeed"
 	"burdockbend.example/burdockbend/internal/decide/burdocksuspicion"
@@ -54,6 +55,8 @@
 	memberAge  memberAge
 	// cold limits the requests to upstreams that have just started.
 	cold *burdockcold.Limiter
+	// rateLimits holds the rate limits that upstreams name in their responses.
+	rateLimits *burdockratelimit.Limiter
 	// suspected tracks the upstreams of a plain service that recently failed a request.
 	suspected *burdocksuspicion.Tracker
 	// typicalDuration is the mean time from an offer to the end of its answer; 0 until
@@ -77,7 +80,7 @@
 		service: service, entry: e, random: random, groups: e.groups, inFlight: map[burdockid.Upstream]int{}, migrations: migrations{}, suspected: burdocksuspicion.New(burdocksuspicion.Config{}),
 		memberAge:   newMemberAge(),
 		lastContact: map[burdockid.Upstream]contact{}, typicalFirstEvent: initialFirstEvent,
-		cold:    burdockcold.New(deriveRand(random)),
+		cold: burdockcold.New(deriveRand(random)), rateLimits: burdockratelimit.New(),
 		placer:  burdockplace.New(burdockplace.Config{}, deriveRand(random)),
 		tracker: burdockeject.New(burdockeject.Config{}, deriveRand(random)),
 		budget:  burdockretry.New(burdockretry.Config{RetryRatio: retryRatio, MinRetries: minRetries}, deriveRand(random)),
