--- a/internal/proof/burdockhostedproof/load_test.go
+++ b/internal/proof/burdockhostedproof/load_test.go
@@ -22,7 +22,9 @@
 	status int
 	stamp  string
 	body   string
+	header http.Header
 	sentAt time.Time
+	endAt  time.Time
 }
 
 // denied reports whether a proper request was turned away as if it were wrong, by
@@ -127,7 +129,8 @@
 	if err != nil {
 		return r
 	}
-	r.status, r.stamp, r.body = res.StatusCode, res.Header.Get("Burdockbend-Replica-Stamp"), string(body)
+	r.status, r.stamp, r.body, r.header = res.StatusCode, res.Header.Get("Burdockbend-Replica-Stamp"), string(body), res.Header
+	r.endAt = time.Now()
 	return r
 }
 
