The rate limit that an upstream names is kept by all entries together

What callers saw: nothing yet; an upstream in need (Server-Limit: 1) got 13 and 15 requests in 4 s from entries that had heard of its limit, where 11 are allowed, and was pushed on instead of being spared.

Cause: what an upstream says of itself in a response was taken in only as its load. The header was not read (hypothesis 1): the rate of requests was the same before and after, and that of its peers (2.61 and 2.5 to 3.25 a second).

The limit is for all entries together, and entries do not talk about single requests. Dividing it by their number does not hold: each needs room for one whole request, so 16 idle entries send 16 at once. Now only as many entries as the rate bears have a part (rendezvous hash of upstream and entry); together they can send T x rate + rate + 3 in T seconds, whatever arrives. The others take turns by the clock to send one, so that they hear when the limit ends: two in any 4 s. Together 5 x rate + 5 in 4 s, where 6 x rate + 5 are allowed. Entries know each other by their records in the store, which sites without shared rates still don't write; until an entry has seen its own record for 2 s it sends nothing to a limited upstream.

--- a/internal/decide/burdockratelimit/limiter.go
+++ b/internal/decide/burdockratelimit/limiter.go
@@ -1,7 +1,7 @@
 // Package burdockratelimit keeps the rate limits that upstreams name in their responses.
 //
 // An upstream in need names the number of requests per second that it takes from all
-// entries together, for as long as it needs to.
+// entries together, for as long as it needs to. Each entry keeps to its own part of that.
 //
 // The package is pure: time is passed in. A Limiter is not safe for concurrent use.
 package burdockratelimit
@@ -9,8 +9,13 @@
 import (
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/decide/burdocksharedrate"
 )
 
+// retention is how long the limit of an upstream is kept that is no longer a member. While
+// the platform's list is incomplete, the same process leaves it and comes back.
+const retention = 10 * burdockclock.Minute
+
 // Response is what one response showed about its upstream's limit.
 type Response struct {
 	Statement Statement
@@ -23,20 +28,31 @@
 // Change is a change of an upstream's limit; Unlimited stands for none.
 type Change struct{ From, To Statement }
 
-// Limiter is one entry's knowledge of the limits of a service's upstreams.
+// Limiter is one entry's limiter for the upstreams of a service.
 type Limiter struct {
-	limits map[burdockid.Upstream]*limit
+	entries burdocksharedrate.Entries
+	limits  map[burdockid.Upstream]*limit
 }
 
 // limit is the limit of one upstream.
 type limit struct {
-	rate Rate
+	*burdocksharedrate.Bucket
 	// statedAt is when the rate was last stated.
 	statedAt burdockclock.Millis
 }
 
 // New returns a limiter that knows no limits.
-func New() *Limiter { return &Limiter{limits: map[burdockid.Upstream]*limit{}} }
+func New(entries burdocksharedrate.Entries) *Limiter {
+	return &Limiter{entries: entries, limits: map[burdockid.Upstream]*limit{}}
+}
+
+// SetEntries replaces the entries that share the limits; self is this one.
+func (l *Limiter) SetEntries(now burdockclock.Millis, self burdockid.VM, all []burdockid.VM) {
+	l.entries.Set(now, self, all)
+	for _, known := range l.limits {
+		known.Update(now)
+	}
+}
 
 // Observe records what a response said, and reports a change.
 //
@@ -53,26 +69,60 @@
 			return Change{}, false
 		}
 		delete(l.limits, u)
-		return Change{From: Limited{known.rate}, To: Unlimited{}}, true
+		return Change{From: Limited{known.Rate()}, To: Unlimited{}}, true
 	}
 	return Change{}, false
 }
 
 func (l *Limiter) observeLimit(now burdockclock.Millis, u burdockid.Upstream, known *limit, rate Rate, offeredAt burdockclock.Millis) (Change, bool) {
 	if known == nil {
-		l.limits[u] = &limit{rate: rate, statedAt: now}
+		l.limits[u] = &limit{Bucket: burdocksharedrate.NewBucket(now, &l.entries, u, rate), statedAt: now}
 		return Change{From: Unlimited{}, To: Limited{rate}}, true
 	}
-	if rate > known.rate && offeredAt < known.statedAt {
+	before := known.Rate()
+	if rate > before && offeredAt < known.statedAt {
 		return Change{}, false
 	}
 	known.statedAt = now
-	if rate == known.rate {
+	if rate == before {
 		return Change{}, false
 	}
-	change := Change{From: Limited{known.rate}, To: Limited{rate}}
-	known.rate = rate
-	return change, true
+	known.SetRate(now, rate)
+	return Change{From: Limited{before}, To: Limited{rate}}, true
+}
+
+// Allows reports whether an upstream may get a request now.
+func (l *Limiter) Allows(now burdockclock.Millis, u burdockid.Upstream) bool {
+	known := l.limits[u]
+	return known == nil || known.Allows(now)
+}
+
+// NextAt returns when an upstream may get a request; false if that isn't known.
+func (l *Limiter) NextAt(now burdockclock.Millis, u burdockid.Upstream) (burdockclock.Millis, bool) {
+	known := l.limits[u]
+	if known == nil {
+		return now, true
+	}
+	return known.NextAt(now)
+}
+
+// Sent records that an upstream was sent a request.
+func (l *Limiter) Sent(now burdockclock.Millis, u burdockid.Upstream) {
+	if known := l.limits[u]; known != nil {
+		known.Take(now)
+	}
+}
+
+// Forget drops the limit of an upstream whose process was replaced by another one.
+func (l *Limiter) Forget(u burdockid.Upstream) { delete(l.limits, u) }
+
+// Retain drops the limits of upstreams for which keep has returned false for long.
+func (l *Limiter) Retain(now burdockclock.Millis, keep func(burdockid.Upstream) bool) {
+	for u, known := range l.limits {
+		if !keep(u) && now-known.statedAt >= retention {
+			delete(l.limits, u)
+		}
+	}
 }
 
 // Limited returns the number of upstreams that have a limit.
--- a/internal/decide/burdockratelimit/limiter_test.go
+++ b/internal/decide/burdockratelimit/limiter_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/decide/burdocksharedrate"
 )
 
 // step is a response and the limit that is known after it; -1 for none.
@@ -51,12 +52,12 @@
 			{at: 50, offeredAt: 40, statement: Limited{1}, refused: true, want: 1},
 		},
 	} {
-		l := New()
+		l := New(burdocksharedrate.Entries{})
 		for i, s := range steps {
 			l.Observe(s.at, "u", Response{Statement: s.statement, OfferedAt: s.offeredAt, Refused: s.refused})
 			got := none
 			if known := l.limits["u"]; known != nil {
-				got = known.rate
+				got = known.Rate()
 			}
 			if got != s.want {
 				t.Errorf("%s: after step %d: got limit %v, want %v", name, i, got, s.want)
--- a/internal/decide/burdockratelimit/statement.go
+++ b/internal/decide/burdockratelimit/statement.go
@@ -4,10 +4,12 @@
 	"math"
 	"strconv"
 	"strings"
+
+	"burdockbend.example/burdockbend/internal/decide/burdocksharedrate"
 )
 
 // Rate is a number of requests per second.
-type Rate float64
+type Rate = burdocksharedrate.Rate
 
 // maxRate is the largest rate that is kept apart from larger ones.
 const maxRate Rate = 1e6
--- a/internal/decide/burdockretry/decide.go
+++ b/internal/decide/burdockretry/decide.go
@@ -89,9 +89,10 @@
 	return Retry{Delay: delay}
 }
 
-// GiveUpNoUpstream returns the decision for a request without an available upstream.
-func (b *Budget) GiveUpNoUpstream(now burdockclock.Millis) GiveUp {
-	return b.giveUp(now, ReasonNoUpstream, 0)
+// GiveUpNoUpstream returns the decision for a request without an available upstream. None is
+// available for the time given; 0 if that isn't known.
+func (b *Budget) GiveUpNoUpstream(now, unavailableFor burdockclock.Millis) GiveUp {
+	return b.giveUp(now, ReasonNoUpstream, unavailableFor)
 }
 
 // GiveUpGroupClosed returns the decision for a request that timed out waiting for a
--- a/internal/decide/burdockretry/retry_test.go
+++ b/internal/decide/burdockretry/retry_test.go
@@ -108,7 +108,7 @@
 	b := testBudget(3)
 	counts := make([]int, parts)
 	for range callers {
-		after := b.GiveUpNoUpstream(0).RetryAfter
+		after := b.GiveUpNoUpstream(0, 0).RetryAfter
 		counts[min(int(after-defaultMinRetryAfter)*parts/int(defaultMinRetryAfter), parts-1)]++
 	}
 	for i, got := range counts {
--- /dev/null
+++ b/internal/decide/burdocksharedrate/bucket.go
@@ -0,0 +1,98 @@
+package burdocksharedrate
+
+import (
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+)
+
+// Bucket is the token bucket of one entry's part in the rate of one upstream. A request
+// takes one token. It is empty at first: the rate begins to count from then on.
+type Bucket struct {
+	entries  *Entries
+	upstream burdockid.Upstream
+	rate     Rate // of all entries together
+	share    share
+	tokens   float64
+	filledAt burdockclock.Millis
+	// usedTurn numbers the turn in which a request was sent last; -1 for none.
+	usedTurn int64
+}
+
+// NewBucket returns an empty bucket.
+func NewBucket(now burdockclock.Millis, e *Entries, u burdockid.Upstream, rate Rate) *Bucket {
+	b := &Bucket{entries: e, upstream: u, rate: rate, filledAt: now, usedTurn: -1}
+	b.Update(now)
+	return b
+}
+
+// Rate returns the rate of all entries together.
+func (b *Bucket) Rate() Rate { return b.rate }
+
+// SetRate changes the rate of all entries together.
+func (b *Bucket) SetRate(now burdockclock.Millis, rate Rate) {
+	b.fill(now)
+	b.rate = rate
+	b.Update(now)
+}
+
+// Update computes the entry's part anew. It must be called when the entries have changed.
+func (b *Bucket) Update(now burdockclock.Millis) {
+	b.fill(now)
+	b.share = share{}
+	if b.entries.listed {
+		b.share = shareOf(b.upstream, b.rate, b.entries.self, b.entries.all)
+	}
+	b.tokens = min(b.tokens, b.share.burst)
+}
+
+func (b *Bucket) fill(now burdockclock.Millis) {
+	b.tokens = min(b.tokens+float64(now-b.filledAt)*float64(b.share.rate)/float64(burdockclock.Second), b.share.burst)
+	b.filledAt = now
+}
+
+// Allows reports whether the entry may send a request now.
+func (b *Bucket) Allows(now burdockclock.Millis) bool {
+	at, known := b.NextAt(now)
+	return known && at <= now
+}
+
+// NextAt returns when the entry may send its next request, now at the earliest; false if
+// that isn't known.
+func (b *Bucket) NextAt(now burdockclock.Millis) (burdockclock.Millis, bool) {
+	settled, known := b.entries.settledAt()
+	switch {
+	case !known:
+		return 0, false
+	case b.share.turns > 0:
+		return max(b.nextTurnAt(now), settled), true
+	}
+	b.fill(now)
+	missing := max(1-b.tokens, 0) / float64(b.share.rate) * float64(burdockclock.Second)
+	return max(now+ceilMillis(missing), settled), true
+}
+
+// nextTurnAt returns when the entry's next turn begins, or now within an unused one.
+func (b *Bucket) nextTurnAt(now burdockclock.Millis) burdockclock.Millis {
+	wall := now + b.entries.ClockOffset
+	if number, own := b.share.turnAt(wall); own && number != b.usedTurn {
+		return now
+	}
+	return now + b.share.nextTurn(wall)
+}
+
+// Take records a request that is sent now.
+func (b *Bucket) Take(now burdockclock.Millis) {
+	b.fill(now)
+	b.tokens = max(b.tokens-1, 0)
+	b.usedTurn, _ = b.share.turnAt(now + b.entries.ClockOffset)
+}
+
+// ceilMillis rounds a number of milliseconds up. Rounding errors of additions don't count.
+func ceilMillis(ms float64) burdockclock.Millis {
+	const rounding = 1e-6
+	whole := burdockclock.Millis(ms)
+	if ms-float64(whole) > rounding {
+		whole++
+	}
+	return whole
+}
--- a/internal/serve/burdockdirect/cold_test.go
+++ b/internal/serve/burdockdirect/cold_test.go
@@ -32,7 +32,7 @@
 func TestColdUpstreamGetsItsRate(t *testing.T) {
 	f := newFixture(t, testTimeout)
 	f.coldService(10)
-	f.entry.SetEntries(4)
+	f.entry.SetEntries("a", []burdockid.VM{"a", "b", "c", "d"})
 	p := f.entry.pool("s")
 	f.site.PutUpstream(burdocksite.Upstream{ID: "warm", Service: "s", Address: "10.0.0.1:80"})
 	f.site.PutUpstream(burdocksite.Upstream{ID: "cold", Service: "s", Address: "10.0.0.2:80", ColdFor: 60_000})
--- a/internal/serve/burdockdirect/entry.go
+++ b/internal/serve/burdockdirect/entry.go
@@ -17,6 +17,7 @@
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/decide/burdockcrash"
+	"burdockbend.example/burdockbend/internal/decide/burdocksharedrate"
 	"burdockbend.example/burdockbend/internal/decide/burdockspeed"
 	"burdockbend.example/burdockbend/internal/state/burdocksite"
 	"burdockbend.example/burdockbend/internal/wire/burdocktransport"
@@ -51,6 +52,9 @@
 	// PublishSuspected notifies the other entries that an upstream has failed a request.
 	// It must not block; nil notifies nobody.
 	PublishSuspected func(burdockid.Upstream)
+	// NeedEntries is called when an upstream first names a rate limit, so that SetEntries
+	// is called with all entries. It must not block; nil if that is called anyway.
+	NeedEntries func()
 }
 
 // Entry is the http.Handler that serves callers.
@@ -74,8 +78,8 @@
 	pools  map[burdockid.Service]*pool
 	speeds map[string]burdockspeed.Speed // of slow engines, by address
 	groups map[string]burdockid.Group    // of lock-step engines, by address
-	// entries is the number of entries that share the rates of cold upstreams.
-	entries int
+	// entries are the entries that share the rates of upstreams.
+	entries burdocksharedrate.Entries
 }
 
 const (
@@ -114,6 +118,7 @@
 			DisableCompression:  true,
 		}),
 	}
+	e.entries.ClockOffset = deps.Clock.Now() - deps.Clock.Boot()
 	e.noteComplete(deps.Site.Now())
 	return e
 }
@@ -201,19 +206,6 @@
 	}
 }
 
-// SetEntries sets the number of entries, including this one, that share the rates of cold
-// upstreams.
-func (e *Entry) SetEntries(n int) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.entries = n
-	for _, p := range e.pools {
-		p.mu.Lock()
-		p.cold.SetEntries(n)
-		p.mu.Unlock()
-	}
-}
-
 // ApplySnapshot passes a change of the site to the pools.
 func (e *Entry) ApplySnapshot(snap *burdocksite.Snapshot) {
 	e.mu.Lock()
--- a/internal/serve/burdockdirect/fixture_test.go
+++ b/internal/serve/burdockdirect/fixture_test.go
@@ -102,6 +102,13 @@
 // cutConnection resets the connection instead of answering.
 func cutConnection(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
 
+// Positions of the routes in the fixture's configuration.
+const (
+	routeOnce = iota
+	routeAgain
+	routeStream
+)
+
 // fixture is an entry in front of some upstreams, with three routes: /once/ runs a request
 // at most once, /again/ is idempotent, /stream/ has streams that may be resumed.
 type fixture struct {
--- a/internal/serve/burdockdirect/members.go
+++ b/internal/serve/burdockdirect/members.go
@@ -96,6 +96,7 @@
 		}
 	}
 	p.cold.Retain(p.isMember)
+	p.rateLimits.Retain(now, p.isMember)
 	p.tracker.SetMembers(now, names)
 	p.migrations.retain(p.members)
 	p.weightBySpeed = speedWeights(engineOf(p.entry.deps.Site.Now(), p.service), p.members, p.speeds, requests)
@@ -121,6 +122,7 @@
 	p.placer.Restarted(u)
 	p.gate.forget(u)
 	p.suspected.Forget(u)
+	p.rateLimits.Forget(u)
 	delete(p.lastContact, u)
 	p.entry.deps.Log.Info("upstream restarted", zap.String("upstream", string(u)), zap.String("service", string(p.service)))
 }
--- a/internal/serve/burdockdirect/pool.go
+++ b/internal/serve/burdockdirect/pool.go
@@ -80,14 +80,14 @@
 		service: service, entry: e, random: random, groups: e.groups, inFlight: map[burdockid.Upstream]int{}, migrations: migrations{}, suspected: burdocksuspicion.New(burdocksuspicion.Config{}),
 		memberAge:   newMemberAge(),
 		lastContact: map[burdockid.Upstream]contact{}, typicalFirstEvent: initialFirstEvent,
-		cold: burdockcold.New(deriveRand(random)), rateLimits: burdockratelimit.New(),
+		cold: burdockcold.New(deriveRand(random)), rateLimits: burdockratelimit.New(e.entries),
 		placer:  burdockplace.New(burdockplace.Config{}, deriveRand(random)),
 		tracker: burdockeject.New(burdockeject.Config{}, deriveRand(random)),
 		budget:  burdockretry.New(burdockretry.Config{RetryRatio: retryRatio, MinRetries: minRetries}, deriveRand(random)),
 	}
 	snap := e.deps.Site.Now()
 	p.engine = engineOf(snap, service)
-	p.cold.SetEntries(e.entries)
+	p.cold.SetEntries(e.entries.Len())
 	p.gate = newGate(e.deps.Clock, gateConfigOf(snap, service), p)
 	p.applySnapshot(e.now(), snap)
 	e.meters.exportGauges(p)
@@ -121,47 +121,11 @@
 	return initialPlainDuration
 }
 
-// choose selects the upstream for one offer: preferred, if that is still a member.
-func (p *pool) choose(now burdockclock.Millis, req *request, excluded map[burdockid.Upstream]bool, preferred burdockid.Upstream) (burdocksite.Upstream, burdockplace.Reason, bool) {
-	unavailable := p.gate.unavailable()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.isMember(preferred) && p.cold.Allows(now, preferred) {
-		p.offerStarted(now, preferred, req.cost)
-		return p.members[preferred], "stay", true
-	}
-	barred := func(u burdockid.Upstream) bool { return excluded[u] || unavailable(u) || !p.cold.Allows(now, u) }
-	skip := func(u burdockid.Upstream) bool { return barred(u) || p.isSilentLocked(now, u) }
-	avoid := p.suspectedFor(now, req)
-	choice, ok := p.placer.Choose(now, burdockplace.Request{
-		DataCentre: p.entry.cfg.DataCentre, Cost: req.cost,
-		Exclude: func(u burdockid.Upstream) bool { return avoid[u] || skip(u) },
-	})
-	if !ok && len(avoid) > 0 {
-		choice, ok = p.placer.Choose(now, burdockplace.Request{DataCentre: p.entry.cfg.DataCentre, Cost: req.cost, Exclude: skip})
-	}
-	// Only repeatable requests probe an ejected upstream. A probe that is due goes
-	// first: if it were skipped, the upstream would stay ejected for long.
-	if req.route.Repeatable() {
-		if probe, due := p.tracker.NextProbe(now); due && !barred(probe) && p.isMember(probe) {
-			choice.Upstream, choice.Reason, ok = probe, "probe", true
-		}
-	}
-	if !ok {
-		choice.Upstream, ok = p.tracker.Fallback(skip)
-		choice.Reason = "lastResort"
-	}
-	if !ok || !p.isMember(choice.Upstream) {
-		return burdocksite.Upstream{}, "", false
-	}
-	p.offerStarted(now, choice.Upstream, req.cost)
-	return p.members[choice.Upstream], choice.Reason, true
-}
-
 // offerStarted records an offer to an upstream. The lock must be held.
 func (p *pool) offerStarted(now burdockclock.Millis, u burdockid.Upstream, cost burdockid.Tokens) {
 	p.placer.Sent(now, u, cost)
 	p.cold.Sent(now, u)
+	p.rateLimits.Sent(now, u)
 	if p.inFlight[u]++; p.inFlight[u] == 1 {
 		p.lastContact[u] = contact{at: now}
 	}
@@ -227,10 +191,12 @@
 	return p.budget.Decide(now, a)
 }
 
+// giveUpNoUpstream returns the decision for a request that no upstream may get. Its caller is
+// to return once one of them takes requests.
 func (p *pool) giveUpNoUpstream(now burdockclock.Millis) burdockretry.GiveUp {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.budget.GiveUpNoUpstream(now)
+	return p.budget.GiveUpNoUpstream(now, p.nextRequestAt(now)-now)
 }
 
 // giveUpGroupClosed returns the decision for a request whose group stayed closed.
--- a/internal/serve/burdockdirect/ratelimit.go
+++ b/internal/serve/burdockdirect/ratelimit.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/decide/burdockratelimit"
 	"go.uber.org/zap"
 )
@@ -24,6 +25,7 @@
 	unreadable, isUnreadable := head.RateLimit.(burdockratelimit.Unreadable)
 	switch {
 	case changed:
+		a.offers.entry.needEntries()
 		a.logRateLimit("rate limit of upstream changed", head, rateField("from", change.From), rateField("to", change.To))
 	case isUnreadable:
 		a.logRateLimit("unreadable rate limit of upstream", head, zap.String("text", unreadable.Text[:min(len(unreadable.Text), maxLoggedLimit)]))
@@ -45,6 +47,39 @@
 	}, fields...)...)
 }
 
+// needEntries asks for the other entries, whose number decides how much of an upstream's
+// limit is for this one.
+func (e *Entry) needEntries() {
+	if e.deps.NeedEntries != nil {
+		e.deps.NeedEntries()
+	}
+}
+
+// SetEntries replaces the entries that share the rates of upstreams; self is this one.
+func (e *Entry) SetEntries(self burdockid.VM, all []burdockid.VM) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.entries.Set(e.now(), self, all)
+	for _, p := range e.pools {
+		p.mu.Lock()
+		p.cold.SetEntries(len(all))
+		p.rateLimits.SetEntries(e.now(), self, all)
+		p.mu.Unlock()
+	}
+}
+
+// RateLimited reports whether any upstream has a rate limit.
+func (e *Entry) RateLimited() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, p := range e.pools {
+		if p.rateLimited() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // rateLimited returns the number of upstreams that have a rate limit.
 func (p *pool) rateLimited() int {
 	p.mu.Lock()
--- a/internal/serve/burdockentry/pool.go
+++ b/internal/serve/burdockentry/pool.go
@@ -289,5 +289,5 @@
 func (p *pool) giveUpNoUpstream(now burdockclock.Millis) burdockretry.GiveUp {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.budget.GiveUpNoUpstream(now)
+	return p.budget.GiveUpNoUpstream(now, 0)
 }
--- a/internal/serve/burdockhosted/entry.go
+++ b/internal/serve/burdockhosted/entry.go
@@ -82,11 +82,14 @@
 	e := &entry{settings: settings, clock: clock, log: log}
 	e.crashPublisher = newPublisher(p.Store, settings.QuarantineMillis, true, log)
 	e.suspectedPublisher = newPublisher(p.Store, suspectedTTL, false, log)
+	sharesRates := func() bool { return hasColdRate(site.Now()) || e.entry.RateLimited() }
+	e.presence = newPresence(p.Store, settings.VM, sharesRates, clock, log)
 	e.entry = burdockdirect.New(
 		burdockdirect.Config{DataCentre: settings.DataCentre, GraceMillis: settings.GraceMillis, QuarantineMillis: settings.QuarantineMillis},
 		burdockdirect.Deps{
 			Clock: clock, Site: site, Dialect: p.Dialect, Log: log, Metrics: set, Seed: rand.Uint64(),
 			PublishCrashes: e.publishCrashes, PublishSuspected: e.publishSuspected,
+			NeedEntries: e.presence.checkNow,
 		},
 	)
 	site.Subscribe(e.entry.ApplySnapshot)
@@ -103,7 +106,6 @@
 	}
 	e.crashPublisher.start()
 	e.suspectedPublisher.start()
-	e.presence = newPresence(p.Store, settings.VM, site, clock, log)
 	e.presence.start()
 	e.follower.Start()
 	log.Info("entry started", zap.String("vm", string(settings.VM)), zap.String("dataCentre", string(settings.DataCentre)),
@@ -128,7 +130,7 @@
 	return append(routes,
 		burdockkv.Route{Prefix: prefixNotifications, Sink: newNotificationReader(e.entry, e.log).mirror},
 		burdockkv.Route{Prefix: prefixRank, Sink: newGroupReader(e.entry).mirror},
-		burdockkv.Route{Prefix: prefixEntry, Sink: newEntryCounter(e.entry)},
+		burdockkv.Route{Prefix: prefixEntry, Sink: newEntriesReader(e.entry, e.settings.VM)},
 	)
 }
 
--- a/internal/serve/burdockhosted/groupreader_test.go
+++ b/internal/serve/burdockhosted/groupreader_test.go
@@ -37,7 +37,7 @@
 func TestPresenceIsWrittenWhereNeeded(t *testing.T) {
 	store, clock, site := newFakeKV(), burdockclock.NewManual(1), burdocksite.New()
 	store.era = 1
-	p := newPresence(store, "vm-1", site, clock.Clock(), zap.NewNop())
+	p := newPresence(store, "vm-1", func() bool { return hasColdRate(site.Now()) }, clock.Clock(), zap.NewNop())
 	update := func(after burdockclock.Millis, what string, wantCalls int) {
 		t.Helper()
 		clock.Advance(after)
--- a/internal/serve/burdockhosted/presence.go
+++ b/internal/serve/burdockhosted/presence.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strings"
 	"sync"
+	"time"
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
@@ -30,8 +32,8 @@
 // presence tells the other entries that this one exists, so that each knows its part of
 // the rates that entries share.
 //
-// Only sites with cold upstreams have such rates. On others, hundreds of entries would
-// write and read records that nobody needs.
+// Only sites with cold upstreams have such rates, and those whose upstreams name a rate
+// limit. On others, hundreds of entries would write and read records that nobody needs.
 type presence struct {
 	store  burdockkv.Store
 	vm     burdockid.VM
@@ -42,15 +44,16 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	done   sync.WaitGroup
+	wake   chan struct{} // holds one signal
 
 	// used by the loop only
 	lease     burdockkv.LeaseID // zero while there is no record
 	renewedAt burdockclock.Millis
 }
 
-func newPresence(store burdockkv.Store, vm burdockid.VM, site *burdocksite.Site, clock burdockclock.Clock, log *zap.Logger) *presence {
+func newPresence(store burdockkv.Store, vm burdockid.VM, needed func() bool, clock burdockclock.Clock, log *zap.Logger) *presence {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &presence{store: store, vm: vm, needed: func() bool { return hasColdRate(site.Now()) }, clock: clock, log: log, ctx: ctx, cancel: cancel}
+	return &presence{store: store, vm: vm, needed: needed, clock: clock, log: log, ctx: ctx, cancel: cancel, wake: make(chan struct{}, 1)}
 }
 
 // hasColdRate reports whether any service limits the requests to cold upstreams.
@@ -83,8 +86,27 @@
 		if err := p.update(); err != nil && p.ctx.Err() == nil {
 			p.log.Info("failed to write this entry's record", zap.Error(err))
 		}
-		jitter := burdockclock.Millis(rand.Int64N(int64(presenceCheckInterval)))
-		sleep(p.ctx, (presenceCheckInterval + jitter).Duration())
+		p.sleep()
+	}
+}
+
+// sleep waits until the next check is due, or checkNow is called.
+func (p *presence) sleep() {
+	jitter := burdockclock.Millis(rand.Int64N(int64(presenceCheckInterval)))
+	timer := time.NewTimer((presenceCheckInterval + jitter).Duration())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-p.wake:
+	case <-p.ctx.Done():
+	}
+}
+
+// checkNow makes the loop check at once whether a record is needed. It does not block.
+func (p *presence) checkNow() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
 	}
 }
 
@@ -121,10 +143,15 @@
 	return nil
 }
 
-// newEntryCounter returns a mirror of the entries' records that tells an entry how many
-// there are.
-func newEntryCounter(entry *burdockdirect.Entry) *burdockkv.Mirror {
+// newEntriesReader returns a mirror of the entries' records that tells an entry of them.
+func newEntriesReader(entry *burdockdirect.Entry, self burdockid.VM) *burdockkv.Mirror {
 	mirror := burdockkv.NewMirror()
-	mirror.Subscribe(func() { entry.SetEntries(len(mirror.Items())) })
+	mirror.Subscribe(func() {
+		var all []burdockid.VM
+		for _, item := range mirror.Items() {
+			all = append(all, burdockid.VM(strings.TrimPrefix(item.Key, prefixEntry)))
+		}
+		entry.SetEntries(self, all)
+	})
 	return mirror
 }
