Rate limits in the randomised runs of separate entries

Two of four upstreams name a random limit while entries are slow, freeze, are killed and stopped and the configuration changes; an entry that was disturbed counts again once it has passed on another response that names the limit.

--- a/internal/proof/burdockhostedproof/denied_test.go
+++ b/internal/proof/burdockhostedproof/denied_test.go
@@ -21,10 +21,8 @@
 func TestFaultsDenyNoProperRequest(t *testing.T) {
 	s := startSite(t, 4, 3, nil)
 	l := s.startLoad(16, *seedFlag)
-	f := &faults{t: t, site: s, random: rand.New(rand.NewPCG(*seedFlag, 1)), counts: map[string]int{}}
-	for end := time.Now().Add(*timeFlag); time.Now().Before(end); {
-		f.injectOne()
-	}
+	f := newFaults(t, s)
+	f.injectFor(*timeFlag)
 	check(t, *seedFlag, l.stop())
 	t.Logf("faults: %v", f.counts)
 	f.checkBodies()
@@ -36,6 +34,27 @@
 	site   *site
 	random *rand.Rand
 	counts map[string]int
+	// disturbed holds when an entry was slow, frozen, killed or stopped, by its name: the
+	// beginning and the end of each fault, in order.
+	disturbed map[string][]time.Time
+}
+
+func newFaults(t *testing.T, s *site) *faults {
+	return &faults{t: t, site: s, random: rand.New(rand.NewPCG(*seedFlag, 1)), counts: map[string]int{}, disturbed: map[string][]time.Time{}}
+}
+
+// injectFor injects faults for a time.
+func (f *faults) injectFor(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		f.injectOne()
+	}
+}
+
+// noteDisturbed records that entries are disturbed now.
+func (f *faults) noteDisturbed(all ...*entry) {
+	for _, e := range all {
+		f.disturbed[e.name] = append(f.disturbed[e.name], time.Now())
+	}
 }
 
 // The kinds of faults are many short stops, as of a process that gets little processor
@@ -51,7 +70,17 @@
 
 func (f *faults) injectOne() {
 	e := f.site.entries[f.random.IntN(len(f.site.entries))]
-	switch f.random.IntN(5) {
+	kind := f.random.IntN(5)
+	disturbed := []*entry{e}
+	switch kind {
+	case 0:
+		disturbed = f.site.entries
+	case 4:
+		disturbed = nil
+	}
+	f.noteDisturbed(disturbed...)
+	defer f.noteDisturbed(disturbed...)
+	switch kind {
 	case 0:
 		f.counts["slow"]++
 		f.slow()
--- a/internal/proof/burdockhostedproof/ratelimit_test.go
+++ b/internal/proof/burdockhostedproof/ratelimit_test.go
@@ -1,6 +1,7 @@
 package burdockhostedproof
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -34,24 +35,57 @@
 	replies := l.stop()
 	check(t, *seedFlag, replies)
 	for i, rate := range limits {
-		checkRateLimit(t, s.replicas[i], "replica-"+strconv.Itoa(i), rate, namedAt, replies)
+		checkRateLimit(t, s.replicas[i], "replica-"+strconv.Itoa(i), rate, namedAt, replies, nil)
 	}
 }
 
-// checkRateLimit fails the test if a replica got more than its limit allows.
-func checkRateLimit(t *testing.T, replica *burdockfakeplatform.Replica, id string, rate float64, namedAt time.Time, replies []reply) {
+// Guards against rate limits that are exceeded while entries are slow, freeze, are killed and
+// stopped, and the configuration changes.
+func TestFaultsKeepRateLimits(t *testing.T) {
+	s := startSite(t, 4, 4, nil)
+	l := s.startLoad(12, *seedFlag)
+	f := newFaults(t, s)
+	limits := map[int]float64{}
+	for _, i := range f.random.Perm(len(s.replicas))[:2] {
+		limits[i] = soakRates[f.random.IntN(len(soakRates))]
+		s.replicas[i].NameRateLimit(strconv.FormatFloat(limits[i], 'g', -1, 64))
+	}
+	namedAt := time.Now()
+	f.injectFor(*timeFlag)
+	replies := l.stop()
+	check(t, *seedFlag, replies)
+	t.Logf("faults: %v", f.counts)
+	for i, rate := range limits {
+		checkRateLimit(t, s.replicas[i], "replica-"+strconv.Itoa(i), rate, namedAt, replies, f.disturbed)
+	}
+}
+
+// soakRates are the limits, in requests per second, that upstreams name under faults.
+var soakRates = []float64{0.2, 0.5, 1, 3, 20, 100}
+
+// checkRateLimit fails the test if a replica got more than its limit allows. An entry that
+// was disturbed counts again once it has passed on another response that names the limit.
+func checkRateLimit(t *testing.T, replica *burdockfakeplatform.Replica, id string, rate float64, namedAt time.Time, replies []reply, disturbed map[string][]time.Time) {
 	t.Helper()
-	toldAt := map[string]time.Time{}
 	entryOf := map[string]string{}
+	toldAt := map[string][]time.Time{}
 	for _, r := range replies {
 		entryOf[r.id] = r.entry
-		if told, ok := toldAt[r.entry]; strings.HasPrefix(r.stamp, id+".") && r.names(rate) && (!ok || r.endAt.Before(told)) {
-			toldAt[r.entry] = r.endAt
+		if strings.HasPrefix(r.stamp, id+".") && r.names(rate) {
+			toldAt[r.entry] = append(toldAt[r.entry], r.endAt)
 		}
 	}
 	var counted []time.Time
 	for _, a := range replica.Arrivals() {
-		if told, ok := toldAt[entryOf[a.ID]]; ok && a.At.After(told.Add(toldBefore)) && a.At.After(namedAt.Add(settleBefore)) {
+		entry := entryOf[a.ID]
+		since := namedAt
+		for _, at := range disturbed[entry] {
+			if at.Before(a.At) {
+				since = at
+			}
+		}
+		told := slices.ContainsFunc(toldAt[entry], func(at time.Time) bool { return at.After(since) && at.Before(a.At.Add(-toldBefore)) })
+		if told && a.At.After(namedAt.Add(settleBefore)) {
 			counted = append(counted, a.At)
 		}
 	}
@@ -59,7 +93,7 @@
 	got := most(counted, limitWindow)
 	t.Logf("%s with limit %v: %d requests, at most %d in %v, allowed %d", id, rate, len(counted), got, limitWindow, allowed)
 	if got > allowed {
-		t.Errorf("requests to %s in %v: got %d, want %d at most at %v a second", id, limitWindow, got, allowed, rate)
+		t.Errorf("seed %d: requests to %s in %v: got %d, want %d at most at %v a second", *seedFlag, id, limitWindow, got, allowed, rate)
 	}
 }
 
