--- a/internal/serve/burdockdirect/attempt.go
+++ b/internal/serve/burdockdirect/attempt.go
@@ -138,7 +138,7 @@
 		// unread, it is closed and not used again.
 		return unknown{reason: "the answer is for another request"}
 	}
-	a.recordRateLimit(head)
+	a.recordStated(head)
 	if head.NotRun {
 		_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, maxRefusalBody))
 		return a.handleRefusal(res.StatusCode, head)
--- a/internal/serve/burdockdirect/ratelimit.go
+++ b/internal/serve/burdockdirect/ratelimit.go
@@ -1,22 +1,13 @@
 package burdockdirect
 
 import (
-	"net/http"
-
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/decide/burdockratelimit"
 	"go.uber.org/zap"
 )
 
-// maxLoggedLimit bounds the length of an unreadable limit in a line.
-const maxLoggedLimit = 32
-
-// recordRateLimit records what a response says about its upstream's rate limit. Another
-// process at the upstream's address, or whatever answers in its place, says nothing about it.
+// recordRateLimit records what a response says about its upstream's rate limit.
 func (a *attempt) recordRateLimit(head ResponseHeaders) {
-	if a.status == http.StatusMisdirectedRequest || !head.FromUpstream && !head.NotRun {
-		return
-	}
 	res := burdockratelimit.Response{Statement: head.RateLimit, OfferedAt: a.startedAt, Refused: head.NotRun}
 	p, now := a.offers.pool, a.offers.entry.now()
 	p.mu.Lock()
@@ -26,9 +17,9 @@
 	switch {
 	case changed:
 		a.offers.entry.needEntries()
-		a.logRateLimit("rate limit of upstream changed", head, rateField("from", change.From), rateField("to", change.To))
+		a.logStated("rate limit of upstream changed", head, rateField("from", change.From), rateField("to", change.To))
 	case isUnreadable:
-		a.logRateLimit("unreadable rate limit of upstream", head, zap.String("text", unreadable.Text[:min(len(unreadable.Text), maxLoggedLimit)]))
+		a.logStated("unreadable rate limit of upstream", head, statedText(unreadable.Text))
 	}
 }
 
@@ -40,13 +31,6 @@
 	return zap.String(name, "none")
 }
 
-func (a *attempt) logRateLimit(message string, head ResponseHeaders, fields ...zap.Field) {
-	a.offers.entry.deps.Log.Info(message, append([]zap.Field{
-		zap.String("upstream", string(a.target.ID)), zap.String("service", string(a.offers.pool.service)),
-		requestID(a.offers.req.ID), zap.Bool("refused", head.NotRun),
-	}, fields...)...)
-}
-
 // needEntries asks for the other entries, whose number decides how much of an upstream's
 // limit is for this one.
 func (e *Entry) needEntries() {
