A pause that an upstream asks for leaves a line and a gauge

Now the refusal that begins or extends a pause leaves a line, its end another one, and burdock_direct_pausing_upstreams counts the upstreams that have asked for one.

Seconds may have a decimal fraction; a date counts by the upstream's own Date header; a pause that is over or negative is none; ten minutes is the longest; what can't be read leaves a line and changes nothing. Nothing keeps the pause yet.

--- a/internal/serve/burdockdirect/dialect.go
+++ b/internal/serve/burdockdirect/dialect.go
@@ -5,6 +5,7 @@
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/decide/burdockbackpressure"
 	"burdockbend.example/burdockbend/internal/decide/burdockratelimit"
 )
 
@@ -49,6 +50,8 @@
 	RefusingUpstream burdockid.Upstream
 	// RateLimit is the limit that the upstream names for all entries together.
 	RateLimit burdockratelimit.Statement
+	// Pause is how long the upstream, which refused, wants nothing from this entry.
+	Pause burdockbackpressure.Pause
 }
 
 // Dialect translates between a platform's headers and the entry's types. It decides
--- a/internal/serve/burdockdirect/fixture_test.go
+++ b/internal/serve/burdockdirect/fixture_test.go
@@ -14,6 +14,7 @@
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/decide/burdockbackpressure"
 	"burdockbend.example/burdockbend/internal/decide/burdockratelimit"
 	"burdockbend.example/burdockbend/internal/state/burdocksite"
 	"github.com/VictoriaMetrics/metrics"
@@ -41,11 +42,14 @@
 	}
 }
 
-func (testDialect) ParseResponse(_ int, h http.Header) ResponseHeaders {
+func (testDialect) ParseResponse(status int, h http.Header) ResponseHeaders {
 	res := ResponseHeaders{
 		RequestID: burdockid.Request(h.Get("X-Id")), NotRun: h.Get("X-Not-Run") != "", FromUpstream: h.Get("X-Signed") != "",
 		RateLimit: burdockratelimit.Parse(h.Get("X-Rate-Limit")),
 	}
+	if res.NotRun && status == http.StatusServiceUnavailable {
+		res.Pause = burdockbackpressure.ParseRetryAfter(h.Get("Retry-After"), h.Get("Date"))
+	}
 	var load Load
 	if n, _ := fmt.Sscanf(h.Get("X-Load"), "%d,%d,%d", &load.Running, &load.Waiting, &load.Slots); n == 3 {
 		res.Load = &load
--- a/internal/serve/burdockdirect/members.go
+++ b/internal/serve/burdockdirect/members.go
@@ -123,6 +123,7 @@
 	p.gate.forget(u)
 	p.suspected.Forget(u)
 	p.rateLimits.Forget(u)
+	p.pauses.Forget(u)
 	delete(p.lastContact, u)
 	p.entry.deps.Log.Info("upstream restarted", zap.String("upstream", string(u)), zap.String("service", string(p.service)))
 }
--- a/internal/serve/burdockdirect/pool.go
+++ b/internal/serve/burdockdirect/pool.go
@@ -7,6 +7,7 @@
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/decide/burdockbackpressure"
 	"burdockbend.example/burdockbend/internal/decide/burdockcold"
 	"burdockbend.example/burdockbend/internal/decide/burdockeject"
 	"burdockbend.example/burdockbend/internal/decide/burdockplace"
@@ -57,6 +58,8 @@
 	cold *burdockcold.Limiter
 	// rateLimits holds the rate limits that upstreams name in their responses.
 	rateLimits *burdockratelimit.Limiter
+	// pauses holds the pauses that upstreams ask for in their refusals.
+	pauses *burdockbackpressure.Pauses
 	// suspected tracks the upstreams of a plain service that recently failed a request.
 	suspected *burdocksuspicion.Tracker
 	// typicalDuration is the mean time from an offer to the end of its answer; 0 until
@@ -80,7 +83,7 @@
 		service: service, entry: e, random: random, groups: e.groups, inFlight: map[burdockid.Upstream]int{}, migrations: migrations{}, suspected: burdocksuspicion.New(burdocksuspicion.Config{}),
 		memberAge:   newMemberAge(),
 		lastContact: map[burdockid.Upstream]contact{}, typicalFirstEvent: initialFirstEvent,
-		cold: burdockcold.New(deriveRand(random)), rateLimits: burdockratelimit.New(e.entries),
+		cold: burdockcold.New(deriveRand(random)), rateLimits: burdockratelimit.New(e.entries), pauses: burdockbackpressure.NewPauses(),
 		placer:  burdockplace.New(burdockplace.Config{}, deriveRand(random)),
 		tracker: burdockeject.New(burdockeject.Config{}, deriveRand(random)),
 		budget:  burdockretry.New(burdockretry.Config{RetryRatio: retryRatio, MinRetries: minRetries}, deriveRand(random)),
--- a/internal/serve/burdockdirect/stated.go
+++ b/internal/serve/burdockdirect/stated.go
@@ -13,6 +13,7 @@
 		return
 	}
 	a.recordRateLimit(head)
+	a.recordPause(head)
 }
 
 // logStated writes the line of something that an upstream has stated for the first time, has
