A pause that an upstream asks for is kept

What callers saw: refusals. Five of 16 upstreams refused everything for some seconds and asked for pauses of 3 s (503 with Retry-After). Each entry went on offering them requests, up to 13 a second to one of them, more than upstreams that serve get, as a refusal takes 2 ms and the upstream looks idle. Requests that met two of them were refused: over a tenth of three classes.

A refusal kept its upstream away from that one request; Retry-After was not read.

Now an upstream gets no request of the entry until its pause is over, whichever way it is selected. The pause counts by the clock that includes suspension, is for the process, outlasts gaps in the platform's list, and is not taken back by a shorter one. While upstreams pause, fewer requests may run, as the others would get those as well. If all pause, callers are refused at once and told when the first of them takes requests. A refusal that asks for a pause is no sign that the lock-step group is closed. When a group is reported open, each engine that pauses may get one request: it may have asked only because of the group.

--- a/internal/serve/burdockdirect/attempt.go
+++ b/internal/serve/burdockdirect/attempt.go
@@ -166,10 +166,11 @@
 // An engine that refuses although it has free slots is not idle: its group is closed. If
 // the load that it reports counted, each entry would see only its own requests, and all
 // of them together would fill the group many times over as soon as it opens.
+// One that asks for a pause has a reason of its own.
 func (a *attempt) handleRefusal(status int, head ResponseHeaders) result {
 	refusal := notRun{
 		status:       status,
-		hadFreeSlots: status == http.StatusServiceUnavailable && (head.Load == nil || head.Load.Running < head.Load.Slots),
+		hadFreeSlots: status == http.StatusServiceUnavailable && head.Pause.For == 0 && (head.Load == nil || head.Load.Running < head.Load.Slots),
 		replaced:     status == http.StatusMisdirectedRequest && (head.RefusingUpstream == "" || head.RefusingUpstream == a.target.ID),
 	}
 	if !refusal.hadFreeSlots && !refusal.replaced {
--- a/internal/serve/burdockdirect/choose.go
+++ b/internal/serve/burdockdirect/choose.go
@@ -23,6 +23,7 @@
 	unavailable := p.gate.unavailable()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.expirePauses(now)
 	u, reason := preferred, reasonStay
 	if !p.isMember(u) || !p.takesRequests(now, u) {
 		barred := func(u burdockid.Upstream) bool { return excluded[u] || unavailable(u) || !p.takesRequests(now, u) }
@@ -35,10 +36,10 @@
 	return p.members[u], reason, true
 }
 
-// takesRequests reports whether an upstream may get a request now, as far as the limits on
-// the requests of all entries go. The lock must be held.
+// takesRequests reports whether an upstream may get a request now, as far as what it asks for
+// and the limits on the requests of all entries go. The lock must be held.
 func (p *pool) takesRequests(now burdockclock.Millis, u burdockid.Upstream) bool {
-	return p.cold.Allows(now, u) && p.rateLimits.Allows(now, u)
+	return p.cold.Allows(now, u) && p.rateLimits.Allows(now, u) && p.pauses.Allows(now, u)
 }
 
 // place selects an upstream that is not barred; "" if there is none. The lock must be held.
@@ -82,7 +83,9 @@
 func (p *pool) nextRequestAt(now burdockclock.Millis) burdockclock.Millis {
 	var first burdockclock.Millis
 	for u := range p.members {
-		if at, ok := p.rateLimits.NextAt(now, u); ok && (first == 0 || at < first) {
+		at, ok := p.rateLimits.NextAt(now, u)
+		at = max(at, p.pauses.Until(now, u))
+		if ok && (first == 0 || at < first) {
 			first = at
 		}
 	}
@@ -94,7 +97,7 @@
 func (p *pool) barredMembers(now burdockclock.Millis) []zap.Field {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	cold, limited := 0, 0
+	cold, limited, pausing := 0, 0, 0
 	for u := range p.members {
 		if !p.cold.Allows(now, u) {
 			cold++
@@ -102,6 +105,9 @@
 		if !p.rateLimits.Allows(now, u) {
 			limited++
 		}
+		if !p.pauses.Allows(now, u) {
+			pausing++
+		}
 	}
-	return []zap.Field{zap.Int("members", len(p.members)), zap.Int("cold", cold), zap.Int("rateLimited", limited)}
+	return []zap.Field{zap.Int("members", len(p.members)), zap.Int("cold", cold), zap.Int("rateLimited", limited), zap.Int("pausing", pausing)}
 }
--- a/internal/serve/burdockdirect/gate.go
+++ b/internal/serve/burdockdirect/gate.go
@@ -63,7 +63,9 @@
 	maxEventGap burdockclock.Millis   // that limit was created for
 	groups      *groups               // nil unless the engines run in lock-step
 	state       burdocklockstep.State // of groups, as last updated
-	engines     []burdockid.Upstream
+	members     []burdocksite.Upstream
+	// pausedUntil holds until when upstreams get no requests.
+	pausedUntil map[burdockid.Upstream]burdockclock.Millis
 	groupOf     map[burdockid.Upstream]burdockid.Group // as last set
 	slots       int
 	maxWait     burdockclock.Millis
@@ -87,7 +89,7 @@
 func newGate(clock burdockclock.Clock, cfg gateConfig, p *pool) *gate {
 	g := &gate{
 		clock: clock, log: p.entry.deps.Log.With(zap.String("service", string(p.service))),
-		waiting: map[burdockid.Request]*waiter{}, typicalFirstEvent: initialFirstEvent,
+		waiting: map[burdockid.Request]*waiter{}, pausedUntil: map[burdockid.Upstream]burdockclock.Millis{}, typicalFirstEvent: initialFirstEvent,
 	}
 	g.applyConfig(cfg)
 	g.queue = burdockqueue.New(g.queueConfig(), deriveRand(p.random))
@@ -96,13 +98,13 @@
 
 // applyConfig rebuilds the limit if anything that it depends on has changed.
 func (g *gate) applyConfig(cfg gateConfig) {
-	g.engines = upstreamIDs(cfg.members)
+	g.members = cfg.members
 	g.maxWait = burdockclock.Millis(maxWaitFraction * float64(cfg.firstEventTimeout))
 	engine, ok := paceEngine(cfg)
 	switch {
 	case !ok:
 		g.limit, g.limitEngine, g.maxEventGap, g.groups = nil, burdocklimit.Engine{}, 0, nil
-		g.slots = totalSlots(cfg.members)
+		g.slots = g.totalSlots()
 	case g.limit == nil || engine != g.limitEngine || cfg.maxEventGap != g.maxEventGap:
 		g.limitEngine, g.maxEventGap = engine, cfg.maxEventGap
 		g.limit = burdocklimit.New(burdocklimit.Config{}, engine, len(cfg.members), cfg.maxEventGap)
@@ -136,12 +138,16 @@
 	return e.StepMillisPerRequest + e.StepMillisPerThousandTokens*float64(e.MeanPromptTokens)/tokensPerContextUnit
 }
 
-func totalSlots(members []burdocksite.Upstream) int {
-	slots := 0
-	for _, u := range members {
-		if u.Slots > 0 {
+// totalSlots returns the number of slots of the upstreams of a plain service that may get
+// requests. The lock must be held.
+func (g *gate) totalSlots() int {
+	slots, now := 0, g.clock.Boot()
+	for _, u := range g.members {
+		switch {
+		case now < g.pausedUntil[u.ID]:
+		case u.Slots > 0:
 			slots += u.Slots
-		} else {
+		default:
 			slots += defaultSlots
 		}
 	}
@@ -168,14 +174,6 @@
 	g.dispatch()
 }
 
-func upstreamIDs(members []burdocksite.Upstream) []burdockid.Upstream {
-	list := make([]burdockid.Upstream, len(members))
-	for i, u := range members {
-		list[i] = u.ID
-	}
-	return list
-}
-
 func (g *gate) resize(slots int) {
 	if slots != g.slots {
 		g.slots = slots
@@ -194,10 +192,11 @@
 	}
 }
 
-// forget drops the load that an engine reported.
+// forget drops the load that an engine reported and the pause that it asked for.
 func (g *gate) forget(u burdockid.Upstream) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	delete(g.pausedUntil, u)
 	if g.limit != nil {
 		g.limit.Forget(u)
 	}
--- a/internal/serve/burdockdirect/groupgate.go
+++ b/internal/serve/burdockdirect/groupgate.go
@@ -36,13 +36,10 @@
 
 // availableEngines returns the engines that may get new requests. The lock must be held.
 func (g *gate) availableEngines(now burdockclock.Millis) []burdockid.Upstream {
-	if g.groups == nil {
-		return g.engines
-	}
 	var list []burdockid.Upstream
-	for _, u := range g.engines {
-		if g.groups.available(now, u) {
-			list = append(list, u)
+	for _, u := range g.members {
+		if now >= g.pausedUntil[u.ID] && (g.groups == nil || g.groups.available(now, u.ID)) {
+			list = append(list, u.ID)
 		}
 	}
 	return list
@@ -110,6 +107,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	for _, p := range e.pools {
+		p.groupOpened()
 		p.gate.groupOpened(name)
 	}
 }
--- a/internal/serve/burdockdirect/log.go
+++ b/internal/serve/burdockdirect/log.go
@@ -96,5 +96,5 @@
 		zap.Int64("waitMillis", int64(o.admittedAt-o.req.arrived)), zap.Int64("firstEventMillis", int64(o.firstEventTime)),
 		zap.Int64("offerMillis", int64(took)), zap.Int("events", o.eventCount), zap.Int64("longestPauseMillis", int64(o.maxEventGap)),
 		zap.Int("running", load.Running), zap.Int("waiting", load.Queued), zap.Int("limit", load.Slots),
-		zap.Int("rateLimitedUpstreams", o.pool.rateLimited()))
+		zap.Int("rateLimitedUpstreams", o.pool.rateLimited()), zap.Int("pausingUpstreams", o.pool.pausing()))
 }
--- a/internal/serve/burdockdirect/pause_test.go
+++ b/internal/serve/burdockdirect/pause_test.go
@@ -3,8 +3,13 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"testing"
+	"time"
+
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/decide/burdockplace"
 )
 
 // pausingUpstream refuses requests and asks for a pause as long as one is set; "" for none,
@@ -45,3 +50,144 @@
 		t.Errorf("upstreams that pause: got %d, want %d", got, want)
 	}
 }
+
+// Guards against a way to an upstream on which the pause that it asked for is not checked.
+func TestEveryWayToAnUpstreamKeepsItsPause(t *testing.T) {
+	for way := range ways {
+		f := newFixture(t, testTimeout, newPausingUpstream(t, "300").upstream)
+		f.send(t, context.Background(), "/again/", nil)
+		if got, reason, ok := f.chooseBy(way); ok {
+			t.Errorf("way %s in the pause: got %q by %q, want none", way, got, reason)
+		}
+	}
+}
+
+// Guards against a pause that is longer or shorter than what the upstream asked for.
+func TestPauseEnds(t *testing.T) {
+	u := newPausingUpstream(t, "0.4")
+	f := newFixture(t, testTimeout, u.upstream)
+	began := time.Now()
+	f.send(t, context.Background(), "/again/", nil)
+	u.retryAfter.Store("")
+	for f.send(t, context.Background(), "/again/", nil).status != http.StatusOK {
+		if time.Since(began) > 10*time.Second {
+			t.Fatal("no answer in 10 s, want one after the pause")
+		}
+	}
+	if took := time.Since(began); took < 400*time.Millisecond {
+		t.Errorf("next request: got one after %v, want none in 400 ms", took)
+	}
+}
+
+// Guards against callers that wait for upstreams that all pause, or are told to return
+// before any of them takes requests.
+func TestRequestWhileAllPauseIsRefusedAtOnce(t *testing.T) {
+	f := newFixture(t, testTimeout, newPausingUpstream(t, "9").upstream, newPausingUpstream(t, "4").upstream)
+	f.send(t, context.Background(), "/again/", nil)
+	f.send(t, context.Background(), "/again/", nil)
+	began := time.Now()
+	got := f.send(t, context.Background(), "/again/", nil)
+	if took := time.Since(began); got.status != http.StatusServiceUnavailable || took > burdockclock.Millis(testTimeout).Duration()/2 {
+		t.Errorf("request while all pause: got status %d after %v, want 503 at once", got.status, took)
+	}
+	retryAfter, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+	if err != nil || retryAfter < 3 {
+		t.Errorf("Retry-After: got %q, want some 4 s at least", got.header.Get("Retry-After"))
+	}
+}
+
+// Guards against the requests of upstreams that pause being added to those of the others.
+func TestFewerRequestsRunWhileUpstreamsPause(t *testing.T) {
+	f := newFixture(t, testTimeout, newPausingUpstream(t, "0.4").upstream, newUpstream(t, answerOK))
+	gate := f.entry.pool("s").gate
+	if got, want := gate.load().Slots, 8; got != want {
+		t.Fatalf("slots of both: got %d, want %d", got, want)
+	}
+	await(t, "the upstream has asked for a pause", func() bool {
+		f.send(t, context.Background(), "/again/", nil)
+		return f.entry.pool("s").pausing() == 1
+	})
+	if got, want := gate.load().Slots, 4; got != want {
+		t.Errorf("slots while one pauses: got %d, want %d", got, want)
+	}
+	await(t, "both may get requests", func() bool { return gate.load().Slots == 8 })
+}
+
+// Guards against a group that stays unused for the pause that its engines asked for while it
+// was closed, and against a pause that is then ignored.
+func TestGroupOpenedAllowsOneRequestInAPause(t *testing.T) {
+	u := newPausingUpstream(t, "60")
+	f := newFixture(t, testTimeout, u.upstream)
+	f.send(t, context.Background(), "/again/", nil)
+	u.retryAfter.Store("")
+	for range 3 {
+		f.entry.NotifyGroupOpened("g")
+		for range 3 {
+			f.send(t, context.Background(), "/again/", nil)
+		}
+	}
+	if got, want := u.seen(), 2; got != want {
+		t.Errorf("requests: got %d, want %d: the refused one and one after the group has opened", got, want)
+	}
+}
+
+// Guards against engines that ask for a pause being taken for a closed group, which would
+// keep callers from the others.
+func TestPausingEnginesDoNotCloseTheirGroup(t *testing.T) {
+	f := newFixture(t, testTimeout, newPausingUpstream(t, "60").upstream, newPausingUpstream(t, "60").upstream, newPausingUpstream(t, "60").upstream)
+	f.lockStep(2000)
+	for range 3 {
+		f.send(t, context.Background(), "/stream/", nil)
+	}
+	if f.entry.pool("s").gate.openSignal() != nil {
+		t.Error("got a closed group, want none")
+	}
+}
+
+// Guards against a pause that is forgotten while the platform's list lacks the upstream.
+func TestPauseOutlastsAGapInTheList(t *testing.T) {
+	f := newFixture(t, testTimeout, newPausingUpstream(t, "60").upstream)
+	f.send(t, context.Background(), "/again/", nil)
+	u := f.site.Now().Members("s")[0]
+	f.site.DropUpstream("u0")
+	f.site.PutUpstream(u)
+	if got, reason, ok := f.chooseBy(burdockplace.ReasonNoPrefix); ok {
+		t.Errorf("after the gap: got %q by %q, want none", got, reason)
+	}
+	u.StartedAt = 7
+	f.site.PutUpstream(u)
+	u.StartedAt = 8
+	f.site.PutUpstream(u)
+	if got, _, ok := f.chooseBy(burdockplace.ReasonNoPrefix); !ok || got != "u0" {
+		t.Errorf("after a restart: got %q, want u0", got)
+	}
+}
+
+// Guards against a Retry-After that is taken for a pause though it is not the upstream's.
+func TestPauseOfAnotherProcessDoesNotCount(t *testing.T) {
+	for name, serve := range map[string]http.HandlerFunc{
+		"misdirected": func(w http.ResponseWriter, r *http.Request) {
+			sign(w, r)
+			w.Header().Set("X-Not-Run", "1")
+			w.Header().Set("Retry-After", "60")
+			w.WriteHeader(http.StatusMisdirectedRequest)
+		},
+		"for another request": func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("X-Id", "other")
+			w.Header().Set("X-Not-Run", "1")
+			w.Header().Set("Retry-After", "60")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		},
+		"not a refusal": func(w http.ResponseWriter, r *http.Request) {
+			sign(w, r)
+			w.Header().Set("Retry-After", "60")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		},
+	} {
+		f := newFixture(t, testTimeout, newUpstream(t, serve))
+		f.send(t, context.Background(), "/again/", nil)
+		if got := f.entry.pool("s").pausing(); got != 0 {
+			t.Errorf("%s: got %d upstreams that pause, want none", name, got)
+		}
+	}
+}
--- a/internal/serve/burdockdirect/pool.go
+++ b/internal/serve/burdockdirect/pool.go
@@ -129,6 +129,7 @@
 	p.placer.Sent(now, u, cost)
 	p.cold.Sent(now, u)
 	p.rateLimits.Sent(now, u)
+	p.pauses.Sent(now, u)
 	if p.inFlight[u]++; p.inFlight[u] == 1 {
 		p.lastContact[u] = contact{at: now}
 	}
