An upstream that says it leaves gets no more requests

What callers saw: nothing by itself; requests that reach an upstream shortly before it exits are cut off, and have to be sent again or fail.

Cause: the same as with limits and pauses, what an upstream says of itself in a response was taken in only as its load. Server-Leaving was not read; only the platform's list told that an upstream leaves, which may be later, or never.

Now a member that has said so counts as if the list said it: it is no member of the pool any more, so no way leads to it, its slots don't count, and its streams go on to their end. It holds for the process (ID and time of start), also while the entry has lost the store, and while the list lacks the upstream and shows it again. The first response that says so leaves a line; burdock_direct_leaving_upstreams counts.

--- a/internal/decide/burdockbackpressure/pauses.go
+++ b/internal/decide/burdockbackpressure/pauses.go
@@ -1,5 +1,5 @@
 // Package burdockbackpressure keeps what upstreams ask of this entry in their responses: to
-// send nothing for a while.
+// send nothing for a while, or nothing at all because they leave.
 //
 // The package is pure: time is passed in. Its types are not safe for concurrent use.
 package burdockbackpressure
--- a/internal/proof/burdockhostedproof/ratelimit_test.go
+++ b/internal/proof/burdockhostedproof/ratelimit_test.go
@@ -71,7 +71,7 @@
 	toldAt := map[string][]time.Time{}
 	for _, r := range replies {
 		entryOf[r.id] = r.entry
-		if strings.HasPrefix(r.stamp, id+".") && r.names(rate) {
+		if r.isFrom(id) && r.names(rate) {
 			toldAt[r.entry] = append(toldAt[r.entry], r.endAt)
 		}
 	}
@@ -97,6 +97,9 @@
 	}
 }
 
+// isFrom reports whether the reply is the answer of a replica.
+func (r reply) isFrom(replica string) bool { return strings.HasPrefix(r.stamp, replica+".") }
+
 // names reports whether the reply names a rate limit.
 func (r reply) names(rate float64) bool {
 	named, err := strconv.ParseFloat(r.header.Get("Server-Limit"), 64)
--- a/internal/serve/burdockdirect/dialect.go
+++ b/internal/serve/burdockdirect/dialect.go
@@ -52,6 +52,8 @@
 	RateLimit burdockratelimit.Statement
 	// Pause is how long the upstream, which refused, wants nothing from this entry.
 	Pause burdockbackpressure.Pause
+	// Leaving reports that the upstream is leaving.
+	Leaving bool
 }
 
 // Dialect translates between a platform's headers and the entry's types. It decides
--- a/internal/serve/burdockdirect/fixture_test.go
+++ b/internal/serve/burdockdirect/fixture_test.go
@@ -45,7 +45,7 @@
 func (testDialect) ParseResponse(status int, h http.Header) ResponseHeaders {
 	res := ResponseHeaders{
 		RequestID: burdockid.Request(h.Get("X-Id")), NotRun: h.Get("X-Not-Run") != "", FromUpstream: h.Get("X-Signed") != "",
-		RateLimit: burdockratelimit.Parse(h.Get("X-Rate-Limit")),
+		RateLimit: burdockratelimit.Parse(h.Get("X-Rate-Limit")), Leaving: h.Get("X-Leaving") != "",
 	}
 	if res.NotRun && status == http.StatusServiceUnavailable {
 		res.Pause = burdockbackpressure.ParseRetryAfter(h.Get("Retry-After"), h.Get("Date"))
--- a/internal/serve/burdockdirect/members.go
+++ b/internal/serve/burdockdirect/members.go
@@ -44,6 +44,7 @@
 // applySnapshot applies the members and the configuration of a site snapshot.
 func (p *pool) applySnapshot(now burdockclock.Millis, snap *burdocksite.Snapshot) {
 	cfg := gateConfigOf(snap, p.service)
+	cfg.members = p.withoutLeaving(now, cfg.members)
 	p.setFirstEventTimeout(cfg.firstEventTimeout)
 	if !p.updateMembers(now, cfg.members, snap.Config, p.gate.requestsPerEngine()) {
 		return
--- a/internal/serve/burdockdirect/metrics.go
+++ b/internal/serve/burdockdirect/metrics.go
@@ -50,6 +50,7 @@
 		"burdock_direct_limit":                  func() float64 { return float64(p.gate.load().Slots) },
 		"burdock_direct_rate_limited_upstreams": func() float64 { return float64(p.rateLimited()) },
 		"burdock_direct_pausing_upstreams":      func() float64 { return float64(p.pausing()) },
+		"burdock_direct_leaving_upstreams":      func() float64 { return float64(p.leavingUpstreams()) },
 		"burdock_direct_upstream":               func() float64 { return float64(p.size()) },
 	} {
 		m.set.NewGauge(name+label, value)
--- a/internal/serve/burdockdirect/pool.go
+++ b/internal/serve/burdockdirect/pool.go
@@ -60,6 +60,8 @@
 	rateLimits *burdockratelimit.Limiter
 	// pauses holds the pauses that upstreams ask for in their refusals.
 	pauses *burdockbackpressure.Pauses
+	// leaving holds the upstreams that have said in a response that they leave.
+	leaving *burdockbackpressure.Leaving
 	// suspected tracks the upstreams of a plain service that recently failed a request.
 	suspected *burdocksuspicion.Tracker
 	// typicalDuration is the mean time from an offer to the end of its answer; 0 until
@@ -84,6 +86,7 @@
 		memberAge:   newMemberAge(),
 		lastContact: map[burdockid.Upstream]contact{}, typicalFirstEvent: initialFirstEvent,
 		cold: burdockcold.New(deriveRand(random)), rateLimits: burdockratelimit.New(e.entries), pauses: burdockbackpressure.NewPauses(),
+		leaving: burdockbackpressure.NewLeaving(),
 		placer:  burdockplace.New(burdockplace.Config{}, deriveRand(random)),
 		tracker: burdockeject.New(burdockeject.Config{}, deriveRand(random)),
 		budget:  burdockretry.New(burdockretry.Config{RetryRatio: retryRatio, MinRetries: minRetries}, deriveRand(random)),
--- a/internal/serve/burdockdirect/stated.go
+++ b/internal/serve/burdockdirect/stated.go
@@ -14,6 +14,7 @@
 	}
 	a.recordRateLimit(head)
 	a.recordPause(head)
+	a.recordLeaving(head)
 }
 
 // logStated writes the line of something that an upstream has stated for the first time, has
