Pauses and leaving upstreams in the randomised runs of separate entries

Two of four upstreams refuse and ask for pauses at random times, a third says half-way that it leaves, while entries are slow, freeze, are killed and stopped and the configuration changes.

--- a/internal/proof/burdockhostedproof/pause_test.go
+++ b/internal/proof/burdockhostedproof/pause_test.go
@@ -1,7 +1,9 @@
 package burdockhostedproof
 
 import (
+	"math/rand/v2"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -29,6 +31,51 @@
 	}
 }
 
+// Guards against pauses and leaving upstreams that are forgotten while entries are slow, freeze,
+// are killed and stopped, and the configuration changes.
+func TestFaultsKeepPausesAndLeaving(t *testing.T) {
+	s := startSite(t, 4, 4, nil)
+	l := s.startLoad(12, *seedFlag)
+	f := newFaults(t, s)
+	p := &pauser{replicas: s.replicas[:2], random: rand.New(rand.NewPCG(*seedFlag, 2)), stop: make(chan struct{})}
+	p.done.Add(1)
+	go p.run()
+	f.injectFor(*timeFlag / 2)
+	s.replicas[2].Leave()
+	f.injectFor(*timeFlag / 2)
+	close(p.stop)
+	p.done.Wait()
+	replies := l.stop()
+	check(t, *seedFlag, replies)
+	t.Logf("faults: %v", f.counts)
+	for i := range p.replicas {
+		checkPauses(t, s.replicas[i], "replica-"+strconv.Itoa(i), replies, f.disturbed)
+	}
+	checkLeaving(t, s.replicas[2], "replica-2", replies, f.disturbed)
+}
+
+// pauser makes replicas refuse and ask for pauses at random times.
+type pauser struct {
+	replicas []*burdockfakeplatform.Replica
+	random   *rand.Rand
+	stop     chan struct{}
+	done     sync.WaitGroup
+}
+
+func (p *pauser) run() {
+	defer p.done.Done()
+	for {
+		for _, r := range p.replicas {
+			r.AskForPause(time.Duration(p.random.IntN(4)) * 900 * time.Millisecond)
+		}
+		select {
+		case <-p.stop:
+			return
+		case <-time.After(time.Duration(500+p.random.IntN(2500)) * time.Millisecond):
+		}
+	}
+}
+
 // checkPauses fails the test for each entry that sent a replica too many requests in one of
 // the pauses that it had asked for. A pause in which the entry was disturbed doesn't count.
 func checkPauses(t *testing.T, replica *burdockfakeplatform.Replica, id string, replies []reply, disturbed map[string][]time.Time) {
