Idle entries keep the rate of a cold upstream too

Same cause as that of the exceeded rate limits, found while looking for it elsewhere: the rate that a cold upstream takes from all entries was divided by their number, and each could save up one request. An entry that did not know the others yet took all of the rate for its own.

Cold upstreams and named limits now share the division of a rate. It changes to fit both: rate/2 + 3.5 entries have a part, each saves up one request, so at most T x rate + rate/2 + 3.5 come in T seconds. For a cold upstream, whose time ends by itself, the other entries take no turns.

--- a/internal/decide/burdockcold/cold.go
+++ b/internal/decide/burdockcold/cold.go
@@ -2,59 +2,61 @@
 // are cold.
 //
 // An upstream that has just started, or has lost its caches, crashes if all entries send
-// it their usual share at once. The entries don't talk about single requests: each may use
-// an equal part of the rate that the operators publish, so the parts add up to that rate
-// for any number of entries. An entry that is frozen or cut off leaves its part unused.
+// it their usual share at once. Each entry keeps to its own part of the rate that the
+// operators publish. An entry that is frozen or cut off leaves its part unused.
 //
 // The package is pure: time is passed in. A Limiter is not safe for concurrent use.
 package burdockcold
 
 import (
-	"math/rand/v2"
-
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/decide/burdocksharedrate"
 )
 
-const millisPerSecond = 1000
-
 // Limiter is one entry's limiter for the upstreams of a service.
 type Limiter struct {
-	random  *rand.Rand
-	rate    float64 // requests per second that a cold upstream accepts; 0 for any number
-	entries int
-	cold    map[burdockid.Upstream]*bucket
+	entries *burdocksharedrate.Entries
+	rate    burdocksharedrate.Rate // that a cold upstream accepts; 0 for any number
+	cold    map[burdockid.Upstream]*coldUpstream
 }
 
-// bucket holds the tokens of a cold upstream. A request takes one token.
-type bucket struct {
-	until    burdockclock.Millis // when the upstream stops being cold
-	tokens   float64
-	filledAt burdockclock.Millis
+// coldUpstream is an upstream that is cold until an instant.
+type coldUpstream struct {
+	*burdocksharedrate.Bucket
+	until burdockclock.Millis
 }
 
-// New returns a limiter without cold upstreams. Nothing else may use random.
-func New(random *rand.Rand) *Limiter {
-	return &Limiter{random: random, entries: 1, cold: map[burdockid.Upstream]*bucket{}}
+// New returns a limiter without cold upstreams. UpdateEntries must be called when entries has
+// changed.
+func New(entries *burdocksharedrate.Entries) *Limiter {
+	return &Limiter{entries: entries, cold: map[burdockid.Upstream]*coldUpstream{}}
 }
 
-// SetRate sets the number of requests per second that a cold upstream accepts from all
-// entries together; 0 if the operators publish none.
-func (l *Limiter) SetRate(perSecond float64) { l.rate = perSecond }
+// SetRate sets the rate that a cold upstream accepts from all entries together; 0 if the
+// operators publish none.
+func (l *Limiter) SetRate(now burdockclock.Millis, rate burdocksharedrate.Rate) {
+	l.rate = rate
+	for _, c := range l.cold {
+		c.SetRate(now, rate)
+	}
+}
 
-// SetEntries sets the number of entries that share the rate.
-func (l *Limiter) SetEntries(n int) { l.entries = max(n, 1) }
+// UpdateEntries applies a change of the entries that share the rate.
+func (l *Limiter) UpdateEntries(now burdockclock.Millis) {
+	for _, c := range l.cold {
+		c.Update(now)
+	}
+}
 
-// SetCold records that an upstream is cold until the given time. If it was not cold
-// before, its bucket starts with a random part of a token; otherwise all entries would
-// send their first request at the same moment.
+// SetCold records that an upstream is cold until the given time.
 func (l *Limiter) SetCold(now burdockclock.Millis, u burdockid.Upstream, until burdockclock.Millis) {
-	if b := l.cold[u]; b != nil && now < b.until {
-		b.until = max(b.until, until)
+	if c := l.cold[u]; c != nil && now < c.until {
+		c.until = max(c.until, until)
 		return
 	}
 	if until > now {
-		l.cold[u] = &bucket{until: until, tokens: l.random.Float64(), filledAt: now}
+		l.cold[u] = &coldUpstream{Bucket: burdocksharedrate.NewBucket(now, l.entries, u, l.rate, burdocksharedrate.OthersSendNothing), until: until}
 	}
 }
 
@@ -69,28 +71,26 @@
 
 // Allows reports whether an upstream may get a request now.
 func (l *Limiter) Allows(now burdockclock.Millis, u burdockid.Upstream) bool {
-	b := l.current(now, u)
-	return b == nil || b.tokens >= 1
+	c := l.current(now, u)
+	return c == nil || c.Allows(now)
 }
 
 // Sent records that an upstream was sent a request.
 func (l *Limiter) Sent(now burdockclock.Millis, u burdockid.Upstream) {
-	if b := l.current(now, u); b != nil {
-		b.tokens = max(b.tokens-1, 0)
+	if c := l.current(now, u); c != nil {
+		c.Take(now)
 	}
 }
 
-// current returns the filled bucket of an upstream; nil if it isn't cold.
-func (l *Limiter) current(now burdockclock.Millis, u burdockid.Upstream) *bucket {
-	b := l.cold[u]
-	if b == nil || l.rate <= 0 {
+// current returns what limits the requests to an upstream; nil if it isn't cold.
+func (l *Limiter) current(now burdockclock.Millis, u burdockid.Upstream) *coldUpstream {
+	c := l.cold[u]
+	if c == nil || l.rate <= 0 {
 		return nil
 	}
-	if now >= b.until {
+	if now >= c.until {
 		delete(l.cold, u)
 		return nil
 	}
-	b.tokens = min(b.tokens+float64(now-b.filledAt)/millisPerSecond*l.rate/float64(l.entries), 1)
-	b.filledAt = now
-	return b
+	return c
 }
--- a/internal/decide/burdockratelimit/limiter.go
+++ b/internal/decide/burdockratelimit/limiter.go
@@ -30,7 +30,7 @@
 
 // Limiter is one entry's limiter for the upstreams of a service.
 type Limiter struct {
-	entries burdocksharedrate.Entries
+	entries *burdocksharedrate.Entries
 	limits  map[burdockid.Upstream]*limit
 }
 
@@ -41,14 +41,14 @@
 	statedAt burdockclock.Millis
 }
 
-// New returns a limiter that knows no limits.
-func New(entries burdocksharedrate.Entries) *Limiter {
+// New returns a limiter that knows no limits. UpdateEntries must be called when entries has
+// changed.
+func New(entries *burdocksharedrate.Entries) *Limiter {
 	return &Limiter{entries: entries, limits: map[burdockid.Upstream]*limit{}}
 }
 
-// SetEntries replaces the entries that share the limits; self is this one.
-func (l *Limiter) SetEntries(now burdockclock.Millis, self burdockid.VM, all []burdockid.VM) {
-	l.entries.Set(now, self, all)
+// UpdateEntries applies a change of the entries that share the limits.
+func (l *Limiter) UpdateEntries(now burdockclock.Millis) {
 	for _, known := range l.limits {
 		known.Update(now)
 	}
@@ -76,7 +76,7 @@
 
 func (l *Limiter) observeLimit(now burdockclock.Millis, u burdockid.Upstream, known *limit, rate Rate, offeredAt burdockclock.Millis) (Change, bool) {
 	if known == nil {
-		l.limits[u] = &limit{Bucket: burdocksharedrate.NewBucket(now, &l.entries, u, rate), statedAt: now}
+		l.limits[u] = &limit{Bucket: burdocksharedrate.NewBucket(now, l.entries, u, rate, burdocksharedrate.OthersTakeTurns), statedAt: now}
 		return Change{From: Unlimited{}, To: Limited{rate}}, true
 	}
 	before := known.Rate()
--- a/internal/decide/burdocksharedrate/bucket.go
+++ b/internal/decide/burdocksharedrate/bucket.go
@@ -5,12 +5,13 @@
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 )
 
-// Bucket is the token bucket of one entry's part in the rate of one upstream. A request
-// takes one token. It is empty at first: the rate begins to count from then on.
+// Bucket is the token bucket of one entry's part in the rate of one upstream. It holds one
+// token, which a request takes, and is empty at first.
 type Bucket struct {
 	entries  *Entries
 	upstream burdockid.Upstream
 	rate     Rate // of all entries together
+	others   Others
 	share    share
 	tokens   float64
 	filledAt burdockclock.Millis
@@ -19,8 +20,8 @@
 }
 
 // NewBucket returns an empty bucket.
-func NewBucket(now burdockclock.Millis, e *Entries, u burdockid.Upstream, rate Rate) *Bucket {
-	b := &Bucket{entries: e, upstream: u, rate: rate, filledAt: now, usedTurn: -1}
+func NewBucket(now burdockclock.Millis, e *Entries, u burdockid.Upstream, rate Rate, others Others) *Bucket {
+	b := &Bucket{entries: e, upstream: u, rate: rate, others: others, filledAt: now, usedTurn: -1}
 	b.Update(now)
 	return b
 }
@@ -40,13 +41,12 @@
 	b.fill(now)
 	b.share = share{}
 	if b.entries.listed {
-		b.share = shareOf(b.upstream, b.rate, b.entries.self, b.entries.all)
+		b.share = shareOf(b.upstream, b.rate, b.others, b.entries.self, b.entries.all)
 	}
-	b.tokens = min(b.tokens, b.share.burst)
 }
 
 func (b *Bucket) fill(now burdockclock.Millis) {
-	b.tokens = min(b.tokens+float64(now-b.filledAt)*float64(b.share.rate)/float64(burdockclock.Second), b.share.burst)
+	b.tokens = min(b.tokens+float64(now-b.filledAt)*float64(b.share.rate)/float64(burdockclock.Second), 1)
 	b.filledAt = now
 }
 
@@ -65,6 +65,8 @@
 		return 0, false
 	case b.share.turns > 0:
 		return max(b.nextTurnAt(now), settled), true
+	case b.share.rate <= 0:
+		return 0, false
 	}
 	b.fill(now)
 	missing := max(1-b.tokens, 0) / float64(b.share.rate) * float64(burdockclock.Second)
--- a/internal/decide/burdocksharedrate/entries.go
+++ b/internal/decide/burdocksharedrate/entries.go
@@ -36,6 +36,3 @@
 func (e *Entries) settledAt() (burdockclock.Millis, bool) {
 	return e.listedSince + settleTime, e.listed
 }
-
-// Len returns the number of entries, whether or not this one is among them.
-func (e *Entries) Len() int { return len(e.all) }
--- a/internal/decide/burdocksharedrate/share.go
+++ b/internal/decide/burdocksharedrate/share.go
@@ -4,8 +4,9 @@
 // If each of many entries could save up a single request, all of them together could still
 // send far more at once than a low rate allows. So only as many entries as the rate bears
 // have a part in it, chosen by rendezvous hashing. In any span of T seconds they send at
-// most T·rate + rate + 3 requests together, however the requests arrive. The others take
-// turns to send one each, to hear whether the limit still holds: 2 in any 4 s.
+// most T·rate + rate/2 + 3.5 requests together, however the requests arrive. The others send
+// nothing, or take turns to send one each, to hear whether the limit still holds: 2 in any
+// 4 s.
 //
 // This supposes that the entries know the same set of entries, and that their clocks
 // differed by 5 s at most when they started.
@@ -24,19 +25,29 @@
 type Rate float64
 
 const (
-	// minParts is how many entries have a part in the lowest rate that is divided. Together
-	// they may send as many requests at once.
-	minParts = 3
+	// partsPerRate and minParts give how many entries have a part in a rate. Each of them may
+	// save up one request, so this is also how many requests come at once at most.
+	partsPerRate = 0.5
+	minParts     = 3.5
 	// minDividedRate is the lowest rate that is divided. Below it, an entry would not hear
 	// for minutes whether the limit still holds, so all entries take turns.
 	minDividedRate Rate = 0.05
 )
 
+// Others is what the entries without a part in a rate do.
+type Others string
+
+const (
+	// OthersTakeTurns: each sends a request at times, for a limit whose end only a response
+	// tells.
+	OthersTakeTurns Others = "takeTurns"
+	// OthersSendNothing is for a limit whose end is known.
+	OthersSendNothing Others = "sendNothing"
+)
+
 // share is one entry's part of a rate.
 type share struct {
-	// rate is 0 for an entry without a part; burst is how many requests it may save up.
-	rate  Rate
-	burst float64
+	rate Rate // 0 for an entry without a part
 	// turn numbers the entries that take turns, from 0; turns is their number, 0 if this
 	// entry takes none. A turn lasts for turnLength.
 	turn, turns int
@@ -44,21 +55,22 @@
 }
 
 // shareOf returns the part of an entry in the rate of an upstream. all must contain self.
-func shareOf(u burdockid.Upstream, rate Rate, self burdockid.VM, all []burdockid.VM) share {
+func shareOf(u burdockid.Upstream, rate Rate, others Others, self burdockid.VM, all []burdockid.VM) share {
 	position, n := positionOf(u, self, all), len(all)
 	length := turnLength(rate)
-	if rate < minDividedRate {
+	if others == OthersTakeTurns && rate < minDividedRate {
 		return share{turn: position, turns: n, turnLength: length}
 	}
-	parts := min(n, int(rate)+minParts)
-	if position >= parts {
-		return share{turn: position - parts, turns: n - parts, turnLength: length}
-	}
-	burst := (float64(rate) + minParts) / float64(parts)
-	if parts < n {
+	parts := min(n, int(partsPerRate*rate+minParts))
+	switch {
+	case position < parts && parts < n && others == OthersTakeTurns:
 		rate -= perSecond(length)
+	case position >= parts && others == OthersTakeTurns:
+		return share{turn: position - parts, turns: n - parts, turnLength: length}
+	case position >= parts:
+		return share{}
 	}
-	return share{rate: rate / Rate(parts), burst: burst}
+	return share{rate: rate / Rate(parts)}
 }
 
 // positionOf returns the position of an entry in the order of all for an upstream.
--- a/internal/serve/burdockdirect/members.go
+++ b/internal/serve/burdockdirect/members.go
@@ -4,6 +4,7 @@
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/decide/burdockplace"
+	"burdockbend.example/burdockbend/internal/decide/burdocksharedrate"
 	"burdockbend.example/burdockbend/internal/state/burdocksite"
 	"go.uber.org/zap"
 )
@@ -76,7 +77,7 @@
 	changed := p.config != cfg
 	p.config = cfg
 	if cfg != nil {
-		p.cold.SetRate(cfg.Services[p.service].ColdRate)
+		p.cold.SetRate(now, burdocksharedrate.Rate(cfg.Services[p.service].ColdRate))
 	}
 	if p.members != nil && p.sameMembers(members) {
 		return changed
--- a/internal/serve/burdockdirect/pool.go
+++ b/internal/serve/burdockdirect/pool.go
@@ -13,6 +13,7 @@
 	"burdockbend.example/burdockbend/internal/decide/burdockplace"
 	"burdockbend.example/burdockbend/internal/decide/burdockratelimit"
 	"burdockbend.example/burdockbend/internal/decide/burdockretry"
+	"burdockbend.example/burdockbend/internal/decide/burdocksharedrate"
 	"burdockbend.example/burdockbend/internal/decide/burdockspeed"
 	"burdockbend.example/burdockbend/internal/decide/burdocksuspicion"
 	"burdockbend.example/burdockbend/internal/state/burdocksite"
@@ -54,6 +55,8 @@
 	groups     map[string]burdockid.Group
 	migrations migrations
 	memberAge  memberAge
+	// entries are the entries that share the rates of upstreams.
+	entries burdocksharedrate.Entries
 	// cold limits the requests to upstreams that have just started.
 	cold *burdockcold.Limiter
 	// rateLimits holds the rate limits that upstreams name in their responses.
@@ -85,15 +88,17 @@
 		service: service, entry: e, random: random, groups: e.groups, inFlight: map[burdockid.Upstream]int{}, migrations: migrations{}, suspected: burdocksuspicion.New(burdocksuspicion.Config{}),
 		memberAge:   newMemberAge(),
 		lastContact: map[burdockid.Upstream]contact{}, typicalFirstEvent: initialFirstEvent,
-		cold: burdockcold.New(deriveRand(random)), rateLimits: burdockratelimit.New(e.entries), pauses: burdockbackpressure.NewPauses(),
+		entries: e.entries,
+		pauses:  burdockbackpressure.NewPauses(),
 		leaving: burdockbackpressure.NewLeaving(),
 		placer:  burdockplace.New(burdockplace.Config{}, deriveRand(random)),
 		tracker: burdockeject.New(burdockeject.Config{}, deriveRand(random)),
 		budget:  burdockretry.New(burdockretry.Config{RetryRatio: retryRatio, MinRetries: minRetries}, deriveRand(random)),
 	}
+	p.cold = burdockcold.New(&p.entries)
+	p.rateLimits = burdockratelimit.New(&p.entries)
 	snap := e.deps.Site.Now()
 	p.engine = engineOf(snap, service)
-	p.cold.SetEntries(e.entries.Len())
 	p.gate = newGate(e.deps.Clock, gateConfigOf(snap, service), p)
 	p.applySnapshot(e.now(), snap)
 	e.meters.exportGauges(p)
--- a/internal/serve/burdockdirect/ratelimit.go
+++ b/internal/serve/burdockdirect/ratelimit.go
@@ -1,8 +1,10 @@
 package burdockdirect
 
 import (
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/decide/burdockratelimit"
+	"burdockbend.example/burdockbend/internal/decide/burdocksharedrate"
 	"go.uber.org/zap"
 )
 
@@ -43,15 +45,21 @@
 func (e *Entry) SetEntries(self burdockid.VM, all []burdockid.VM) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.entries.Set(e.now(), self, all)
+	now := e.now()
+	e.entries.Set(now, self, all)
 	for _, p := range e.pools {
-		p.mu.Lock()
-		p.cold.SetEntries(len(all))
-		p.rateLimits.SetEntries(e.now(), self, all)
-		p.mu.Unlock()
+		p.setEntries(now, e.entries)
 	}
 }
 
+func (p *pool) setEntries(now burdockclock.Millis, entries burdocksharedrate.Entries) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.entries = entries
+	p.cold.UpdateEntries(now)
+	p.rateLimits.UpdateEntries(now)
+}
+
 // RateLimited reports whether any upstream has a rate limit.
 func (e *Entry) RateLimited() bool {
 	e.mu.Lock()
