Agents keep the pause that their engine asks for

Now the agent refuses new requests until the pause is over (not run, with the time that is left), and queued ones wait for its end. A repeated offer of a request that may have run is still never refused: the check comes after that of duplicates and keys. The refusal of a new request stood twice; it is one function now.

--- a/internal/serve/burdockagent/agent.go
+++ b/internal/serve/burdockagent/agent.go
@@ -74,8 +74,10 @@
 	recent   *recentRequests
 	keys     *keySlots
 	draining bool
-	counts   OutcomeCounts
-	metrics  agentMetrics
+	// pausedUntil is until when the engine wants no requests; 0 if it has asked for no pause.
+	pausedUntil burdockclock.Millis
+	counts      OutcomeCounts
+	metrics     agentMetrics
 }
 
 // New returns an agent. Start must be called to run its periodic work.
@@ -127,6 +129,7 @@
 	defer a.mu.Unlock()
 	now := a.deps.Clock.Boot()
 	a.applyConfig(now)
+	a.endPause(now)
 	a.expireJobs(now)
 	a.recent.evict(now)
 	a.keys.ledger.Evict(a.deps.Clock.Now())
--- a/internal/serve/burdockagent/rpc.go
+++ b/internal/serve/burdockagent/rpc.go
@@ -85,6 +85,10 @@
 			return a.replyForKey(now, req, decision)
 		}
 	}
+	a.endPause(now)
+	if refusal := a.pauseRefusal(now); refusal != nil {
+		return nil, a.refuseNew(now, req, *refusal)
+	}
 	j := newJob(req, now, a.deps.Clock)
 	queueRequest := burdockqueue.Request{
 		ID:       id,
@@ -102,16 +106,20 @@
 		a.jobs[id] = j
 		j.fire(burdockcharts.RequestEventEnqueue)
 	case burdockqueue.Refuse:
-		a.countRefusal(wireReason(d.Reason))
-		a.recent.record(now, id, statusNotRun)
-		a.recordKeyNotRun(req)
-		refusal := refused{reason: wireReason(d.Reason), retryAfter: d.RetryAfter, explanation: d.Reason.String()}
-		return nil, a.refusedEvent(req.GetRequestId(), refusal)
+		return nil, a.refuseNew(now, req, refused{reason: wireReason(d.Reason), retryAfter: d.RetryAfter, explanation: d.Reason.String()})
 	}
 	a.applyQueueEvents(now)
 	return j, nil
 }
 
+// refuseNew refuses a request that has not been queued, and records that it has not run.
+func (a *Agent) refuseNew(now burdockclock.Millis, req *burdockwire.RunRequest, refusal refused) *burdockwire.RunEvent {
+	a.countRefusal(refusal.reason)
+	a.recent.record(now, burdockid.Request(req.GetRequestId()), statusNotRun)
+	a.recordKeyNotRun(req)
+	return a.refusedEvent(req.GetRequestId(), refusal)
+}
+
 // duplicateOffer is the outcome of an offer that arrived before. A refusal would claim
 // that the request did not run, although it may be running because of the first offer.
 var duplicateOffer = cut{
--- a/internal/serve/burdockagent/run.go
+++ b/internal/serve/burdockagent/run.go
@@ -72,6 +72,7 @@
 		return r.outcomeOfError(ctx, err)
 	}
 	defer func() { _ = answer.Body.Close() }()
+	r.agent.recordPause(answer)
 	r.job.setHead(responseHead(answer))
 	buffer := make([]byte, readBufferBytes)
 	for {
--- a/internal/standin/burdockfakeengine/engine.go
+++ b/internal/standin/burdockfakeengine/engine.go
@@ -60,6 +60,15 @@
 
 	mu   sync.Mutex
 	runs Runs
+	// retryAfter is what the engine asks for in refusing all requests; "" if it serves.
+	retryAfter string
+}
+
+// AskForPause makes the engine answer all requests 503 with a Retry-After; "" makes it serve.
+func (s *Server) AskForPause(retryAfter string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retryAfter = retryAfter
 }
 
 // New returns a stand-in engine.
@@ -100,13 +109,20 @@
 func (s *Server) counted(serve func(http.ResponseWriter, *http.Request) bool) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
+		retryAfter := s.retryAfter
 		s.runs.Started[burdockid.Request(r.Header.Get(RequestIDHeader))]++
 		if key := r.Header.Get("Idempotency-Key"); key != "" {
 			s.runs.ByKey[burdockid.IdempotencyKey(key)]++
 		}
 		s.runs.Running++
 		s.mu.Unlock()
-		complete := serve(w, r)
+		complete := true
+		if retryAfter != "" {
+			w.Header().Set("Retry-After", retryAfter)
+			http.Error(w, "overloaded", http.StatusServiceUnavailable)
+		} else {
+			complete = serve(w, r)
+		}
 		s.mu.Lock()
 		s.runs.Running--
 		if complete {
