--- a/internal/serve/burdockdirect/fixture_test.go
+++ b/internal/serve/burdockdirect/fixture_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -92,6 +93,20 @@
 	w.Header().Set("X-Signed", "1")
 }
 
+// statingUpstream is an upstream whose handler gets a text that tests set.
+type statingUpstream struct {
+	*upstream
+	text atomic.Value
+}
+
+func newStatingUpstream(t *testing.T, text string, serve func(w http.ResponseWriter, r *http.Request, text string)) *statingUpstream {
+	t.Helper()
+	u := &statingUpstream{}
+	u.text.Store(text)
+	u.upstream = newUpstream(t, func(w http.ResponseWriter, r *http.Request) { serve(w, r, u.text.Load().(string)) })
+	return u
+}
+
 func answerOK(w http.ResponseWriter, r *http.Request) {
 	sign(w, r)
 	_, _ = io.WriteString(w, "whole answer")
--- /dev/null
+++ b/internal/serve/burdockdirect/giveup.go
@@ -0,0 +1,50 @@
+package burdockdirect
+
+import (
+	"context"
+	"net/http"
+
+	"burdockbend.example/burdockbend/internal/decide/burdockretry"
+	"go.uber.org/zap"
+)
+
+// finish ends a request whose time is over or whose caller has gone.
+func (o *offers) finish(caller context.Context) {
+	switch {
+	case caller.Err() != nil:
+		// Nobody is left to read an answer.
+		o.caller.abort()
+	case o.caller.headWritten:
+		o.caller.abort()
+	default:
+		o.caller.refuse(o.req, refusal{status: http.StatusGatewayTimeout, reason: "no answer within the time allowed"})
+	}
+}
+
+// groupStayedClosed ends a request that waited in vain for its group to open.
+func (o *offers) groupStayedClosed(caller, ctx context.Context) {
+	if ctx.Err() != nil {
+		o.finish(caller)
+		return
+	}
+	o.giveUp(o.pool.giveUpGroupClosed(o.entry.now()))
+}
+
+// giveUp ends the request with its final answer, at once.
+//
+// An earlier offer with an unknown outcome decides the answer. If a later offer is
+// refused, that refusal alone would tell the caller "not run" about a request that may
+// have run.
+func (o *offers) giveUp(g burdockretry.GiveUp) {
+	switch {
+	case o.caller.headWritten:
+		o.caller.abort()
+	case o.lastUnknown != nil && o.lastUnknown.errorAnswer != nil:
+		o.caller.writeBuffered(o.lastUnknown.errorAnswer)
+		o.entry.logEnd(o.req, "failed by upstream", zap.Int("status", o.lastUnknown.errorAnswer.status))
+	case o.lastUnknown != nil:
+		o.caller.refuse(o.req, refusal{status: http.StatusBadGateway, reason: "outcome unknown: " + o.lastUnknown.reason})
+	default:
+		o.caller.refuse(o.req, refusal{http.StatusServiceUnavailable, "not run: " + string(g.Reason), g.RetryAfter})
+	}
+}
--- a/internal/serve/burdockdirect/groupgate.go
+++ b/internal/serve/burdockdirect/groupgate.go
@@ -69,8 +69,7 @@
 	g.groupOf = of
 	if g.groups != nil {
 		g.groups.setMembers(of)
-		g.limit.SetEngines(g.availableEngines(g.clock.Boot()))
-		g.dispatch()
+		g.updateCapacity()
 	}
 }
 
--- a/internal/serve/burdockdirect/offers.go
+++ b/internal/serve/burdockdirect/offers.go
@@ -4,59 +4,14 @@
 	"context"
 	"net/http"
 	"sync/atomic"
-	"time"
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/decide/burdockeject"
 	"burdockbend.example/burdockbend/internal/decide/burdockretry"
 	"burdockbend.example/burdockbend/internal/state/burdocksite"
-	"go.uber.org/zap"
 )
 
-// result is how one offer ended.
-type result interface{ isResult() }
-
-// answered means that the caller has the whole answer.
-type answered struct{}
-
-// notRun means that the upstream refused the request and will never run it.
-type notRun struct {
-	status int
-	// hadFreeSlots reports that the upstream had free slots when it refused.
-	hadFreeSlots bool
-	// replaced reports that another process answers at the upstream's address.
-	replaced bool
-}
-
-// unreached means that no connection was established, so nothing was sent.
-type unreached struct{ err error }
-
-// unknown means that the request may have run, and nothing of an answer was passed on.
-type unknown struct {
-	reason string
-	// errorAnswer is the upstream's own error response; nil if there was none.
-	errorAnswer *bufferedAnswer
-	// connectionBroke reports that the upstream's connection broke.
-	connectionBroke bool
-}
-
-// broken means that a stream broke off after part of it was passed on.
-type broken struct {
-	reason          string
-	connectionBroke bool // the upstream's connection broke
-}
-
-// ended means that the time is over, or the caller went away.
-type ended struct{}
-
-func (answered) isResult()  {}
-func (notRun) isResult()    {}
-func (unreached) isResult() {}
-func (unknown) isResult()   {}
-func (broken) isResult()    {}
-func (ended) isResult()     {}
-
 // offers serves one request: it offers the request to one upstream after another until it
 // is answered or given up.
 type offers struct {
@@ -244,103 +199,3 @@
 	}
 	return false
 }
-
-// finish ends a request whose time is over or whose caller has gone.
-func (o *offers) finish(caller context.Context) {
-	switch {
-	case caller.Err() != nil:
-		// Nobody is left to read an answer.
-		o.caller.abort()
-	case o.caller.headWritten:
-		o.caller.abort()
-	default:
-		o.caller.refuse(o.req, refusal{status: http.StatusGatewayTimeout, reason: "no answer within the time allowed"})
-	}
-}
-
-// groupStayedClosed ends a request that waited in vain for its group to open.
-func (o *offers) groupStayedClosed(caller, ctx context.Context) {
-	if ctx.Err() != nil {
-		o.finish(caller)
-		return
-	}
-	o.giveUp(o.pool.giveUpGroupClosed(o.entry.now()))
-}
-
-// retryOrGiveUp asks the retry budget whether the request may be offered again. It reports
-// true if the request has ended.
-func (o *offers) retryOrGiveUp(caller, ctx context.Context, outcome burdockretry.Outcome) bool {
-	if o.retryPaid.Swap(false) {
-		return o.retryAfter(caller, ctx, 0)
-	}
-	_, connectFailed := outcome.(burdockretry.ConnectFailed)
-	d := o.pool.decideRetry(o.entry.now(), burdockretry.Attempt{
-		Outcome: outcome, Offers: o.sent + o.unreached,
-		Idempotent: o.req.route.Repeatable(), Deadline: o.req.deadline,
-	})
-	retry, ok := d.(burdockretry.Retry)
-	if !ok {
-		o.giveUp(d.(burdockretry.GiveUp))
-		return true
-	}
-	if o.sent >= o.req.route.MaxAttempts || connectFailed && o.unreached >= maxUnreached {
-		o.giveUp(burdockretry.GiveUp{Reason: burdockretry.ReasonMaxOffers, RetryAfter: retrySpread})
-		return true
-	}
-	if o.retryAfter(caller, ctx, retry.Delay) {
-		return true
-	}
-	if o.entry.crashes.quarantined(o.req) > 0 {
-		o.giveUp(burdockretry.GiveUp{Reason: burdockretry.ReasonCrashes})
-		return true
-	}
-	return false
-}
-
-// retryAfter waits before a retry. It reports true if the request has ended meanwhile.
-func (o *offers) retryAfter(caller, ctx context.Context, delay burdockclock.Millis) bool {
-	o.entry.meters.retries.Inc()
-	switch {
-	case sleep(ctx, delay):
-		return false
-	case caller.Err() != nil:
-		o.caller.abort()
-	default:
-		o.giveUp(burdockretry.GiveUp{Reason: burdockretry.ReasonDeadline})
-	}
-	return true
-}
-
-// sleep waits before a retry. It reports false if the context ended first.
-func sleep(ctx context.Context, d burdockclock.Millis) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d.Duration())
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
-// giveUp ends the request with its final answer, at once.
-//
-// An earlier offer with an unknown outcome decides the answer. If a later offer is
-// refused, that refusal alone would tell the caller "not run" about a request that may
-// have run.
-func (o *offers) giveUp(g burdockretry.GiveUp) {
-	switch {
-	case o.caller.headWritten:
-		o.caller.abort()
-	case o.lastUnknown != nil && o.lastUnknown.errorAnswer != nil:
-		o.caller.writeBuffered(o.lastUnknown.errorAnswer)
-		o.entry.logEnd(o.req, "failed by upstream", zap.Int("status", o.lastUnknown.errorAnswer.status))
-	case o.lastUnknown != nil:
-		o.caller.refuse(o.req, refusal{status: http.StatusBadGateway, reason: "outcome unknown: " + o.lastUnknown.reason})
-	default:
-		o.caller.refuse(o.req, refusal{http.StatusServiceUnavailable, "not run: " + string(g.Reason), g.RetryAfter})
-	}
-}
--- a/internal/serve/burdockdirect/pause_test.go
+++ b/internal/serve/burdockdirect/pause_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -12,19 +11,11 @@
 	"burdockbend.example/burdockbend/internal/decide/burdockplace"
 )
 
-// pausingUpstream refuses requests and asks for a pause as long as one is set; "" for none,
-// in which case it answers.
-type pausingUpstream struct {
-	*upstream
-	retryAfter atomic.Value
-}
-
-func newPausingUpstream(t *testing.T, retryAfter string) *pausingUpstream {
+// newPausingUpstream returns an upstream that refuses requests and asks for a pause as long as
+// its text; it answers if that is empty.
+func newPausingUpstream(t *testing.T, retryAfter string) *statingUpstream {
 	t.Helper()
-	u := &pausingUpstream{}
-	u.retryAfter.Store(retryAfter)
-	u.upstream = newUpstream(t, func(w http.ResponseWriter, r *http.Request) {
-		text := u.retryAfter.Load().(string)
+	return newStatingUpstream(t, retryAfter, func(w http.ResponseWriter, r *http.Request, text string) {
 		if text == "" {
 			answerOK(w, r)
 			return
@@ -32,7 +23,6 @@
 		w.Header().Set("Retry-After", text)
 		refuseNotRun(w, r)
 	})
-	return u
 }
 
 func TestPauseLeavesALineWhenItBegins(t *testing.T) {
@@ -68,7 +58,7 @@
 	f := newFixture(t, testTimeout, u.upstream)
 	began := time.Now()
 	f.send(t, context.Background(), "/again/", nil)
-	u.retryAfter.Store("")
+	u.text.Store("")
 	for f.send(t, context.Background(), "/again/", nil).status != http.StatusOK {
 		if time.Since(began) > 10*time.Second {
 			t.Fatal("no answer in 10 s, want one after the pause")
@@ -119,7 +109,7 @@
 	u := newPausingUpstream(t, "60")
 	f := newFixture(t, testTimeout, u.upstream)
 	f.send(t, context.Background(), "/again/", nil)
-	u.retryAfter.Store("")
+	u.text.Store("")
 	for range 3 {
 		f.entry.NotifyGroupOpened("g")
 		for range 3 {
--- a/internal/serve/burdockdirect/ratelimit_test.go
+++ b/internal/serve/burdockdirect/ratelimit_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,24 +16,16 @@
 	"go.uber.org/zap/zaptest/observer"
 )
 
-// limitedUpstream is an upstream that names the rate limit that is set; "" for none.
-type limitedUpstream struct {
-	*upstream
-	limit atomic.Value
-}
-
-func newLimitedUpstream(t *testing.T, limit string) *limitedUpstream {
+// newLimitedUpstream returns an upstream that names its text as its rate limit; none if that
+// is empty.
+func newLimitedUpstream(t *testing.T, limit string) *statingUpstream {
 	t.Helper()
-	u := &limitedUpstream{}
-	u.limit.Store(limit)
-	u.upstream = newUpstream(t, func(w http.ResponseWriter, r *http.Request) {
-		sign(w, r)
-		if text := u.limit.Load().(string); text != "" {
+	return newStatingUpstream(t, limit, func(w http.ResponseWriter, r *http.Request, text string) {
+		if text != "" {
 			w.Header().Set("X-Rate-Limit", text)
 		}
-		_, _ = io.WriteString(w, "whole answer")
+		answerOK(w, r)
 	})
-	return u
 }
 
 // observeLog makes the entry log to what is returned.
@@ -50,7 +40,7 @@
 	f := newFixture(t, testTimeout, u.upstream)
 	logs := f.observeLog()
 	f.send(t, context.Background(), "/again/", nil)
-	u.limit.Store("many")
+	u.text.Store("many")
 	f.send(t, context.Background(), "/again/", nil)
 	if got, want := logs.FilterMessage("rate limit of upstream changed").Len(), 1; got != want {
 		t.Fatalf("lines: got %d, want %d", got, want)
@@ -186,12 +176,12 @@
 	f := newFixture(t, testTimeout, limited.upstream)
 	f.entry.SetEntries("a", []burdockid.VM{"a"})
 	f.send(t, context.Background(), "/again/", nil)
-	limited.limit.Store("")
+	limited.text.Store("")
 	await(t, "limit ended", func() bool {
 		f.send(t, context.Background(), "/again/", nil)
 		return f.entry.pool("s").rateLimited() == 0
 	})
-	limited.limit.Store("1")
+	limited.text.Store("1")
 	f.send(t, context.Background(), "/again/", nil)
 	u := f.site.Now().Members("s")[0]
 	u.StartedAt = 7
