Restarted entries use their part of a shared rate at once

Cause: an entry that has just seen its own record waits for 2 s until the others have seen it too. A restarted one waited as well, though its record had been there before and the others counted on it all the time. And all buckets began empty, so that then no upstream took a request for the 0.6 s that a token takes.

Now an entry whose record an earlier process wrote uses its parts at once: its record was there before it wrote one, or was created before it was last written. Buckets begin with a part of a token again that differs by upstream and entry, below one, so the bound on all together holds as before. The few records of entries are listed before those of groups and notifications.

--- a/internal/decide/burdockcold/cold_test.go
+++ b/internal/decide/burdockcold/cold_test.go
@@ -24,7 +24,7 @@
 	var all []*Limiter
 	for _, name := range names {
 		entries := &burdocksharedrate.Entries{}
-		entries.Set(knownSince, name, names)
+		entries.Set(knownSince, burdocksharedrate.Listing{All: names, Self: name})
 		l := New(entries)
 		l.SetRate(0, rate)
 		l.SetCold(0, "u", until)
@@ -142,7 +142,7 @@
 
 func ExampleLimiter() {
 	entries := &burdocksharedrate.Entries{}
-	entries.Set(-60_000, "a", []burdockid.VM{"a", "b"})
+	entries.Set(-60_000, burdocksharedrate.Listing{All: []burdockid.VM{"a", "b"}, Self: "a"})
 	l := New(entries)
 	l.SetRate(0, 10) // each may send five a second
 	l.SetCold(0, "u", 5000)
@@ -154,5 +154,5 @@
 		}
 	}
 	fmt.Println(sent)
-	// Output: 9
+	// Output: 10
 }
--- a/internal/decide/burdocksharedrate/bucket.go
+++ b/internal/decide/burdocksharedrate/bucket.go
@@ -6,7 +6,9 @@
 )
 
 // Bucket is the token bucket of one entry's part in the rate of one upstream. It holds one
-// token, which a request takes, and is empty at first.
+// token, which a request takes. At first it holds a part of one, which differs by entry and
+// upstream: if all began empty, an entry that has just started could send to no upstream at
+// all for as long as a token takes.
 type Bucket struct {
 	entries  *Entries
 	upstream burdockid.Upstream
@@ -19,9 +21,10 @@
 	usedTurn int64
 }
 
-// NewBucket returns an empty bucket.
+// NewBucket returns the bucket of an entry that learns the rate now.
 func NewBucket(now burdockclock.Millis, e *Entries, u burdockid.Upstream, rate Rate, others Others) *Bucket {
 	b := &Bucket{entries: e, upstream: u, rate: rate, others: others, filledAt: now, usedTurn: -1}
+	b.tokens = fraction(u, e.self)
 	b.Update(now)
 	return b
 }
--- a/internal/decide/burdocksharedrate/entries.go
+++ b/internal/decide/burdocksharedrate/entries.go
@@ -23,13 +23,25 @@
 	listedSince burdockclock.Millis
 }
 
-// Set replaces the entries. If self is not among them, this entry has no part in any rate.
-func (e *Entries) Set(now burdockclock.Millis, self burdockid.VM, all []burdockid.VM) {
-	listed := slices.Contains(all, self)
+// Listing is a list of the entries that share rates.
+type Listing struct {
+	All []burdockid.VM
+	// Self is the entry that the list is for. If it is not in All, it has no part in any rate.
+	Self burdockid.VM
+	// Known reports that an earlier process of Self was listed, so that the others know it.
+	Known bool
+}
+
+// Set replaces the entries.
+func (e *Entries) Set(now burdockclock.Millis, l Listing) {
+	listed := slices.Contains(l.All, l.Self)
 	if listed && !e.listed {
 		e.listedSince = now
+		if l.Known {
+			e.listedSince -= settleTime
+		}
 	}
-	e.self, e.all, e.listed = self, slices.Clone(all), listed
+	e.self, e.all, e.listed = l.Self, slices.Clone(l.All), listed
 }
 
 // settledAt returns from when on this entry uses its parts; false if that isn't known.
--- a/internal/decide/burdocksharedrate/property_test.go
+++ b/internal/decide/burdocksharedrate/property_test.go
@@ -45,7 +45,7 @@
 }
 
 func (f *fleet) setEntries(now burdockclock.Millis, i int, all []burdockid.VM) {
-	f.entries[i].Set(now, f.names[i], all)
+	f.entries[i].Set(now, Listing{All: all, Self: f.names[i]})
 	f.buckets[i].Update(now)
 }
 
--- a/internal/decide/burdocksharedrate/share.go
+++ b/internal/decide/burdocksharedrate/share.go
@@ -94,6 +94,12 @@
 	return mix(h.Sum64())
 }
 
+// fraction returns a number from 0 to 1, exclusive, that differs by upstream and entry.
+func fraction(u burdockid.Upstream, entry burdockid.VM) float64 {
+	const bits = 53
+	return float64(mix(weight(u, entry))>>(64-bits)) / (1 << bits)
+}
+
 // mix spreads the differences of similar names over all bits, as in SplitMix64.
 func mix(x uint64) uint64 {
 	x ^= x >> 30
--- a/internal/serve/burdockdirect/cold_test.go
+++ b/internal/serve/burdockdirect/cold_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/decide/burdocksharedrate"
 	"burdockbend.example/burdockbend/internal/state/burdocksite"
 )
 
@@ -32,7 +33,7 @@
 func TestColdUpstreamGetsItsRate(t *testing.T) {
 	f := newFixture(t, testTimeout)
 	f.coldService(10)
-	f.entry.SetEntries("a", []burdockid.VM{"a", "b", "c", "d"})
+	f.entry.SetEntries(burdocksharedrate.Listing{All: []burdockid.VM{"a", "b", "c", "d"}, Self: "a"})
 	p := f.entry.pool("s")
 	f.site.PutUpstream(burdocksite.Upstream{ID: "warm", Service: "s", Address: "10.0.0.1:80"})
 	f.site.PutUpstream(burdocksite.Upstream{ID: "cold", Service: "s", Address: "10.0.0.2:80", ColdFor: 60_000})
--- a/internal/serve/burdockdirect/ratelimit.go
+++ b/internal/serve/burdockdirect/ratelimit.go
@@ -2,7 +2,6 @@
 
 import (
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
-	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/decide/burdockratelimit"
 	"burdockbend.example/burdockbend/internal/decide/burdocksharedrate"
 	"go.uber.org/zap"
@@ -41,12 +40,12 @@
 	}
 }
 
-// SetEntries replaces the entries that share the rates of upstreams; self is this one.
-func (e *Entry) SetEntries(self burdockid.VM, all []burdockid.VM) {
+// SetEntries replaces the entries that share the rates of upstreams.
+func (e *Entry) SetEntries(l burdocksharedrate.Listing) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.now()
-	e.entries.Set(now, self, all)
+	e.entries.Set(now, l)
 	for _, p := range e.pools {
 		p.setEntries(now, e.entries)
 	}
--- a/internal/serve/burdockdirect/ratelimit_test.go
+++ b/internal/serve/burdockdirect/ratelimit_test.go
@@ -11,6 +11,7 @@
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/decide/burdockeject"
 	"burdockbend.example/burdockbend/internal/decide/burdockplace"
+	"burdockbend.example/burdockbend/internal/decide/burdocksharedrate"
 	"burdockbend.example/burdockbend/internal/state/burdocksite"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
@@ -129,16 +130,20 @@
 func TestRequestBeyondAllRateLimitsIsRefusedAtOnce(t *testing.T) {
 	limited := newLimitedUpstream(t, "0.05")
 	f := newFixture(t, testTimeout, limited.upstream)
-	f.entry.SetEntries("a", []burdockid.VM{"a"})
+	f.entry.SetEntries(burdocksharedrate.Listing{All: []burdockid.VM{"a"}, Self: "a"})
 	f.send(t, context.Background(), "/again/", nil)
+	p := f.entry.pool("s")
+	p.mu.Lock()
+	next := p.nextRequestAt(f.entry.now())
+	p.mu.Unlock()
 	began := time.Now()
 	got := f.send(t, context.Background(), "/again/", nil)
 	if took := time.Since(began); got.status != http.StatusServiceUnavailable || took > burdockclock.Millis(testTimeout).Duration()/2 {
 		t.Errorf("request beyond the limit: got status %d after %v, want 503 at once", got.status, took)
 	}
 	retryAfter, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
-	if err != nil || retryAfter < 15 {
-		t.Errorf("Retry-After: got %q, want some 20 s at least", got.header.Get("Retry-After"))
+	if want := (next - f.entry.now()).Duration().Seconds(); err != nil || retryAfter < want || want < 1 {
+		t.Errorf("Retry-After: got %q, want %.3f s at least", got.header.Get("Retry-After"), want)
 	}
 }
 
@@ -174,7 +179,7 @@
 func TestRateLimitEnds(t *testing.T) {
 	limited := newLimitedUpstream(t, "100")
 	f := newFixture(t, testTimeout, limited.upstream)
-	f.entry.SetEntries("a", []burdockid.VM{"a"})
+	f.entry.SetEntries(burdocksharedrate.Listing{All: []burdockid.VM{"a"}, Self: "a"})
 	f.send(t, context.Background(), "/again/", nil)
 	limited.text.Store("")
 	await(t, "limit ended", func() bool {
--- a/internal/serve/burdockhosted/entry.go
+++ b/internal/serve/burdockhosted/entry.go
@@ -128,9 +128,9 @@
 		})
 	}
 	return append(routes,
+		burdockkv.Route{Prefix: prefixEntry, Sink: newEntriesReader(e.entry, e.presence)},
 		burdockkv.Route{Prefix: prefixNotifications, Sink: newNotificationReader(e.entry, e.log).mirror},
 		burdockkv.Route{Prefix: prefixRank, Sink: newGroupReader(e.entry).mirror},
-		burdockkv.Route{Prefix: prefixEntry, Sink: newEntriesReader(e.entry, e.settings.VM)},
 	)
 }
 
--- a/internal/serve/burdockhosted/groupreader_test.go
+++ b/internal/serve/burdockhosted/groupreader_test.go
@@ -65,3 +65,31 @@
 		t.Error("the record is missing")
 	}
 }
+
+// Guards against a restarted entry that keeps off all cold and limited upstreams until the
+// others have seen it, though they know it.
+func TestListingTellsWhetherTheOthersKnowTheEntry(t *testing.T) {
+	p := newPresence(nil, "vm-1", nil, burdockclock.System(), zap.NewNop())
+	record := func(created, modified burdockkv.Revision) []burdockkv.Item {
+		return []burdockkv.Item{
+			{Key: prefixEntry + "vm-2"},
+			{Key: prefixEntry + "vm-1", Created: burdockkv.Position{Revision: created}, Modified: burdockkv.Position{Revision: modified}},
+		}
+	}
+	for _, c := range []struct {
+		name      string
+		announced bool
+		items     []burdockkv.Item
+		want      bool
+	}{
+		{"record of an earlier process", false, record(7, 7), true},
+		{"written again by this process", true, record(7, 9), true},
+		{"first record", true, record(9, 9), false},
+		{"no record", false, nil, false},
+	} {
+		p.announced.Store(c.announced)
+		if got := p.listing(c.items); got.Known != c.want || len(got.All) != len(c.items) || got.Self != "vm-1" {
+			t.Errorf("%s: got %+v, want known %v", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/serve/burdockhosted/presence.go
+++ b/internal/serve/burdockhosted/presence.go
@@ -5,10 +5,12 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/decide/burdocksharedrate"
 	"burdockbend.example/burdockbend/internal/serve/burdockdirect"
 	"burdockbend.example/burdockbend/internal/state/burdockkv"
 	"burdockbend.example/burdockbend/internal/state/burdocksite"
@@ -45,6 +47,8 @@
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 	wake   chan struct{} // holds one signal
+	// announced is set before the first write of the record by this process.
+	announced atomic.Bool
 
 	// used by the loop only
 	lease     burdockkv.LeaseID // zero while there is no record
@@ -136,6 +140,7 @@
 	if err != nil {
 		return err
 	}
+	p.announced.Store(true)
 	if _, err := p.store.Write(p.ctx, nil, []burdockkv.Put{{Key: prefixEntry + string(p.vm), Value: []byte("{}"), Lease: lease}}); err != nil {
 		return err
 	}
@@ -144,14 +149,22 @@
 }
 
 // newEntriesReader returns a mirror of the entries' records that tells an entry of them.
-func newEntriesReader(entry *burdockdirect.Entry, self burdockid.VM) *burdockkv.Mirror {
+func newEntriesReader(entry *burdockdirect.Entry, p *presence) *burdockkv.Mirror {
 	mirror := burdockkv.NewMirror()
-	mirror.Subscribe(func() {
-		var all []burdockid.VM
-		for _, item := range mirror.Items() {
-			all = append(all, burdockid.VM(strings.TrimPrefix(item.Key, prefixEntry)))
-		}
-		entry.SetEntries(self, all)
-	})
+	mirror.Subscribe(func() { entry.SetEntries(p.listing(mirror.Items())) })
 	return mirror
 }
+
+// listing returns the entries that have a record. The record of this entry was written by an
+// earlier process if this one has not written it yet, or not as the first.
+func (p *presence) listing(items []burdockkv.Item) burdocksharedrate.Listing {
+	l := burdocksharedrate.Listing{Self: p.vm}
+	for _, item := range items {
+		vm := burdockid.VM(strings.TrimPrefix(item.Key, prefixEntry))
+		l.All = append(l.All, vm)
+		if vm == p.vm {
+			l.Known = !p.announced.Load() || item.Created != item.Modified
+		}
+	}
+	return l
+}
