Admission limit: gradual start and plain mean of the first measurements

Entries that all start at once have no reports, and each took a third of the remaining capacity: five entries of the model have 1,935 streams after half a second. With Config.GradualStart, a ramp from 2 streams doubles each 150 ms in which it is used. It goes on to 32 at least, since the rule's own limit starts low and multiplies with the first reports.

The initial guess of the slowdown then has no weight beside what was measured, and SetTypicalSlowdown passes on what other entries have measured. Without the field nothing changes.

--- a/internal/decide/burdocklimit/limit.go
+++ b/internal/decide/burdocklimit/limit.go
@@ -78,6 +78,10 @@
 	// ShareWithoutReports is the share of the remaining capacity that an entry uses
 	// when it has received no recent reports.
 	ShareWithoutReports float64
+	// GradualStart limits the streams of an entry that has just started by a ramp; see
+	// ramp. The typical slowdown is then the mean of what was measured until that covers
+	// AveragingTime.
+	GradualStart bool
 }
 
 // Defaults of Config.
@@ -108,6 +112,8 @@
 	gapSum          float64
 	n               int
 	periodStart     burdockclock.Millis // of the gaps in gapSum, of which there are n
+	measured        burdockclock.Millis // total length of the periods that have ended
+	ramp            ramp
 }
 
 // report is the load that an engine reported of other entries' requests, and how
@@ -131,10 +137,14 @@
 	setDefault(&cfg.ReportFreshFor, defaultReportFreshFor)
 	setDefault(&cfg.ReportHalfLife, defaultReportHalfLife)
 	setDefault(&cfg.ShareWithoutReports, defaultShareWithoutReports)
-	return &Limit{
+	l := &Limit{
 		cfg: cfg, engine: engine, engines: max(engines, 1), maxEventGap: maxEventGap,
 		reports: map[burdockid.Upstream]report{}, typicalSlowdown: cfg.InitialSlowdown,
 	}
+	if cfg.GradualStart {
+		l.ramp.bound = rampStart
+	}
+	return l
 }
 
 func setDefault[T burdockclock.Millis | float64](field *T, value T) {
@@ -217,11 +227,26 @@
 
 func (l *Limit) endPeriod(now burdockclock.Millis) {
 	l.slowdown = min(l.gapSum/float64(l.n)/l.engine.cycle(l.load(now)), l.cfg.MaxSlowdown)
-	weight := min(float64(now-l.periodStart)/float64(l.cfg.AveragingTime), 1)
+	elapsed := now - l.periodStart
+	l.measured = min(l.measured+elapsed, l.cfg.AveragingTime)
+	averagingTime := l.cfg.AveragingTime
+	if l.cfg.GradualStart {
+		averagingTime = l.measured
+	}
+	weight := min(float64(elapsed)/float64(averagingTime), 1)
 	l.typicalSlowdown += weight * (l.slowdown - l.typicalSlowdown)
 	l.gapSum, l.n = 0, 0
 }
 
+// SetTypicalSlowdown sets the typical slowdown that others have measured. It does nothing
+// once this entry has measured one, or if v is not positive and finite.
+func (l *Limit) SetTypicalSlowdown(v float64) {
+	if l.measured > 0 || !(v > 0) || math.IsInf(v, 1) {
+		return
+	}
+	l.typicalSlowdown = min(v, l.cfg.MaxSlowdown)
+}
+
 // State is a snapshot of a Limit.
 type State struct {
 	Load            float64 `json:"load"`    // requests at each engine
@@ -288,5 +313,5 @@
 	if remaining := limit - others - l.own; remaining > 0 {
 		bound += (1 - reportWeight) * (float64(running) + remaining*float64(l.engines)*l.cfg.ShareWithoutReports)
 	}
-	return max(int(math.Ceil(bound)), 1)
+	return l.ramp.apply(now, running, max(int(math.Ceil(bound)), 1))
 }
