Queue: classes that leave slots to others, and newest first

ClassConfig.MaxRunning keeps a class from starting while that many requests run, so that late work leaves slots to work that can be in time. With ClassConfig.NewestFirst the newest request of a customer is next. Both are unset by default and change nothing then; the invariants, random sequences and case files cover them.

--- a/internal/decide/burdockqueue/admit.go
+++ b/internal/decide/burdockqueue/admit.go
@@ -156,10 +156,14 @@
 
 // classRate returns the service rate that is left for a class, in tokens per millisecond.
 // It deducts what more urgent classes use or have reserved, and the starts that
-// MaxStarvation guarantees to less urgent ones.
+// MaxStarvation guarantees to less urgent ones. Slots above MaxRunning don't count.
 func (q *Queue) classRate(class Class) float64 {
 	slot := q.slotRate()
-	total := slot * float64(q.cfg.Slots)
+	slots := q.cfg.Slots
+	if bound := q.classes[class].cfg.MaxRunning; bound > 0 {
+		slots = min(slots, bound)
+	}
+	total := slot * float64(slots)
 	left := total
 	for i, c := range q.classes {
 		switch {
--- a/internal/decide/burdockqueue/cases_test.go
+++ b/internal/decide/burdockqueue/cases_test.go
@@ -112,6 +112,7 @@
 	case f["class"] != "":
 		cfg.Classes = append(cfg.Classes, ClassConfig{
 			Name: f["class"], MaxStarvation: f.millis("starvation"), MaxWait: f.millis("wait"), ReservedSlots: int(f.number("kept")),
+			MaxRunning: int(f.number("running")), NewestFirst: f["newest"] != "",
 		})
 	case f["customer"] != "":
 		cfg.Shares[burdockid.Customer(f["customer"])] = float64(f.number("share"))
--- a/internal/decide/burdockqueue/config.go
+++ b/internal/decide/burdockqueue/config.go
@@ -16,6 +16,13 @@
 	MaxWait burdockclock.Millis
 	// ReservedSlots is the number of slots that less urgent classes may not use.
 	ReservedSlots int
+	// MaxRunning bounds the running requests of all classes with which a request of this
+	// class may start; 0 means no bound. The slots above it are for the other classes.
+	MaxRunning int
+	// NewestFirst makes the newest request of a customer the next one instead of the
+	// oldest. Customers are still served by their shares. It is for a standing backlog, in
+	// which the oldest request is always the one about to be late.
+	NewestFirst bool
 }
 
 // Config configures a queue.
--- a/internal/decide/burdockqueue/doc.go
+++ b/internal/decide/burdockqueue/doc.go
@@ -13,5 +13,6 @@
 //   - otherwise, the most urgent class with queued requests and a slot it may use is next.
 //
 // Within the class, the customer with the least service so far is next, measured in tokens
-// over its share (start-time fair queueing), and of its requests the oldest.
+// over its share (start-time fair queueing), and of its requests the oldest, or the
+// newest if the class is configured so.
 package burdockqueue
--- a/internal/decide/burdockqueue/fair.go
+++ b/internal/decide/burdockqueue/fair.go
@@ -86,6 +86,9 @@
 	if f.queued == 0 {
 		return max(f.virtualTime, c.virtualTime)
 	}
+	if c.cfg.NewestFirst {
+		return f.virtualTime
+	}
 	return f.virtualTime + float64(f.queuedCost)/weight
 }
 
@@ -211,18 +214,40 @@
 	if !ok {
 		return nil, false
 	}
+	if c.cfg.NewestFirst {
+		return f.tail, true
+	}
 	return f.head, true
 }
 
-// evictionCandidate returns the newest request of the customer furthest over its share.
+// evictionCandidate returns the request that starts last of the customer furthest over its
+// share.
 func (c *fairQueue) evictionCandidate() (*item, bool) {
 	f, ok := c.byFinishTag.first()
 	if !ok {
 		return nil, false
 	}
+	if c.cfg.NewestFirst {
+		return f.head, true
+	}
 	return f.tail, true
 }
 
+// queuedTag returns the virtual time at which a queued request starts. With NewestFirst it
+// depends on later arrivals, and the tag is the lowest possible one.
+func (c *fairQueue) queuedTag(it *item) float64 {
+	if c.cfg.NewestFirst {
+		return it.flow.virtualTime
+	}
+	return it.flow.startTag(it)
+}
+
+// isBounded reports whether MaxRunning keeps the class from a start while the given number
+// of requests run.
+func (c *fairQueue) isBounded(running int) bool {
+	return c.cfg.MaxRunning > 0 && running >= c.cfg.MaxRunning
+}
+
 // tokensBeforeTag returns how many of the queued tokens are served before the virtual
 // time reaches tag. Until then each backlogged customer is served its weight times the
 // remaining virtual time, and all together at most what is queued.
--- a/internal/decide/burdockqueue/invariant.go
+++ b/internal/decide/burdockqueue/invariant.go
@@ -17,7 +17,8 @@
 	// InvariantMembership: each request is in exactly one of the queue's containers.
 	InvariantMembership Invariant = "one place for each request"
 	// InvariantOrder: no class gets a start before a more urgent one that could start,
-	// unless its MaxStarvation has passed.
+	// unless its MaxStarvation has passed, or beyond its MaxRunning, and each customer's
+	// requests start in the order of the class.
 	InvariantOrder Invariant = "no priority inversion"
 	// InvariantShare: no backlogged customer deviates from its share by more than the
 	// bound of its class.
@@ -95,6 +96,19 @@
 	if q.running.len() >= q.cfg.Slots {
 		failInvariant(InvariantOrder, "class %d starts with %d of %d slots taken", class, q.running.len(), q.cfg.Slots)
 	}
+	if c := q.classes[class]; c.isBounded(q.running.len()) {
+		failInvariant(InvariantOrder, "class %d starts with %d running, bound %d", class, q.running.len(), c.cfg.MaxRunning)
+	}
+}
+
+// checkFlowOrder is called right before a queued request is started.
+func (q *Queue) checkFlowOrder(it *item) {
+	switch newestFirst := q.classes[it.req.Class].cfg.NewestFirst; {
+	case newestFirst && it.next != nil:
+		failInvariant(InvariantOrder, "%s starts before %s, which is newer", it.req.ID, it.next.req.ID)
+	case !newestFirst && it.prev != nil:
+		failInvariant(InvariantOrder, "%s starts before %s, which is older", it.req.ID, it.prev.req.ID)
+	}
 }
 
 // checkShare checks the share of a flow that has queued requests.
@@ -153,6 +167,9 @@
 			if it.recheckAt > it.expiresAt {
 				failInvariant(InvariantMembership, "%s expires at %d, but is rechecked only at %d", it.req.ID, it.expiresAt, it.recheckAt)
 			}
+			if it.prev != nil && it.prev.costOffset >= it.costOffset {
+				failInvariant(InvariantOrder, "%s is queued behind %s, which is newer", it.req.ID, it.prev.req.ID)
+			}
 			inFlow++
 			cost += chargedCost(it.req.Cost)
 		}
--- a/internal/decide/burdockqueue/invariant_test.go
+++ b/internal/decide/burdockqueue/invariant_test.go
@@ -32,6 +32,10 @@
 		{"expired", func(q *Queue) { q.now += burdockclock.Hour; q.checkWorkConserving() }, InvariantWorkConserving},
 		{"inversion", func(q *Queue) { q.cfg.Slots++; q.checkOrder(1) }, InvariantOrder},
 		{"no slot", func(q *Queue) { q.checkOrder(0) }, InvariantOrder},
+		{"beyond MaxRunning", func(q *Queue) { q.cfg.Slots++; q.classes[0].cfg.MaxRunning = 1; q.checkOrder(0) }, InvariantOrder},
+		{"newer first", func(q *Queue) { q.checkFlowOrder(q.items["w2"]) }, InvariantOrder},
+		{"older first", func(q *Queue) { q.classes[1].cfg.NewestFirst = true; q.checkFlowOrder(q.items["w1"]) }, InvariantOrder},
+		{"out of order", func(q *Queue) { q.items["w2"].costOffset = 0 }, InvariantOrder},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/decide/burdockqueue/machine_test.go
+++ b/internal/decide/burdockqueue/machine_test.go
@@ -55,6 +55,8 @@
 			MaxStarvation: rapid.SampledFrom([]burdockclock.Millis{0, 1, 500}).Draw(t, "starvation"),
 			MaxWait:       rapid.SampledFrom([]burdockclock.Millis{0, 100, 5000}).Draw(t, "wait"),
 			ReservedSlots: rapid.IntRange(0, 3).Draw(t, "kept"),
+			MaxRunning:    rapid.SampledFrom([]int{0, 0, 1, 3}).Draw(t, "maxRunning"),
+			NewestFirst:   rapid.Bool().Draw(t, "newestFirst"),
 		})
 	}
 	return cfg
--- a/internal/decide/burdockqueue/order.go
+++ b/internal/decide/burdockqueue/order.go
@@ -50,7 +50,8 @@
 
 // mayStart reports whether a slot is free that the class may use.
 func (q *Queue) mayStart(class Class) bool {
-	return (!q.paused || q.probeAllowed) && q.cfg.Slots-q.running.len() > q.reservedAbove(class)
+	return (!q.paused || q.probeAllowed) && !q.classes[class].isBounded(q.running.len()) &&
+		q.cfg.Slots-q.running.len() > q.reservedAbove(class)
 }
 
 // reservedAbove returns how many free slots are reserved for more urgent classes.
--- a/internal/decide/burdockqueue/transition.go
+++ b/internal/decide/burdockqueue/transition.go
@@ -115,7 +115,7 @@
 	}
 	c := q.classes[it.req.Class]
 	others := c.queuedCost - chargedCost(it.req.Cost)
-	inClass := c.tokensBeforeTag(it.flow.startTag(it), c.activeWeight, others)
+	inClass := c.tokensBeforeTag(c.queuedTag(it), c.activeWeight, others)
 	return q.now+q.timeToServe(it.req.Class, inClass) >= it.expiresAt
 }
 
@@ -129,6 +129,7 @@
 		return q.drop(it, ReasonDeadline)
 	}
 	q.checkOrder(it.req.Class)
+	q.checkFlowOrder(it)
 	q.dequeue(it)
 	q.start(it)
 	q.checkShare(it.flow, it.req.Class)
