Timeliness: the time from which a retry is known as one

A caller that is refused soon after it began retries with nearly its whole budget, and its retry takes the place of a first attempt. RetryFrom says from when the budget that is left shows that the request was tried before.

--- a/internal/decide/burdocktimeliness/timeliness.go
+++ b/internal/decide/burdocktimeliness/timeliness.go
@@ -32,6 +32,9 @@
 	firstEventSamples = 32
 	// firstEventQuantile leaves one stream in ten late that started at the last moment.
 	firstEventQuantile = 0.9
+	// retryMargin lowers the budget that a retry should have left, as the usual budget that
+	// is learned varies by some hundredths of itself.
+	retryMargin = 0.95
 	// maxRoutes bounds the memory if configurations with other routes follow each other.
 	maxRoutes = 1024
 )
@@ -166,6 +169,16 @@
 	return 0
 }
 
+// RetryFrom returns the time from which a retry of a first attempt is known as one, because
+// the caller has used up enough of its budget by then; its arrival if that is at once.
+func (t *Tracker) RetryFrom(req Request) burdockclock.Millis {
+	least := burdockclock.Millis(retryMargin * t.cfg.RetryFraction * float64(t.UsualBudget(req.Route)))
+	if least <= 0 {
+		return req.Arrived
+	}
+	return req.Arrived + max(req.Budget-least+1, 0)
+}
+
 // firstAttempt returns when the caller first sent a request.
 func (t *Tracker) firstAttempt(req Request) burdockclock.Millis {
 	if !t.IsRetry(req.Route, req.Budget) {
--- a/internal/decide/burdocktimeliness/timeliness_test.go
+++ b/internal/decide/burdocktimeliness/timeliness_test.go
@@ -87,6 +87,27 @@
 	}
 }
 
+// A retry with 0.8 of the usual budget left counts as a first attempt and takes the place of
+// one, so callers are asked to wait until theirs is known.
+func TestRetryFrom(t *testing.T) {
+	tr := New(Config{})
+	if got, want := tr.RetryFrom(Request{Route: "r", Arrived: 10000, Budget: testBudget}), burdockclock.Millis(10000); got != want {
+		t.Errorf("without a usual budget: got %d, want %d", got, want)
+	}
+	for range 64 {
+		tr.ObserveBudget("r", testBudget)
+	}
+	for _, test := range []struct{ budget, want burdockclock.Millis }{{4000, 10961}, {4600, 11561}, {3000, 10000}, {0, 10000}} {
+		req := Request{Route: "r", Arrived: 10000, Budget: test.budget}
+		if got := tr.RetryFrom(req); got != test.want {
+			t.Errorf("budget %d: got %d, want %d", test.budget, got, test.want)
+		}
+		if left := test.budget - (test.want - 10000); left > 0 && !tr.IsRetry("r", left) {
+			t.Errorf("budget %d: a retry with %d ms left isn't known", test.budget, left)
+		}
+	}
+}
+
 // With the mean time to a first event, half of the streams that start at the last moment
 // are late. A single slow stream must not make all others late either.
 func TestFirstEventIsAHighPercentile(t *testing.T) {
