Entry: order by who can be in time, for services with shared admission

Retries and late requests take the late class, which starts only below 0.85 of the limit, and the newest request that can be in time goes first while a backlog stands. The limit begins with a ramp, also after the engines' group was closed. Services have shared admission if they have engines and streaming routes that differ in priority or objective; all others are served as before.

--- a/internal/serve/burdockdirect/entry.go
+++ b/internal/serve/burdockdirect/entry.go
@@ -36,6 +36,9 @@
 	// BodyTimeoutMillis is how long the body of a request may take to arrive; 0 selects
 	// the default.
 	BodyTimeoutMillis burdockclock.Millis
+	// SharedAdmission selects the services with shared admission; "" selects
+	// SharedAdmissionAuto.
+	SharedAdmission SharedAdmission
 }
 
 // Deps holds what an entry depends on.
--- a/internal/serve/burdockdirect/gate.go
+++ b/internal/serve/burdockdirect/gate.go
@@ -47,14 +47,18 @@
 	limitLogInterval = burdockclock.Second
 	// maxRetryAfter bounds the Retry-After of a refusal: callers wait for seconds only.
 	maxRetryAfter = 3 * burdockclock.Second
+	// rampCheckInterval is how often the limit's ramp is checked while requests wait and
+	// nothing else happens.
+	rampCheckInterval burdockclock.Millis = 50
 )
 
 // gate controls the admission of requests to one service at this entry: it starts them,
 // queues them, or refuses them at once. The decisions are made by burdockqueue and
 // burdocklimit; the gate adds the lock and the clock.
 type gate struct {
-	clock burdockclock.Clock
-	log   *zap.Logger
+	clock  burdockclock.Clock
+	log    *zap.Logger
+	meters *meters
 
 	mu          sync.Mutex
 	queue       *burdockqueue.Queue
@@ -74,6 +78,8 @@
 	typicalFirstEvent burdockclock.Millis
 	timer             *time.Timer
 	nextLogAt         burdockclock.Millis // earliest time of the next log line about the limit
+	// timeliness is nil unless the service has shared admission.
+	timeliness *timeliness
 }
 
 // gateConfig holds what a gate's limits are computed from.
@@ -84,11 +90,13 @@
 	firstEventTimeout burdockclock.Millis
 	maxEventGap       burdockclock.Millis
 	members           []burdocksite.Upstream
+	// shared means that the service has shared admission.
+	shared bool
 }
 
 func newGate(clock burdockclock.Clock, cfg gateConfig, p *pool) *gate {
 	g := &gate{
-		clock: clock, log: p.entry.deps.Log.With(zap.String("service", string(p.service))),
+		clock: clock, log: p.entry.deps.Log.With(zap.String("service", string(p.service))), meters: p.entry.meters,
 		waiting: map[burdockid.Request]*waiter{}, pausedUntil: map[burdockid.Upstream]burdockclock.Millis{}, typicalFirstEvent: initialFirstEvent,
 	}
 	g.applyConfig(cfg)
@@ -101,13 +109,20 @@
 	g.members = cfg.members
 	g.maxWait = burdockclock.Millis(maxWaitFraction * float64(cfg.firstEventTimeout))
 	engine, ok := paceEngine(cfg)
+	sharedBefore := g.timeliness != nil
+	switch {
+	case !cfg.shared:
+		g.timeliness = nil
+	case !sharedBefore:
+		g.timeliness = newTimeliness()
+	}
 	switch {
 	case !ok:
 		g.limit, g.limitEngine, g.maxEventGap, g.groups = nil, burdocklimit.Engine{}, 0, nil
 		g.slots = g.totalSlots()
-	case g.limit == nil || engine != g.limitEngine || cfg.maxEventGap != g.maxEventGap:
+	case g.limit == nil || engine != g.limitEngine || cfg.maxEventGap != g.maxEventGap || cfg.shared != sharedBefore:
 		g.limitEngine, g.maxEventGap = engine, cfg.maxEventGap
-		g.limit = burdocklimit.New(burdocklimit.Config{}, engine, len(cfg.members), cfg.maxEventGap)
+		g.limit = burdocklimit.New(burdocklimit.Config{GradualStart: cfg.shared}, engine, len(cfg.members), cfg.maxEventGap)
 		g.groups = nil
 		if cfg.engine.Layers > 0 {
 			g.groups = newGroups(cfg.maxEventGap)
@@ -159,8 +174,10 @@
 		Slots: max(g.slots, 1), MaxQueued: maxQueued,
 		RetrySpread: retrySpread, MaxRetryAfter: maxRetryAfter,
 	}
-	for range numPriorities * queueClassesPerPriority {
-		cfg.Classes = append(cfg.Classes, burdockqueue.ClassConfig{MaxWait: g.maxWait})
+	for i := range numPriorities * queueClassesPerPriority {
+		class := burdockqueue.ClassConfig{MaxWait: g.maxWait}
+		g.timeliness.configure(&class, i, cfg.Slots)
+		cfg.Classes = append(cfg.Classes, class)
 	}
 	return cfg
 }
@@ -226,6 +243,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.typicalFirstEvent += (took - g.typicalFirstEvent) / firstEventSamples
+	if g.timeliness != nil {
+		g.timeliness.tracker.ObserveFirstEvent(took)
+	}
 	if g.groups != nil {
 		g.groups.view(u).FirstEvent(g.clock.Boot())
 		g.dispatch()
@@ -270,6 +290,7 @@
 // dropped. The lock must be held.
 func (g *gate) dispatch() {
 	g.updateLimit(false)
+	g.updateOrder()
 	for _, event := range g.queue.Dispatch(g.clock.Boot()) {
 		var id burdockid.Request
 		switch e := event.(type) {
@@ -319,6 +340,11 @@
 			at, ok = probe, true
 		}
 	}
+	if g.ramp() > 0 && g.queue.Load().Queued > 0 {
+		if check := g.clock.Boot() + rampCheckInterval; !ok || check < at {
+			at, ok = check, true
+		}
+	}
 	if ok {
 		g.timer = time.AfterFunc(max(at-g.clock.Boot(), 1).Duration(), g.onTimer)
 	}
--- a/internal/serve/burdockdirect/groupgate.go
+++ b/internal/serve/burdockdirect/groupgate.go
@@ -26,6 +26,9 @@
 	if changed {
 		g.limit.SetEngines(g.availableEngines(now))
 	}
+	if state == burdocklockstep.Advancing && g.state == burdocklockstep.Closed {
+		g.limit.Restart(g.reportClock())
+	}
 	if state == burdocklockstep.Advancing && g.state != state {
 		close(g.groups.opened)
 		g.groups.opened = make(chan struct{})
--- a/internal/serve/burdockdirect/log.go
+++ b/internal/serve/burdockdirect/log.go
@@ -6,6 +6,7 @@
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/decide/burdockplace"
+	"burdockbend.example/burdockbend/internal/decide/burdocktimeliness"
 	"go.uber.org/zap"
 )
 
@@ -48,6 +49,9 @@
 			route = req.route.Name
 		}
 	}
+	if req.late != burdocktimeliness.ReasonNone {
+		fields = append(fields, zap.Stringer("late", req.late))
+	}
 	e.deps.Log.Info(outcome, append([]zap.Field{
 		requestID(req.ID), zap.String("route", route), zap.String("service", string(service)),
 		zap.Int64("tookMillis", int64(e.now()-req.arrived)),
--- a/internal/serve/burdockdirect/members.go
+++ b/internal/serve/burdockdirect/members.go
@@ -44,7 +44,7 @@
 
 // applySnapshot applies the members and the configuration of a site snapshot.
 func (p *pool) applySnapshot(now burdockclock.Millis, snap *burdocksite.Snapshot) {
-	cfg := gateConfigOf(snap, p.service)
+	cfg := gateConfigOf(snap, p.service, p.entry.cfg.SharedAdmission)
 	cfg.members = p.withoutLeaving(now, cfg.members)
 	p.setFirstEventTimeout(cfg.firstEventTimeout)
 	if !p.updateMembers(now, cfg.members, snap.Config, p.gate.requestsPerEngine()) {
@@ -64,9 +64,10 @@
 }
 
 // gateConfigOf returns the gate configuration of a service.
-func gateConfigOf(snap *burdocksite.Snapshot, service burdockid.Service) gateConfig {
+func gateConfigOf(snap *burdocksite.Snapshot, service burdockid.Service, mode SharedAdmission) gateConfig {
 	cfg := gateConfig{engine: engineOf(snap, service), members: snap.Members(service)}
 	cfg.firstEventTimeout, cfg.maxEventGap = streamTimeouts(snap, service)
+	cfg.shared = sharedAdmission(snap, service, mode)
 	return cfg
 }
 
--- a/internal/serve/burdockdirect/metrics.go
+++ b/internal/serve/burdockdirect/metrics.go
@@ -16,6 +16,10 @@
 	connections *metrics.Counter
 	waits       *metrics.Histogram
 	firstEvents *metrics.Histogram
+	// late counts the requests that went behind those that can be in time, retriesSeen
+	// those of them that a caller had sent before.
+	late        *metrics.Counter
+	retriesSeen *metrics.Counter
 }
 
 func newMeters(set *metrics.Set) *meters {
@@ -26,6 +30,8 @@
 		connections: set.NewCounter("burdock_direct_upstream_connections_total"),
 		waits:       set.NewHistogram("burdock_direct_wait_seconds"),
 		firstEvents: set.NewHistogram("burdock_direct_first_event_seconds"),
+		late:        set.NewCounter("burdock_direct_late_total"),
+		retriesSeen: set.NewCounter("burdock_direct_retries_seen_total"),
 	}
 }
 
@@ -48,6 +54,7 @@
 		"burdock_direct_running":                func() float64 { return float64(p.gate.load().Running) },
 		"burdock_direct_waiting":                func() float64 { return float64(p.gate.load().Queued) },
 		"burdock_direct_limit":                  func() float64 { return float64(p.gate.load().Slots) },
+		"burdock_direct_ramp":                   func() float64 { return float64(p.gate.currentRamp()) },
 		"burdock_direct_rate_limited_upstreams": func() float64 { return float64(p.rateLimited()) },
 		"burdock_direct_pausing_upstreams":      func() float64 { return float64(p.pausing()) },
 		"burdock_direct_leaving_upstreams":      func() float64 { return float64(p.leavingUpstreams()) },
--- a/internal/serve/burdockdirect/offers.go
+++ b/internal/serve/burdockdirect/offers.go
@@ -63,7 +63,7 @@
 		c.refuse(req, refusal{http.StatusServiceUnavailable, "not run: no time left", 0})
 		return
 	case refuse != nil:
-		c.refuse(req, refusal{http.StatusServiceUnavailable, "not run: " + refuse.Reason.String(), refuse.RetryAfter})
+		c.refuse(req, refusal{http.StatusServiceUnavailable, "not run: " + refuse.Reason.String(), p.gate.retryAfter(req, refuse.RetryAfter)})
 		return
 	}
 	e.meters.waits.Update((e.now() - req.arrived).Duration().Seconds())
--- a/internal/serve/burdockdirect/pool.go
+++ b/internal/serve/burdockdirect/pool.go
@@ -99,7 +99,7 @@
 	p.rateLimits = burdockratelimit.New(&p.entries)
 	snap := e.deps.Site.Now()
 	p.engine = engineOf(snap, service)
-	p.gate = newGate(e.deps.Clock, gateConfigOf(snap, service), p)
+	p.gate = newGate(e.deps.Clock, gateConfigOf(snap, service, e.cfg.SharedAdmission), p)
 	p.applySnapshot(e.now(), snap)
 	e.meters.exportGauges(p)
 	return p
--- a/internal/serve/burdockdirect/request.go
+++ b/internal/serve/burdockdirect/request.go
@@ -7,6 +7,7 @@
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/decide/burdockqueue"
+	"burdockbend.example/burdockbend/internal/decide/burdocktimeliness"
 	"burdockbend.example/burdockbend/internal/state/burdocksite"
 )
 
@@ -39,6 +40,9 @@
 	arrived  burdockclock.Millis
 	deadline burdockclock.Millis
 	cost     burdockid.Tokens
+	// late is why the request went behind those that can be in time, if the service has
+	// shared admission.
+	late burdocktimeliness.Reason
 }
 
 // refusal is an answer by the entry itself.
--- /dev/null
+++ b/internal/serve/burdockdirect/shared.go
@@ -0,0 +1,28 @@
+package burdockdirect
+
+import (
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/state/burdocksite"
+)
+
+// SharedAdmission selects the services with shared admission.
+type SharedAdmission string
+
+// Values of SharedAdmission.
+const (
+	// SharedAdmissionAuto selects the services with engines whose streaming routes differ
+	// in priority or objective.
+	SharedAdmissionAuto SharedAdmission = "auto"
+	// SharedAdmissionOn selects all services with engines.
+	SharedAdmissionOn SharedAdmission = "on"
+	// SharedAdmissionOff selects none.
+	SharedAdmissionOff SharedAdmission = "off"
+)
+
+// sharedAdmission reports whether a service has shared admission.
+func sharedAdmission(snap *burdocksite.Snapshot, service burdockid.Service, mode SharedAdmission) bool {
+	if engineOf(snap, service) == nil || mode == SharedAdmissionOff {
+		return false
+	}
+	return mode == SharedAdmissionOn || mixedUrgency(snap.Config, service)
+}
--- a/internal/serve/burdockdirect/waiting.go
+++ b/internal/serve/burdockdirect/waiting.go
@@ -7,6 +7,7 @@
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/decide/burdockqueue"
+	"burdockbend.example/burdockbend/internal/decide/burdocktimeliness"
 )
 
 // waiter is a request in the queue.
@@ -15,6 +16,8 @@
 	decision chan burdockqueue.Event
 	// lateAt is the time from which the request can no longer meet its latency objective.
 	lateAt burdockclock.Millis
+	// source is the request that waits.
+	source *request
 }
 
 // admit waits until the request may start. It returns a refusal, or nil. The error is that
@@ -25,6 +28,7 @@
 		Arrived: req.arrived, Deadline: req.deadline,
 	}
 	g.mu.Lock()
+	lateAt := g.rank(req, &queued)
 	g.updateLimit(true)
 	switch d := g.queue.Offer(g.clock.Boot(), queued).(type) {
 	case burdockqueue.Start:
@@ -36,8 +40,9 @@
 		g.mu.Unlock()
 		return &d, nil
 	}
-	wait := &waiter{request: queued, decision: make(chan burdockqueue.Event, 1), lateAt: req.arrived + req.route.Objective - g.typicalFirstEvent}
+	wait := &waiter{request: queued, decision: make(chan burdockqueue.Event, 1), lateAt: lateAt, source: req}
 	g.waiting[id] = wait
+	g.timeliness.addWaiter(wait)
 	g.dispatch()
 	g.mu.Unlock()
 	return g.wait(ctx, wait)
@@ -49,8 +54,12 @@
 // arrival makes all of them late. A request that can no longer meet its objective
 // therefore gives way to those that can. It still starts when no other waits.
 func (g *gate) wait(ctx context.Context, w *waiter) (*burdockqueue.Refuse, error) {
-	late := time.NewTimer(max(w.lateAt-g.clock.Boot(), 1).Duration())
-	defer late.Stop()
+	var late <-chan time.Time
+	if w.lateAt != neverLate {
+		timer := time.NewTimer(max(w.lateAt-g.clock.Boot(), 1).Duration())
+		defer timer.Stop()
+		late = timer.C
+	}
 	for {
 		select {
 		case event := <-w.decision:
@@ -58,7 +67,7 @@
 				return &burdockqueue.Refuse{Reason: dropped.Reason, RetryAfter: dropped.RetryAfter}, nil
 			}
 			return nil, nil
-		case <-late.C:
+		case <-late:
 			if refuse := g.demote(w); refuse != nil {
 				return refuse, nil
 			}
@@ -79,6 +88,10 @@
 	now := g.clock.Boot()
 	g.queue.Cancel(now, w.request.ID)
 	w.request.Class++
+	if g.timeliness != nil {
+		w.source.late = burdocktimeliness.ReasonObjective
+		g.meters.late.Inc()
+	}
 	switch d := g.queue.Offer(now, w.request).(type) {
 	case burdockqueue.Start:
 		delete(g.waiting, w.request.ID)
