burdockplace: compare many members when their loads are known

With the less loaded of two random members, streams begin at full engines while others have free slots. Request.Compare compares more random members for requests without a prefix and takes the least loaded. A member with a reduced weight is compared as if it ran its missing share, so that it doesn't get a full one.

--- a/internal/decide/burdockplace/choose.go
+++ b/internal/decide/burdockplace/choose.go
@@ -69,12 +69,18 @@
 // the request overflows to further candidates, because a full owner delays every
 // request on it. Requests without a prefix go to the less loaded of two random
 // candidates instead of the least loaded of all, which all entries with the same
-// stale view would pick at once.
+// stale view would pick at once. With a recent view they state Request.Compare.
 func (p *Placer) Choose(now burdockclock.Millis, req Request) (Choice, bool) {
 	if len(p.members) == 0 {
 		return Choice{}, false
 	}
 	c := chooser{p: p, now: now, req: &req, bound: p.bound()}
+	if req.Compare > 0 && len(req.Prefix) == 0 {
+		if choice, ok := c.chooseOfMany(); ok {
+			return choice, true
+		}
+		return c.chooseAny()
+	}
 	// A request is offered to the prefix's owners at most once per owner. Later
 	// positions don't have the prefix cached, so an upstream that reported recently
 	// is the better choice. The last offer carries no load bound and must not go to
@@ -90,6 +96,27 @@
 	return c.chooseAny()
 }
 
+// chooseOfMany chooses the least loaded of Request.Compare random members. The draw
+// is random, so the first of several with the same score is a random one.
+func (c *chooser) chooseOfMany() (Choice, bool) {
+	c.random = true
+	c.collect(c.req.Compare)
+	for i := range c.seen.n {
+		cand := &c.seen.list[i]
+		m := &c.p.members[cand.index]
+		// A member below its normal share is the least loaded of nearly any sample.
+		// Compared by load alone it would get a full share, however rarely it is drawn.
+		cand.score += c.p.reportWeight(c.now, m) * float64(1-m.weight) * c.p.fleet.mean
+	}
+	if choice, ok := c.leastLoaded(0, ReasonNoPrefix); ok {
+		return choice, true
+	}
+	for i := range c.seen.n {
+		c.seen.list[i].overBound = false
+	}
+	return c.leastLoaded(0, ReasonSaturated)
+}
+
 // bound returns the load above which an upstream is passed over. While the fleet
 // has free slots it is at most 1, because a request should not queue for one slot
 // while another is free.
--- a/internal/decide/burdockplace/place.go
+++ b/internal/decide/burdockplace/place.go
@@ -39,6 +39,13 @@
 	// Attempt is the number of offers of this request that upstreams refused.
 	// Offers that could not be sent don't count, as they don't indicate load.
 	Attempt int
+	// Compare is the number of random members, at most maxCandidates, of which a
+	// request without a prefix gets the least loaded. 0 compares as Choose describes.
+	// It is for entries that know the load of all members to within a tenth of a
+	// second: of two members drawn at random both are often full while others have
+	// free slots. With loads known 100 ms late 6 is best: entries that compare more
+	// send the starts within the lag to the same members.
+	Compare int
 	// Exclude reports whether an upstream must not be chosen, for example because
 	// it refused this request. It may be nil.
 	Exclude func(burdockid.Upstream) bool
