Tell engines the priority of a request

Engines that have more streams than they run start them in their order of arrival, since no offer states a priority: they assume 5 for all. A value that a caller sends is removed for all services. The product's own engine interface gets Call.Priority, which agents set where a profile has several classes.

Tests of both interfaces, with the race detector: passed. The effect on callers has not been measured.

--- a/internal/external/burdockengine/engine.go
+++ b/internal/external/burdockengine/engine.go
@@ -10,6 +10,10 @@
 	"github.com/joomcode/errorx"
 )
 
+// PriorityHeader states the priority of a request, a number from 0 (most urgent) to 9. An
+// engine that has more requests than it can run starts the more urgent ones first.
+const PriorityHeader = "Burdock-Request-Priority"
+
 // Call is one request to send to the upstream.
 type Call struct {
 	Method string
@@ -17,6 +21,8 @@
 	Query  string
 	Header http.Header
 	Body   []byte
+	// Priority is sent as PriorityHeader, 0 being the most urgent; nil if none is stated.
+	Priority *int
 	// BeforeSend, if not nil, is called once, right before the first byte may be
 	// written. Until then the upstream has received nothing of the call.
 	BeforeSend func()
--- a/internal/external/burdockengine/http.go
+++ b/internal/external/burdockengine/http.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -56,6 +57,10 @@
 	if call.Header != nil {
 		req.Header = call.Header
 	}
+	if call.Priority != nil {
+		req.Header = req.Header.Clone()
+		req.Header.Set(PriorityHeader, strconv.Itoa(*call.Priority))
+	}
 	res, err := e.transport.RoundTrip(req)
 	if err != nil && !connected.Load() {
 		return Answer{}, ErrNotSent.Wrap(err, "no connection to %s", e.base)
--- a/internal/serve/burdockagent/job.go
+++ b/internal/serve/burdockagent/job.go
@@ -33,6 +33,7 @@
 	arrived  burdockclock.Millis
 	clock    burdockclock.Clock
 	slot     burdockledger.Slot // of the idempotency key, if there is one
+	priority *int               // that the upstream is told; nil if none
 
 	mu         sync.Mutex
 	spaceFreed *sync.Cond // signalled when a reader has sent bytes, and on each tick
--- a/internal/serve/burdockagent/policy.go
+++ b/internal/serve/burdockagent/policy.go
@@ -69,6 +69,18 @@
 	return p.defaultClass
 }
 
+// maxEnginePriority is the least urgent priority that engines know.
+const maxEnginePriority = 9
+
+// enginePriority returns the priority that the upstream is told; nil if the profile has a
+// single class.
+func (p policy) enginePriority(class burdockqueue.Class) *int {
+	if len(p.queue.Classes) <= 1 {
+		return nil
+	}
+	return new(int(min(class, maxEnginePriority)))
+}
+
 // maxTimeout limits the timeout of a request, as profiles do. A timeout of more than
 // about 292 years would overflow time.Duration and count as expired.
 const maxTimeout = 24 * burdockclock.Hour
--- a/internal/serve/burdockagent/rpc.go
+++ b/internal/serve/burdockagent/rpc.go
@@ -98,6 +98,7 @@
 		Arrived:  now,
 		Deadline: j.deadline,
 	}
+	j.priority = a.policy.enginePriority(queueRequest.Class)
 	switch d := a.queue.Offer(now, queueRequest).(type) {
 	case burdockqueue.Start:
 		a.jobs[id] = j
--- a/internal/serve/burdockagent/run.go
+++ b/internal/serve/burdockagent/run.go
@@ -66,6 +66,7 @@
 // execute sends the request to the engine and reads the answer.
 func (r *runner) execute(ctx context.Context) outcome {
 	call := engineCall(r.job.request)
+	call.Priority = r.job.priority
 	call.BeforeSend = func() { r.job.fire(burdockcharts.RequestEventHandOver) }
 	answer, err := r.agent.deps.Engine.Do(ctx, call)
 	if err != nil {
@@ -159,6 +160,7 @@
 	for _, h := range req.GetHeaders() {
 		header.Add(h.GetName(), h.GetValue())
 	}
+	header.Del(burdockengine.PriorityHeader)
 	header.Set(requestIDHeader, req.GetRequestId())
 	header.Set(customerHeader, req.GetCustomer())
 	return burdockengine.Call{
--- a/internal/serve/burdockdirect/attempt.go
+++ b/internal/serve/burdockdirect/attempt.go
@@ -110,7 +110,7 @@
 	}
 	out := UpstreamHeaders{
 		Customer: req.customer, ExpectedUpstream: a.target.ID, LastEventID: a.offers.lastEventID,
-		TimeBudget: req.deadline - a.offers.entry.now(),
+		TimeBudget: req.deadline - a.offers.entry.now(), Priority: req.enginePriority,
 	}
 	a.offers.entry.deps.Dialect.Prepare(header, out)
 	var body io.ReadCloser = http.NoBody
--- a/internal/serve/burdockdirect/dialect.go
+++ b/internal/serve/burdockdirect/dialect.go
@@ -32,6 +32,9 @@
 	ExpectedUpstream burdockid.Upstream
 	TimeBudget       burdockclock.Millis
 	LastEventID      string
+	// Priority is the priority at the upstream, from 0 (most urgent) to 9; nil if none is
+	// stated. A priority that the caller's headers state is removed either way.
+	Priority *int
 }
 
 // Load is the load that an upstream reports.
--- a/internal/serve/burdockdirect/fixture_test.go
+++ b/internal/serve/burdockdirect/fixture_test.go
@@ -35,6 +35,10 @@
 
 func (testDialect) Prepare(h http.Header, out UpstreamHeaders) {
 	h.Del("X-Key")
+	h.Del("X-Priority")
+	if out.Priority != nil {
+		h.Set("X-Priority", strconv.Itoa(*out.Priority))
+	}
 	h.Set("X-Customer", string(out.Customer))
 	h.Set("X-Upstream", string(out.ExpectedUpstream))
 	h.Set("X-Budget", strconv.FormatInt(int64(out.TimeBudget), 10))
--- a/internal/serve/burdockdirect/request.go
+++ b/internal/serve/burdockdirect/request.go
@@ -36,9 +36,11 @@
 	service  burdockid.Service
 	customer burdockid.Customer
 	class    burdockqueue.Class
-	arrived  burdockclock.Millis
-	deadline burdockclock.Millis
-	cost     burdockid.Tokens
+	// enginePriority is the priority that offers state; nil if they state none.
+	enginePriority *int
+	arrived        burdockclock.Millis
+	deadline       burdockclock.Millis
+	cost           burdockid.Tokens
 }
 
 // refusal is an answer by the entry itself.
@@ -94,6 +96,7 @@
 		return req, rejection
 	}
 	req.service = pickService(route.Shares)
+	req.enginePriority = enginePriority(cfg, req.service, req.class)
 	req.cost = max(req.PromptTokens+outputTokenCost*req.MaxOutputTokens, 1)
 	timeout := defaultTimeout
 	if route.Timeout > 0 {
--- a/internal/standin/burdockfakeengine/engine.go
+++ b/internal/standin/burdockfakeengine/engine.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/external/burdockengine"
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -47,10 +48,12 @@
 type Runs struct {
 	Started map[burdockid.Request]int `json:"started"`
 	// ByKey counts started requests by idempotency key, for requests that have one.
-	ByKey     map[burdockid.IdempotencyKey]int `json:"byKey"`
-	Finished  int                              `json:"finished"`
-	Abandoned int                              `json:"abandoned"`
-	Running   int                              `json:"running"`
+	ByKey map[burdockid.IdempotencyKey]int `json:"byKey"`
+	// ByPriority counts started requests by the priority that they state.
+	ByPriority map[string]int `json:"byPriority,omitempty"`
+	Finished   int            `json:"finished"`
+	Abandoned  int            `json:"abandoned"`
+	Running    int            `json:"running"`
 }
 
 // Server is one stand-in engine.
@@ -74,7 +77,7 @@
 // New returns a stand-in engine.
 func New(cfg Config) *Server {
 	s := &Server{cfg: cfg, mux: http.NewServeMux(), runs: Runs{
-		Started: map[burdockid.Request]int{}, ByKey: map[burdockid.IdempotencyKey]int{},
+		Started: map[burdockid.Request]int{}, ByKey: map[burdockid.IdempotencyKey]int{}, ByPriority: map[string]int{},
 	}}
 	s.mux.HandleFunc("POST /v1/chat/completions", s.counted(s.chat))
 	s.mux.HandleFunc("POST /v1/completions", s.counted(s.completion))
@@ -97,6 +100,7 @@
 	copied := s.runs
 	copied.Started = maps.Clone(s.runs.Started)
 	copied.ByKey = maps.Clone(s.runs.ByKey)
+	copied.ByPriority = maps.Clone(s.runs.ByPriority)
 	return copied
 }
 
@@ -114,6 +118,9 @@
 		if key := r.Header.Get("Idempotency-Key"); key != "" {
 			s.runs.ByKey[burdockid.IdempotencyKey(key)]++
 		}
+		if priority := r.Header.Get(burdockengine.PriorityHeader); priority != "" {
+			s.runs.ByPriority[priority]++
+		}
 		s.runs.Running++
 		s.mu.Unlock()
 		complete := true
