Estimate the cost of a request from its caller's length hint

Requests cost by the maximum of output tokens that they state, which most answers don't reach, so fair shares follow stated maxima instead of work. The charge of a stream is corrected to its actual length when it ends, so that understating it gains nothing.

The effect on callers has not been measured.

--- a/internal/serve/burdockdirect/dialect.go
+++ b/internal/serve/burdockdirect/dialect.go
@@ -20,6 +20,8 @@
 	// PromptTokens is the size of the prompt, MaxOutputTokens the maximum size of the
 	// answer; 0 if unknown.
 	PromptTokens, MaxOutputTokens burdockid.Tokens
+	// LengthHint is how many tokens the caller expects in the answer; 0 if unknown.
+	LengthHint burdockid.Tokens
 	// LastEventID is the event after which the stream resumes.
 	LastEventID string
 }
--- a/internal/serve/burdockdirect/fixture_test.go
+++ b/internal/serve/burdockdirect/fixture_test.go
@@ -27,9 +27,12 @@
 
 func (testDialect) ParseRequest(h http.Header) CallerHeaders {
 	budget, _ := strconv.ParseInt(h.Get("X-Budget"), 10, 64)
+	maximum, _ := strconv.ParseInt(h.Get("X-Max"), 10, 64)
+	hint, _ := strconv.ParseInt(h.Get("X-Hint"), 10, 64)
 	return CallerHeaders{
 		ID: burdockid.Request(h.Get("X-Id")), APIKey: h.Get("X-Key"),
 		TimeBudget: burdockclock.Millis(budget), LastEventID: h.Get("Last-Event-Id"),
+		MaxOutputTokens: burdockid.Tokens(maximum), LengthHint: burdockid.Tokens(hint),
 	}
 }
 
--- a/internal/serve/burdockdirect/offers.go
+++ b/internal/serve/burdockdirect/offers.go
@@ -71,7 +71,7 @@
 	served := burdockid.Tokens(0)
 	defer func() { p.gate.finish(id, served) }()
 	if o.run(r.Context(), ctx) {
-		served = req.cost
+		served = o.servedCost()
 	}
 }
 
--- a/internal/serve/burdockdirect/pool.go
+++ b/internal/serve/burdockdirect/pool.go
@@ -37,6 +37,7 @@
 	service burdockid.Service
 	entry   *Entry
 	gate    *gate
+	lengths *lengths
 	random  *rand.Rand
 
 	mu       sync.Mutex
@@ -87,6 +88,7 @@
 	p := &pool{
 		service: service, entry: e, random: random, groups: e.groups, inFlight: map[burdockid.Upstream]int{}, migrations: migrations{}, suspected: burdocksuspicion.New(burdocksuspicion.Config{}),
 		memberAge:   newMemberAge(),
+		lengths:     newLengths(),
 		lastContact: map[burdockid.Upstream]contact{}, typicalFirstEvent: initialFirstEvent,
 		entries: e.entries,
 		pauses:  burdockbackpressure.NewPauses(),
--- a/internal/serve/burdockdirect/request.go
+++ b/internal/serve/burdockdirect/request.go
@@ -41,6 +41,8 @@
 	arrived        burdockclock.Millis
 	deadline       burdockclock.Millis
 	cost           burdockid.Tokens
+	// outputTokens is the number of output tokens that cost is computed from.
+	outputTokens burdockid.Tokens
 }
 
 // refusal is an answer by the entry itself.
@@ -97,7 +99,8 @@
 	}
 	req.service = pickService(route.Shares)
 	req.enginePriority = enginePriority(cfg, req.service, req.class)
-	req.cost = max(req.PromptTokens+outputTokenCost*req.MaxOutputTokens, 1)
+	req.outputTokens = e.outputTokens(req)
+	req.cost = costOf(req.PromptTokens, req.outputTokens)
 	timeout := defaultTimeout
 	if route.Timeout > 0 {
 		timeout = route.Timeout
@@ -109,6 +112,11 @@
 	return req, nil
 }
 
+// costOf returns the cost of a request in prompt tokens.
+func costOf(prompt, output burdockid.Tokens) burdockid.Tokens {
+	return max(prompt+outputTokenCost*output, 1)
+}
+
 func (req *request) authenticate(cfg *burdocksite.Config) *refusal {
 	req.class = burdockqueue.Class(max(req.route.Priority, 0))
 	if len(cfg.Customers) == 0 || req.route.Public {
