Cold and rate-limited upstreams: slots for urgent work first

An entry gives the single token that it has for a cold or rate-limited upstream to whichever request comes next, so less urgent work that always waits takes them all. For services of mixed urgency, a request leaves the token to more urgent ones that came within 2 s until it has been there for as long as a token takes. A class of which nothing was placed for 2 s takes tokens like the most urgent one. The rate is kept because a less urgent request is allowed only where any request is. A refused one is told when the token will be left to it.

The effect on callers has not been measured.

--- a/internal/decide/burdockcold/cold.go
+++ b/internal/decide/burdockcold/cold.go
@@ -75,6 +75,13 @@
 	return c == nil || c.Allows(now)
 }
 
+// AllowsLessUrgent reports whether an upstream may get a request now that leaves its part of
+// the rate to more urgent ones.
+func (l *Limiter) AllowsLessUrgent(now burdockclock.Millis, u burdockid.Upstream) bool {
+	c := l.current(now, u)
+	return c == nil || c.AllowsLessUrgent(now)
+}
+
 // Sent records that an upstream was sent a request.
 func (l *Limiter) Sent(now burdockclock.Millis, u burdockid.Upstream) {
 	if c := l.current(now, u); c != nil {
--- a/internal/decide/burdockratelimit/limiter.go
+++ b/internal/decide/burdockratelimit/limiter.go
@@ -106,6 +106,23 @@
 	return known.NextAt(now)
 }
 
+// AllowsLessUrgent reports whether an upstream may get a request now that leaves its part of
+// the limit to more urgent ones.
+func (l *Limiter) AllowsLessUrgent(now burdockclock.Millis, u burdockid.Upstream) bool {
+	known := l.limits[u]
+	return known == nil || known.AllowsLessUrgent(now)
+}
+
+// NextAtLessUrgent returns when an upstream may get such a request; false if that isn't
+// known.
+func (l *Limiter) NextAtLessUrgent(now burdockclock.Millis, u burdockid.Upstream) (burdockclock.Millis, bool) {
+	known := l.limits[u]
+	if known == nil {
+		return now, true
+	}
+	return known.NextAtLessUrgent(now)
+}
+
 // Sent records that an upstream was sent a request.
 func (l *Limiter) Sent(now burdockclock.Millis, u burdockid.Upstream) {
 	if known := l.limits[u]; known != nil {
--- a/internal/decide/burdocksharedrate/bucket.go
+++ b/internal/decide/burdocksharedrate/bucket.go
@@ -16,6 +16,9 @@
 	others   Others
 	share    share
 	tokens   float64
+	// spare is how much of a further token has come since the bucket was full, 1 at most. No
+	// request takes it: it tells whether the token has been there for as long as one takes.
+	spare    float64
 	filledAt burdockclock.Millis
 	// usedTurn numbers the turn in which a request was sent last; -1 for none.
 	usedTurn int64
@@ -49,7 +52,9 @@
 }
 
 func (b *Bucket) fill(now burdockclock.Millis) {
-	b.tokens = min(b.tokens+float64(now-b.filledAt)*float64(b.share.rate)/float64(burdockclock.Second), 1)
+	filled := b.tokens + b.spare + float64(now-b.filledAt)*float64(b.share.rate)/float64(burdockclock.Second)
+	b.tokens = min(filled, 1)
+	b.spare = min(filled-b.tokens, 1)
 	b.filledAt = now
 }
 
@@ -59,9 +64,30 @@
 	return known && at <= now
 }
 
+// AllowsLessUrgent reports whether the entry may send a request now that leaves the token to
+// more urgent ones until it has been there for as long as a token takes. Whenever it does,
+// Allows does too, so the rate is kept however the two are mixed. In its turn, an entry
+// without a part in the rate sends whatever it has.
+func (b *Bucket) AllowsLessUrgent(now burdockclock.Millis) bool {
+	at, known := b.NextAtLessUrgent(now)
+	return known && at <= now
+}
+
 // NextAt returns when the entry may send its next request, now at the earliest; false if
 // that isn't known.
 func (b *Bucket) NextAt(now burdockclock.Millis) (burdockclock.Millis, bool) {
+	return b.filledTo(now, 1)
+}
+
+// NextAtLessUrgent returns when AllowsLessUrgent will report true if no other request is
+// sent, now at the earliest; false if that isn't known.
+func (b *Bucket) NextAtLessUrgent(now burdockclock.Millis) (burdockclock.Millis, bool) {
+	return b.filledTo(now, 2)
+}
+
+// filledTo returns when the tokens and the spare part of one add up to a number and the
+// entry may send a request.
+func (b *Bucket) filledTo(now burdockclock.Millis, tokens float64) (burdockclock.Millis, bool) {
 	settled, known := b.entries.settledAt()
 	switch {
 	case !known:
@@ -72,7 +98,7 @@
 		return 0, false
 	}
 	b.fill(now)
-	missing := max(1-b.tokens, 0) / float64(b.share.rate) * float64(burdockclock.Second)
+	missing := max(tokens-(b.tokens+b.spare), 0) / float64(b.share.rate) * float64(burdockclock.Second)
 	return max(now+ceilMillis(missing), settled), true
 }
 
@@ -88,7 +114,7 @@
 // Take records a request that is sent now.
 func (b *Bucket) Take(now burdockclock.Millis) {
 	b.fill(now)
-	b.tokens = max(b.tokens-1, 0)
+	b.tokens, b.spare = max(b.tokens-1, 0), 0
 	b.usedTurn, _ = b.share.turnAt(now + b.entries.ClockOffset)
 }
 
--- a/internal/serve/burdockdirect/choose.go
+++ b/internal/serve/burdockdirect/choose.go
@@ -24,12 +24,23 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.expirePauses(now)
+	takes, passedOver := p.takesRequests, false
+	if p.isLessUrgent(now, req) {
+		takes = func(now burdockclock.Millis, u burdockid.Upstream) bool {
+			takes := p.takesRequests(now, u)
+			reserved := takes && p.isReserved(now, u)
+			passedOver = passedOver || reserved
+			return takes && !reserved
+		}
+	}
 	u, reason := preferred, reasonStay
-	if !p.isMember(u) || !p.takesRequests(now, u) {
-		barred := func(u burdockid.Upstream) bool { return excluded[u] || unavailable(u) || !p.takesRequests(now, u) }
+	if !p.isMember(u) || !takes(now, u) {
+		barred := func(u burdockid.Upstream) bool { return excluded[u] || unavailable(u) || !takes(now, u) }
 		u, reason = p.place(now, req, barred)
 	}
-	if !p.isMember(u) || !p.takesRequests(now, u) {
+	placed := p.isMember(u) && takes(now, u)
+	p.recordUrgency(now, req, placed, passedOver)
+	if !placed {
 		return burdocksite.Upstream{}, "", false
 	}
 	p.offerStarted(now, u, req.cost)
@@ -81,9 +92,15 @@
 // nextRequestAt returns when the first of the members may get a request; now if that isn't
 // known. The lock must be held.
 func (p *pool) nextRequestAt(now burdockclock.Millis) burdockclock.Millis {
+	return p.firstAt(now, p.rateLimits.NextAt)
+}
+
+// firstAt returns when the first of the members may get a request, given when each one's
+// rate limit allows it. The lock must be held.
+func (p *pool) firstAt(now burdockclock.Millis, nextAt func(burdockclock.Millis, burdockid.Upstream) (burdockclock.Millis, bool)) burdockclock.Millis {
 	var first burdockclock.Millis
 	for u := range p.members {
-		at, ok := p.rateLimits.NextAt(now, u)
+		at, ok := nextAt(now, u)
 		at = max(at, p.pauses.Until(now, u))
 		if ok && (first == 0 || at < first) {
 			first = at
@@ -94,10 +111,11 @@
 
 // barredMembers returns the log fields that tell how many of the members may get no request
 // now, by the reason.
-func (p *pool) barredMembers(now burdockclock.Millis) []zap.Field {
+func (p *pool) barredMembers(now burdockclock.Millis, req *request) []zap.Field {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	cold, limited, pausing := 0, 0, 0
+	lessUrgent := p.isLessUrgent(now, req)
+	cold, limited, pausing, reserved := 0, 0, 0, 0
 	for u := range p.members {
 		if !p.cold.Allows(now, u) {
 			cold++
@@ -108,6 +126,12 @@
 		if !p.pauses.Allows(now, u) {
 			pausing++
 		}
+		if lessUrgent && p.takesRequests(now, u) && p.isReserved(now, u) {
+			reserved++
+		}
+	}
+	return []zap.Field{
+		zap.Int("members", len(p.members)), zap.Int("cold", cold), zap.Int("rateLimited", limited), zap.Int("pausing", pausing),
+		zap.Int("reservedForUrgent", reserved),
 	}
-	return []zap.Field{zap.Int("members", len(p.members)), zap.Int("cold", cold), zap.Int("rateLimited", limited), zap.Int("pausing", pausing)}
 }
--- a/internal/serve/burdockdirect/offers.go
+++ b/internal/serve/burdockdirect/offers.go
@@ -97,8 +97,8 @@
 		}
 		target, reason, ok := o.pool.choose(o.entry.now(), o.req, o.excluded, o.preferred)
 		if !ok {
-			o.entry.logEnd(o.req, "no upstream takes requests", o.pool.barredMembers(o.entry.now())...)
-			o.giveUp(o.pool.giveUpNoUpstream(o.entry.now()))
+			o.entry.logEnd(o.req, "no upstream takes requests", o.pool.barredMembers(o.entry.now(), o.req)...)
+			o.giveUp(o.pool.giveUpNoUpstream(o.entry.now(), o.req))
 			return false
 		}
 		began := o.entry.now()
--- a/internal/serve/burdockdirect/pool.go
+++ b/internal/serve/burdockdirect/pool.go
@@ -38,6 +38,7 @@
 	entry   *Entry
 	gate    *gate
 	lengths *lengths
+	urgency urgency // guarded by mu
 	random  *rand.Rand
 
 	mu       sync.Mutex
@@ -207,10 +208,14 @@
 
 // giveUpNoUpstream returns the decision for a request that no upstream may get. Its caller is
 // to return once one of them takes requests.
-func (p *pool) giveUpNoUpstream(now burdockclock.Millis) burdockretry.GiveUp {
+func (p *pool) giveUpNoUpstream(now burdockclock.Millis, req *request) burdockretry.GiveUp {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.budget.GiveUpNoUpstream(now, p.nextRequestAt(now)-now)
+	at := p.nextRequestAt(now)
+	if p.isLessUrgent(now, req) {
+		at = p.firstAt(now, p.rateLimits.NextAtLessUrgent)
+	}
+	return p.budget.GiveUpNoUpstream(now, at-now)
 }
 
 // giveUpGroupClosed returns the decision for a request whose group stayed closed.
