--- a/internal/serve/burdockdirect/dialect.go
+++ b/internal/serve/burdockdirect/dialect.go
@@ -20,6 +20,8 @@
 	// PromptTokens is the size of the prompt, MaxOutputTokens the maximum size of the
 	// answer; 0 if unknown.
 	PromptTokens, MaxOutputTokens burdockid.Tokens
+	// LengthHint is how many tokens the caller expects in the answer; 0 if unknown.
+	LengthHint burdockid.Tokens
 	// LastEventID is the event after which the stream resumes.
 	LastEventID string
 }
@@ -32,6 +34,9 @@
 	ExpectedUpstream burdockid.Upstream
 	TimeBudget       burdockclock.Millis
 	LastEventID      string
+	// Priority is the priority at the upstream, from 0 (most urgent) to 9; nil if none is
+	// stated. A priority that the caller's headers state is removed either way.
+	Priority *int
 }
 
 // Load is the load that an upstream reports.
--- a/internal/serve/burdockdirect/fixture_test.go
+++ b/internal/serve/burdockdirect/fixture_test.go
@@ -27,14 +27,21 @@
 
 func (testDialect) ParseRequest(h http.Header) CallerHeaders {
 	budget, _ := strconv.ParseInt(h.Get("X-Budget"), 10, 64)
+	maximum, _ := strconv.ParseInt(h.Get("X-Max"), 10, 64)
+	hint, _ := strconv.ParseInt(h.Get("X-Hint"), 10, 64)
 	return CallerHeaders{
 		ID: burdockid.Request(h.Get("X-Id")), APIKey: h.Get("X-Key"),
 		TimeBudget: burdockclock.Millis(budget), LastEventID: h.Get("Last-Event-Id"),
+		MaxOutputTokens: burdockid.Tokens(maximum), LengthHint: burdockid.Tokens(hint),
 	}
 }
 
 func (testDialect) Prepare(h http.Header, out UpstreamHeaders) {
 	h.Del("X-Key")
+	h.Del("X-Priority")
+	if out.Priority != nil {
+		h.Set("X-Priority", strconv.Itoa(*out.Priority))
+	}
 	h.Set("X-Customer", string(out.Customer))
 	h.Set("X-Upstream", string(out.ExpectedUpstream))
 	h.Set("X-Budget", strconv.FormatInt(int64(out.TimeBudget), 10))
--- a/internal/serve/burdockdirect/members.go
+++ b/internal/serve/burdockdirect/members.go
@@ -67,7 +67,7 @@
 func gateConfigOf(snap *burdocksite.Snapshot, service burdockid.Service, mode SharedAdmission) gateConfig {
 	cfg := gateConfig{engine: engineOf(snap, service), members: snap.Members(service)}
 	cfg.firstEventTimeout, cfg.maxEventGap = streamTimeouts(snap, service)
-	cfg.shared = sharedAdmission(snap, service, mode)
+	cfg.shared = sharedAdmission(snap.Config, service, mode)
 	return cfg
 }
 
--- a/internal/serve/burdockdirect/offers.go
+++ b/internal/serve/burdockdirect/offers.go
@@ -71,7 +71,7 @@
 	served := burdockid.Tokens(0)
 	defer func() { p.gate.finish(id, served) }()
 	if o.run(r.Context(), ctx) {
-		served = req.cost
+		served = o.servedCost()
 	}
 }
 
@@ -97,8 +97,8 @@
 		}
 		target, reason, ok := o.pool.choose(o.entry.now(), o.req, o.excluded, o.preferred)
 		if !ok {
-			o.entry.logEnd(o.req, "no upstream takes requests", o.pool.barredMembers(o.entry.now())...)
-			o.giveUp(o.pool.giveUpNoUpstream(o.entry.now()))
+			o.entry.logEnd(o.req, "no upstream takes requests", o.pool.barredMembers(o.entry.now(), o.req)...)
+			o.giveUp(o.pool.giveUpNoUpstream(o.entry.now(), o.req))
 			return false
 		}
 		began := o.entry.now()
--- a/internal/serve/burdockdirect/pool.go
+++ b/internal/serve/burdockdirect/pool.go
@@ -37,6 +37,8 @@
 	service burdockid.Service
 	entry   *Entry
 	gate    *gate
+	lengths *lengths
+	urgency urgency // guarded by mu
 	random  *rand.Rand
 
 	mu       sync.Mutex
@@ -87,6 +89,7 @@
 	p := &pool{
 		service: service, entry: e, random: random, groups: e.groups, inFlight: map[burdockid.Upstream]int{}, migrations: migrations{}, suspected: burdocksuspicion.New(burdocksuspicion.Config{}),
 		memberAge:   newMemberAge(),
+		lengths:     newLengths(),
 		lastContact: map[burdockid.Upstream]contact{}, typicalFirstEvent: initialFirstEvent,
 		entries: e.entries,
 		pauses:  burdockbackpressure.NewPauses(),
@@ -205,10 +208,14 @@
 
 // giveUpNoUpstream returns the decision for a request that no upstream may get. Its caller is
 // to return once one of them takes requests.
-func (p *pool) giveUpNoUpstream(now burdockclock.Millis) burdockretry.GiveUp {
+func (p *pool) giveUpNoUpstream(now burdockclock.Millis, req *request) burdockretry.GiveUp {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.budget.GiveUpNoUpstream(now, p.nextRequestAt(now)-now)
+	at := p.nextRequestAt(now)
+	if p.isLessUrgent(now, req) {
+		at = p.firstAt(now, p.rateLimits.NextAtLessUrgent)
+	}
+	return p.budget.GiveUpNoUpstream(now, at-now)
 }
 
 // giveUpGroupClosed returns the decision for a request whose group stayed closed.
--- a/internal/serve/burdockdirect/request.go
+++ b/internal/serve/burdockdirect/request.go
@@ -37,9 +37,13 @@
 	service  burdockid.Service
 	customer burdockid.Customer
 	class    burdockqueue.Class
-	arrived  burdockclock.Millis
-	deadline burdockclock.Millis
-	cost     burdockid.Tokens
+	// enginePriority is the priority that offers state; nil if they state none.
+	enginePriority *int
+	arrived        burdockclock.Millis
+	deadline       burdockclock.Millis
+	cost           burdockid.Tokens
+	// outputTokens is the number of output tokens that cost is computed from.
+	outputTokens burdockid.Tokens
 	// late is why the request went behind those that can be in time, if the service has
 	// shared admission.
 	late burdocktimeliness.Reason
@@ -98,7 +102,9 @@
 		return req, rejection
 	}
 	req.service = pickService(route.Shares)
-	req.cost = max(req.PromptTokens+outputTokenCost*req.MaxOutputTokens, 1)
+	req.enginePriority = enginePriority(cfg, req.service, e.cfg.SharedAdmission, req.class)
+	req.outputTokens = e.outputTokens(req)
+	req.cost = costOf(req.PromptTokens, req.outputTokens)
 	timeout := defaultTimeout
 	if route.Timeout > 0 {
 		timeout = route.Timeout
@@ -110,6 +116,11 @@
 	return req, nil
 }
 
+// costOf returns the cost of a request in prompt tokens.
+func costOf(prompt, output burdockid.Tokens) burdockid.Tokens {
+	return max(prompt+outputTokenCost*output, 1)
+}
+
 func (req *request) authenticate(cfg *burdocksite.Config) *refusal {
 	req.class = burdockqueue.Class(max(req.route.Priority, 0))
 	if len(cfg.Customers) == 0 || req.route.Public {
--- a/internal/serve/burdockdirect/shared.go
+++ b/internal/serve/burdockdirect/shared.go
@@ -20,9 +20,9 @@
 )
 
 // sharedAdmission reports whether a service has shared admission.
-func sharedAdmission(snap *burdocksite.Snapshot, service burdockid.Service, mode SharedAdmission) bool {
-	if engineOf(snap, service) == nil || mode == SharedAdmissionOff {
+func sharedAdmission(cfg *burdocksite.Config, service burdockid.Service, mode SharedAdmission) bool {
+	if cfg == nil || cfg.Services[service].Engine == nil || mode == SharedAdmissionOff {
 		return false
 	}
-	return mode == SharedAdmissionOn || mixedUrgency(snap.Config, service)
+	return mode == SharedAdmissionOn || mixedUrgency(cfg, service)
 }
--- a/internal/serve/burdockdirect/timeliness_test.go
+++ b/internal/serve/burdockdirect/timeliness_test.go
@@ -120,11 +120,11 @@
 		snap := &burdocksite.Snapshot{Config: &burdocksite.Config{
 			Routes: test.routes, Services: map[burdockid.Service]burdocksite.Service{"s": {Name: "s", Engine: test.engine}},
 		}}
-		if got := sharedAdmission(snap, "s", test.mode); got != test.want {
+		if got := sharedAdmission(snap.Config, "s", test.mode); got != test.want {
 			t.Errorf("%s: got %v, want %v", test.name, got, test.want)
 		}
 	}
-	if sharedAdmission(&burdocksite.Snapshot{}, "s", SharedAdmissionOn) {
+	if sharedAdmission(nil, "s", SharedAdmissionOn) {
 		t.Error("without a configuration: got true, want false")
 	}
 }
