TestRelayBypassesDeadAgents runs in simulated time

Cause: the test, not the code. It gave agents 400 ms of real time to acknowledge the orders, and live agents of 24 processes at a time exceed that. An agent that exceeds the request's patience is rightly bypassed. With a patience that no busy machine exceeds, the test would wait that long for each frozen agent.

Now the agents of the test's group are connected by pipes and run in a synctest bubble. Its time stands still while any agent works, so only frozen agents exceed the patience. The checks of each rank are as they were. Two more hold now that the time is exact: two frozen agents follow each other in one branch, and the round must take exactly one patience for each of them.

--- a/internal/serve/burdockrank/relay_test.go
+++ b/internal/serve/burdockrank/relay_test.go
@@ -5,10 +5,10 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
-	"net/http/httptest"
-	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
@@ -41,16 +41,69 @@
 	return burdockengine.GroupCounts{}, nil
 }
 
-// relayGroup holds the agents of a group, each behind its own server.
+// relayGroup holds the agents of a group, each behind its own server. Connections are
+// pipes, so that a group in a synctest bubble runs in simulated time, which stands still
+// while an agent works.
 type relayGroup struct {
 	members []*member
-	servers []*httptest.Server
-	dead    map[burdockid.Rank]string // how an agent fails: "killed" or "frozen"
+	servers map[string]*pipeListener           // by address
+	dead    map[burdockid.Rank]relayAgentFault // how agents fail
+}
+
+// relayAgentFault is how an agent fails; "" stands for not at all.
+type relayAgentFault string
+
+const (
+	agentKilled relayAgentFault = "killed"
+	agentFrozen relayAgentFault = "frozen"
+)
+
+// pipeListener accepts the connections that dial creates.
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+}
+
+func newPipeListener() *pipeListener {
+	return &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+// Accept implements net.Listener.
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.conns:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener. It is called once.
+func (l *pipeListener) Close() error {
+	close(l.closed)
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// dial connects to the server at an address.
+func (g *relayGroup) dial(ctx context.Context, _, address string) (net.Conn, error) {
+	client, server := net.Pipe()
+	l := g.servers[address]
+	select {
+	case l.conns <- server:
+		return client, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
 }
 
 // Agent implements Directory.
 func (g *relayGroup) Agent(_ string, rank burdockid.Rank) string {
-	return strings.TrimPrefix(g.servers[rank].URL, "http://")
+	return fmt.Sprintf("10.0.0.%d:80", rank)
 }
 
 // Assignment implements Directory.
@@ -67,11 +120,12 @@
 
 func newRelayGroup(t *testing.T, ranks int) *relayGroup {
 	t.Helper()
-	g := &relayGroup{dead: map[burdockid.Rank]string{}}
+	g := &relayGroup{servers: map[string]*pipeListener{}, dead: map[burdockid.Rank]relayAgentFault{}}
 	for rank := range burdockid.Rank(ranks) {
-		deps := Deps{
-			Clock: burdockclock.System(), Engine: &idleEngine{}, Directory: g, Peers: burdocktransport.NewPeers(nil), Log: zap.NewNop(),
-		}
+		peers := burdocktransport.NewPeers(nil)
+		peers.Client.Transport = burdocktransport.NewOnce(&http.Transport{DialContext: g.dial})
+		t.Cleanup(peers.DropIdle)
+		deps := Deps{Clock: burdockclock.Wall(), Engine: &idleEngine{}, Directory: g, Peers: peers, Log: zap.NewNop()}
 		deps.Tuning.setDefaults()
 		host := NewHost("u", deps)
 		m := newMember(Assignment{Group: "g", Rank: rank, Ranks: ranks}, "u", deps, rand.New(rand.NewPCG(1, uint64(rank))))
@@ -83,8 +137,10 @@
 		mux := http.NewServeMux()
 		mux.Handle(burdockwire.NewGroupServiceHandler(host))
 		g.members = append(g.members, m)
-		g.servers = append(g.servers, httptest.NewServer(g.faulty(rank, mux)))
-		t.Cleanup(g.servers[rank].Close)
+		listener, server := newPipeListener(), &http.Server{Handler: g.faulty(rank, mux)}
+		g.servers[g.Agent("g", rank)] = listener
+		go func() { _ = server.Serve(listener) }()
+		t.Cleanup(func() { _ = server.Close() })
 	}
 	return g
 }
@@ -93,9 +149,9 @@
 func (g *relayGroup) faulty(rank burdockid.Rank, h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch g.dead[rank] {
-		case "killed":
+		case agentKilled:
 			panic(http.ErrAbortHandler)
-		case "frozen":
+		case agentFrozen:
 			// The server notices that the caller has gone only after the body was read.
 			_, _ = io.Copy(io.Discard, r.Body)
 			<-r.Context().Done()
@@ -147,20 +203,34 @@
 
 // A large group is stalled while one rank lacks its order. A round is relayed by agents
 // some of which are killed or frozen. Every other rank must still get its order, and the
-// controller must learn which ranks did not.
+// controller must learn which ranks did not. Each frozen agent may delay the ranks behind
+// it by the request's patience, and no longer.
+//
+// The time is simulated: on a busy machine, live agents exceed any patience that is short
+// enough for a test, and a live agent that exceeds it is rightly bypassed.
 func TestRelayBypassesDeadAgents(t *testing.T) {
-	g := newRelayGroup(t, 40)
-	for rank, fault := range map[burdockid.Rank]string{1: "killed", 2: "killed", 5: "killed", 14: "frozen", 20: "killed", 27: "frozen", 39: "killed"} {
-		g.dead[rank] = fault
-	}
-	reports, failures := g.send(t, &burdockwire.GroupRelayRequest{Fence: 2, Kind: burdockwire.GroupOrderKind_GROUP_ORDER_KIND_READ, PatienceMillis: 400})
-	for rank := burdockid.Rank(1); rank < 40; rank++ {
-		_, reported := reports[rank]
-		_, failed := failures[rank]
-		if dead := g.dead[rank] != ""; reported == dead || failed != dead {
-			t.Errorf("rank %d, %q: got a report %t and a failure %t", rank, g.dead[rank], reported, failed)
+	synctest.Test(t, func(t *testing.T) {
+		g := newRelayGroup(t, 40)
+		for rank, fault := range map[burdockid.Rank]relayAgentFault{
+			1: agentKilled, 2: agentKilled, 5: agentKilled, 14: agentFrozen, 15: agentFrozen, 20: agentKilled, 27: agentFrozen, 39: agentKilled,
+		} {
+			g.dead[rank] = fault
 		}
-	}
+		const patience = 400
+		began := time.Now()
+		reports, failures := g.send(t, &burdockwire.GroupRelayRequest{Fence: 2, Kind: burdockwire.GroupOrderKind_GROUP_ORDER_KIND_READ, PatienceMillis: patience})
+		// Ranks 14 and 15 are frozen and come first in the same branch, one after the other.
+		if got, want := time.Since(began), 2*patience*time.Millisecond; got != want {
+			t.Errorf("the round took %v, want %v", got, want)
+		}
+		for rank := burdockid.Rank(1); rank < 40; rank++ {
+			_, reported := reports[rank]
+			_, failed := failures[rank]
+			if dead := g.dead[rank] != ""; reported == dead || failed != dead {
+				t.Errorf("rank %d, %q: got a report %t and a failure %t", rank, g.dead[rank], reported, failed)
+			}
+		}
+	})
 }
 
 // A controller that lost its lease sends a round through relays. Each rank knows the
@@ -245,7 +315,7 @@
 		{"a rank beyond the group", &burdockwire.GroupRelayRequest{Group: "g", Degree: 2, Orders: order(1, 3)}},
 		{"another group", &burdockwire.GroupRelayRequest{Group: "h", Degree: 2, Orders: order(1)}},
 	}
-	client := burdockwire.NewGroupServiceClient(http.DefaultClient, g.servers[1].URL)
+	client := burdockwire.NewGroupServiceClient(g.members[0].deps.Peers.Client, "http://"+g.Agent("g", 1))
 	for _, test := range tests {
 		stream, err := client.Relay(context.Background(), connect.NewRequest(test.req))
 		if err == nil {
