--- a/internal/wire/burdockwire/burdockwire.connect.go
+++ b/internal/wire/burdockwire/burdockwire.connect.go
@@ -30,6 +30,8 @@
 	PeerServiceName = "burdock.wire.v1.PeerService"
 	// GroupServiceName is the fully-qualified name of the GroupService service.
 	GroupServiceName = "burdock.wire.v1.GroupService"
+	// RoomServiceName is the fully-qualified name of the RoomService service.
+	RoomServiceName = "burdock.wire.v1.RoomService"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -64,6 +66,8 @@
 	GroupServiceCountsProcedure = "/burdock.wire.v1.GroupService/Counts"
 	// GroupServiceHeldProcedure is the fully-qualified name of the GroupService's Held RPC.
 	GroupServiceHeldProcedure = "/burdock.wire.v1.GroupService/Held"
+	// RoomServiceExchangeProcedure is the fully-qualified name of the RoomService's Exchange RPC.
+	RoomServiceExchangeProcedure = "/burdock.wire.v1.RoomService/Exchange"
 )
 
 // AgentServiceClient is a client for the burdock.wire.v1.AgentService service.
@@ -545,3 +549,77 @@
 func (UnimplementedGroupServiceHandler) Held(context.Context, *connect.Request[GroupHeldRequest]) (*connect.Response[GroupHeldResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("burdock.wire.v1.GroupService.Held is not implemented"))
 }
+
+// RoomServiceClient is a client for the burdock.wire.v1.RoomService service.
+type RoomServiceClient interface {
+	// Exchange sends the demand of an entry, and returns the part of the service's
+	// room that the entry may use.
+	Exchange(context.Context, *connect.Request[RoomReport]) (*connect.Response[RoomPart], error)
+}
+
+// NewRoomServiceClient constructs a client for the burdock.wire.v1.RoomService service. By default,
+// it uses the Connect protocol with the binary Protobuf Codec, asks for gzipped responses, and
+// sends uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the connect.WithGRPC()
+// or connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewRoomServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) RoomServiceClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	roomServiceMethods := File_internal_wire_burdockwire_burdockwire_proto.Services().ByName("RoomService").Methods()
+	return &roomServiceClient{
+		exchange: connect.NewClient[RoomReport, RoomPart](
+			httpClient,
+			baseURL+RoomServiceExchangeProcedure,
+			connect.WithSchema(roomServiceMethods.ByName("Exchange")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// roomServiceClient implements RoomServiceClient.
+type roomServiceClient struct {
+	exchange *connect.Client[RoomReport, RoomPart]
+}
+
+// Exchange calls burdock.wire.v1.RoomService.Exchange.
+func (c *roomServiceClient) Exchange(ctx context.Context, req *connect.Request[RoomReport]) (*connect.Response[RoomPart], error) {
+	return c.exchange.CallUnary(ctx, req)
+}
+
+// RoomServiceHandler is an implementation of the burdock.wire.v1.RoomService service.
+type RoomServiceHandler interface {
+	// Exchange sends the demand of an entry, and returns the part of the service's
+	// room that the entry may use.
+	Exchange(context.Context, *connect.Request[RoomReport]) (*connect.Response[RoomPart], error)
+}
+
+// NewRoomServiceHandler builds an HTTP handler from the service implementation. It returns the path
+// on which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewRoomServiceHandler(svc RoomServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	roomServiceMethods := File_internal_wire_burdockwire_burdockwire_proto.Services().ByName("RoomService").Methods()
+	roomServiceExchangeHandler := connect.NewUnaryHandler(
+		RoomServiceExchangeProcedure,
+		svc.Exchange,
+		connect.WithSchema(roomServiceMethods.ByName("Exchange")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/burdock.wire.v1.RoomService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case RoomServiceExchangeProcedure:
+			roomServiceExchangeHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedRoomServiceHandler returns CodeUnimplemented from all methods.
+type UnimplementedRoomServiceHandler struct{}
+
+func (UnimplementedRoomServiceHandler) Exchange(context.Context, *connect.Request[RoomReport]) (*connect.Response[RoomPart], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("burdock.wire.v1.RoomService.Exchange is not implemented"))
+}
