--- a/internal/config/burdocksettings/hosted.go
+++ b/internal/config/burdocksettings/hosted.go
@@ -41,9 +41,23 @@
 	// LinkMbps is the capacity of the VM's network link in megabits per second; 0 means
 	// unknown.
 	LinkMbps float64 `toml:"linkMbps" json:"linkMbps,omitempty"`
-	LogLevel string  `toml:"logLevel" json:"logLevel"`
+	// SharedAdmission tells for which services the entries share their admission capacity:
+	// SharedAdmissionAuto, SharedAdmissionOn or SharedAdmissionOff.
+	SharedAdmission string `toml:"sharedAdmission" json:"sharedAdmission"`
+	LogLevel        string `toml:"logLevel" json:"logLevel"`
 }
 
+// Values of Hosted.SharedAdmission.
+const (
+	// SharedAdmissionAuto selects the services with engines whose streams differ in
+	// urgency.
+	SharedAdmissionAuto = "auto"
+	// SharedAdmissionOn selects all services with engines.
+	SharedAdmissionOn = "on"
+	// SharedAdmissionOff selects none.
+	SharedAdmissionOff = "off"
+)
+
 const (
 	defaultAdminPort   = 9464
 	defaultHostedGrace = 8 * burdockclock.Second
@@ -63,6 +77,7 @@
 	h.GraceMillis = defaultHostedGrace
 	h.QuarantineMillis = defaultQuarantine
 	h.MemoryMB = defaultMemoryMB
+	h.SharedAdmission = SharedAdmissionAuto
 	h.LogLevel = defaultLogLevel
 }
 
@@ -104,6 +119,7 @@
 	burdockrule.Between(&c.Checker, "quarantineMillis", h.QuarantineMillis, burdockclock.Second, maxQuarantine)
 	burdockrule.Between(&c.Checker, "memoryMB", h.MemoryMB, 1, maxMemoryMB)
 	burdockrule.Between(&c.Checker, "linkMbps", h.LinkMbps, 0, maxLinkMbps)
+	burdockrule.OneOf(&c.Checker, "sharedAdmission", h.SharedAdmission, SharedAdmissionAuto, SharedAdmissionOn, SharedAdmissionOff)
 	burdockrule.OneOf(&c.Checker, "logLevel", h.LogLevel, "debug", "info", "warn", "error")
 	switch {
 	case h.CallerListen != "":
--- a/internal/config/burdocksettings/hosted_test.go
+++ b/internal/config/burdocksettings/hosted_test.go
@@ -25,7 +25,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if got.CallerListen != "10.1.0.40:8227" || got.AdminPort != defaultAdminPort || got.LogLevel != defaultLogLevel {
+	if got.CallerListen != "10.1.0.40:8227" || got.AdminPort != defaultAdminPort || got.LogLevel != defaultLogLevel || got.SharedAdmission != SharedAdmissionAuto {
 		t.Errorf("got %+v, want the file's listener and the defaults of missing keys", got)
 	}
 }
@@ -35,6 +35,7 @@
 	text := strings.NewReplacer(
 		`ip = "10.1.0.40"`, `zone = "hall-a"`,
 		`peerPort = 7340`, `peerPort = 0`,
+		`memoryMB = 284`, `sharedAdmission = "sometimes"`,
 		`"10.200.1.7:8223"`, `"store:8223"`,
 		`readyListen = "10.1.0.40:8220"`, `readyListen = "10.1.0.40:8227"`,
 	).Replace(hostedEntry)
@@ -47,7 +48,7 @@
 	for _, f := range findings.Findings {
 		lines[f.Key] = f.Line
 	}
-	for key, want := range map[string]int{"zone": 3, "readyListen": 5, "peerPort": 6, "storeAddress": 7} {
+	for key, want := range map[string]int{"zone": 3, "readyListen": 5, "peerPort": 6, "storeAddress": 7, "sharedAdmission": 9} {
 		if got := lines[key]; got != want {
 			t.Errorf("finding on %s: got line %d, want %d; all: %v", key, got, want, findings)
 		}
