Entry reports its demand for shared admission and keeps its part of the room

Services with engines share their room if their streaming routes differ in priority or objective, or by the setting. The gate stores the part; its limit does not use it yet.

--- a/internal/decide/burdocklimit/limit.go
+++ b/internal/decide/burdocklimit/limit.go
@@ -249,6 +249,17 @@
 	return min(limit, float64(l.engine.Slots))
 }
 
+// Capacity returns how many streams all engines together may run.
+func (l *Limit) Capacity() float64 { return l.maxRequests() * float64(l.engines) }
+
+// MeasuredSlowdown returns the typical slowdown; 0 while no event gaps have been measured.
+func (l *Limit) MeasuredSlowdown() float64 {
+	if l.slowdown == 0 {
+		return 0
+	}
+	return l.typicalSlowdown
+}
+
 // growthFactor returns the factor by which an entry's requests may grow since the
 // latest reports. headroom is the factor by which all requests together may grow.
 // While there is headroom an entry with growing traffic may use more than its
--- a/internal/decide/burdockqueue/load.go
+++ b/internal/decide/burdockqueue/load.go
@@ -27,6 +27,39 @@
 	}
 }
 
+// ClassLoad is the load of one class.
+type ClassLoad struct{ Running, Queued int }
+
+// ClassLoads returns the load of each class.
+func (q *Queue) ClassLoads() []ClassLoad {
+	loads := make([]ClassLoad, len(q.classes))
+	for i, c := range q.classes {
+		loads[i] = ClassLoad{Running: c.running, Queued: c.queued}
+	}
+	return loads
+}
+
+// CustomerLoad is what one customer has queued in one class.
+type CustomerLoad struct {
+	Class    Class
+	Customer burdockid.Customer
+	Queued   int
+	Cost     burdockid.Tokens
+}
+
+// QueuedByCustomer returns what each customer has queued in each class, in no particular
+// order. Its cost grows with the number of these customers, not with the length of the
+// queue.
+func (q *Queue) QueuedByCustomer() []CustomerLoad {
+	var loads []CustomerLoad
+	for class, c := range q.classes {
+		for _, f := range c.byStartTag.items {
+			loads = append(loads, CustomerLoad{Class: Class(class), Customer: f.customer, Queued: f.queued, Cost: f.queuedCost})
+		}
+	}
+	return loads
+}
+
 func (q *Queue) drainTime() burdockclock.Millis {
 	rate := q.slotRate() * float64(q.cfg.Slots)
 	if rate <= 0 || q.running.len() < q.cfg.Slots {
--- a/internal/serve/burdockdirect/entry.go
+++ b/internal/serve/burdockdirect/entry.go
@@ -36,6 +36,8 @@
 	// BodyTimeoutMillis is how long the body of a request may take to arrive; 0 selects
 	// the default.
 	BodyTimeoutMillis burdockclock.Millis
+	// SharedAdmission selects the services whose room is shared by the entries.
+	SharedAdmission SharedAdmission
 }
 
 // Deps holds what an entry depends on.
--- a/internal/serve/burdockdirect/gate.go
+++ b/internal/serve/burdockdirect/gate.go
@@ -9,6 +9,7 @@
 	"burdockbend.example/burdockbend/internal/decide/burdocklimit"
 	"burdockbend.example/burdockbend/internal/decide/burdocklockstep"
 	"burdockbend.example/burdockbend/internal/decide/burdockqueue"
+	"burdockbend.example/burdockbend/internal/decide/burdockroom"
 	"burdockbend.example/burdockbend/internal/state/burdocksite"
 	"go.uber.org/zap"
 )
@@ -74,6 +75,10 @@
 	typicalFirstEvent burdockclock.Millis
 	timer             *time.Timer
 	nextLogAt         burdockclock.Millis // earliest time of the next log line about the limit
+	// part is the gate's part of the shared room, partUntil its end. Both are zero until
+	// there has been one.
+	part      burdockroom.Part
+	partUntil burdockclock.Millis
 }
 
 // gateConfig holds what a gate's limits are computed from.
--- /dev/null
+++ b/internal/serve/burdockdirect/room_test.go
@@ -0,0 +1,117 @@
+package burdockdirect
+
+import (
+	"fmt"
+	"testing"
+
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/decide/burdockqueue"
+	"burdockbend.example/burdockbend/internal/decide/burdockroom"
+	"burdockbend.example/burdockbend/internal/state/burdocksite"
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+)
+
+// newRoomEntry returns an entry with a service "plain" without engines, and services
+// "even" and "mixed" with engines, of which the second has streams of two priorities.
+func newRoomEntry(mode SharedAdmission, clock burdockclock.Clock) *Entry {
+	site := burdocksite.New()
+	engine := &burdocksite.Engine{Slots: 4, StepsPerEvent: 1, BaseStepMillis: 5, StepMillisPerRequest: 1}
+	route := func(service burdockid.Service, priority int) burdocksite.Route {
+		return burdocksite.Route{Stream: true, Priority: priority, MaxEventGap: 100, EventTimeout: 1000, Shares: []burdocksite.Share{{Service: service, Weight: 1}}}
+	}
+	site.SetConfig(burdocksite.Config{
+		Version:  1,
+		Services: map[burdockid.Service]burdocksite.Service{"plain": {}, "even": {Engine: engine}, "mixed": {Engine: engine}, "silent": {Engine: engine}},
+		Routes:   []burdocksite.Route{route("plain", 0), route("plain", 1), route("even", 2), route("mixed", 0), route("mixed", 5)},
+	})
+	for i := range 2 {
+		site.PutUpstream(burdocksite.Upstream{ID: burdockid.Upstream(fmt.Sprint("m", i)), Service: "mixed", Address: fmt.Sprint("10.0.0.1:", i)})
+	}
+	return New(Config{SharedAdmission: mode}, Deps{Clock: clock, Site: site, Dialect: testDialect{}, Log: zap.NewNop(), Metrics: metrics.NewSet(), Seed: 1})
+}
+
+// Guards against shared admission for services that are to be served as before.
+func TestSharedServicesFollowTheSetting(t *testing.T) {
+	for mode, want := range map[SharedAdmission]string{"": "[]", SharedAdmissionOff: "[]", SharedAdmissionAuto: "[mixed]", SharedAdmissionOn: "[even mixed]"} {
+		if got := fmt.Sprint(newRoomEntry(mode, burdockclock.System()).SharedServices()); got != want {
+			t.Errorf("%q: got %s, want %s", mode, got, want)
+		}
+	}
+}
+
+// Guards against a report that leaves out late requests of a priority, which wait in a
+// queue class of their own, or that lists more than the coordinator accepts.
+func TestRoomReportSumsDemandByPriority(t *testing.T) {
+	e := newRoomEntry(SharedAdmissionOn, burdockclock.NewManual(burdockclock.Hour).Clock())
+	g := e.pool("mixed").gate
+	capacity := e.RoomReport("mixed").Capacity
+	if capacity <= 0 {
+		t.Fatalf("capacity: got %v, want more than 0", capacity)
+	}
+	g.mu.Lock()
+	offer := func(id string, class burdockqueue.Class, customer string, cost burdockid.Tokens) {
+		g.queue.Offer(g.clock.Boot(), burdockqueue.Request{ID: burdockid.Request(id), Customer: burdockid.Customer(customer), Class: class, Cost: cost})
+	}
+	for i := range g.slots {
+		offer(fmt.Sprint("running", i), 0, "acme", 1)
+	}
+	offer("in time", 10, "acme", 70)
+	offer("late", 11, "acme", 20)
+	for i := range maxReportedCustomers {
+		offer(fmt.Sprint("waiting", i), 18, fmt.Sprint("customer", i), 30)
+	}
+	slots := g.slots
+	g.mu.Unlock()
+	p := e.pool("mixed")
+	p.mu.Lock()
+	for i := range maxReportedEngines + 1 {
+		p.inFlight[burdockid.Upstream(fmt.Sprint("e", i))] = 1 + i%2
+	}
+	p.mu.Unlock()
+
+	r := e.RoomReport("mixed")
+	for i, d := range r.Demands {
+		want := map[int]burdockroom.Demand{0: {Running: slots}, 5: {Waiting: 2}, 9: {Waiting: maxReportedCustomers}}[i]
+		want.Priority = i
+		if d != want {
+			t.Errorf("demand: got %+v, want %+v", d, want)
+		}
+	}
+	if got, want := r.Customers[0], (burdockroom.CustomerDemand{Priority: 5, Customer: "acme", Waiting: 2, Cost: 90}); got != want || len(r.Customers) != maxReportedCustomers {
+		t.Errorf("customers: got %+v first of %d, want %+v of %d", got, len(r.Customers), want, maxReportedCustomers)
+	}
+	if got := r.Engines[len(r.Engines)-1]; len(r.Engines) != maxReportedEngines || r.Engines[0].Streams != 2 || got.Streams != 1 {
+		t.Errorf("engines: got %d, want the %d with most streams", len(r.Engines), maxReportedEngines)
+	}
+	if r.Slowdown != 0 {
+		t.Errorf("slowdown: got %v, want 0 before any was measured", r.Slowdown)
+	}
+}
+
+// Guards against a new coordinator, which knows nothing yet, that voids a valid part, and
+// against a part that outlasts its end.
+func TestLearningPartKeepsValidOne(t *testing.T) {
+	clock := burdockclock.NewManual(burdockclock.Hour)
+	e := newRoomEntry(SharedAdmissionOn, clock.Clock())
+	g := e.pool("mixed").gate
+	check := func(what string, wantRoom int, want bool) {
+		t.Helper()
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if part, ok := g.roomPart(g.clock.Boot()); ok != want || ok && part.Room != wantRoom {
+			t.Errorf("%s: got room %d, valid %t, want %d, %t", what, part.Room, ok, wantRoom, want)
+		}
+	}
+	check("none yet", 0, false)
+	e.SetRoomPart("mixed", burdockroom.Part{Room: 7}, burdockclock.Hour+600)
+	e.SetRoomPart("mixed", burdockroom.Part{Learning: true, Room: 1}, burdockclock.Hour+700)
+	check("learning", 7, true)
+	clock.Advance(600)
+	check("expired", 0, false)
+	e.SetRoomPart("mixed", burdockroom.Part{Learning: true, Room: 2}, burdockclock.Hour+1200)
+	check("learning after the end", 2, true)
+	e.SetRoomPart("mixed", burdockroom.Part{Room: 9}, burdockclock.Hour+1300)
+	check("learned", 9, true)
+}
--- a/internal/state/burdocksite/site.go
+++ b/internal/state/burdocksite/site.go
@@ -206,6 +206,32 @@
 	return customer, ok
 }
 
+// streamRoutes returns the routes whose streams a service may get.
+func (c *Config) streamRoutes(service burdockid.Service) []*Route {
+	var routes []*Route
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		if r.Stream && slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service }) {
+			routes = append(routes, r)
+		}
+	}
+	return routes
+}
+
+// HasStreams reports whether a service may get streams.
+func (c *Config) HasStreams(service burdockid.Service) bool {
+	return len(c.streamRoutes(service)) > 0
+}
+
+// MixedUrgency reports whether the streams of a service differ in urgency: their routes
+// have different priorities or objectives.
+func (c *Config) MixedUrgency(service burdockid.Service) bool {
+	routes := c.streamRoutes(service)
+	return slices.ContainsFunc(routes, func(r *Route) bool {
+		return r.Priority != routes[0].Priority || r.Objective != routes[0].Objective
+	})
+}
+
 // index builds the lookup maps of Match and ByKey.
 func (c *Config) index() {
 	c.indexRoutes()
--- a/internal/state/burdocksite/site_test.go
+++ b/internal/state/burdocksite/site_test.go
@@ -4,6 +4,8 @@
 	"slices"
 	"testing"
 
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/state/burdockkv"
 )
 
@@ -58,3 +60,29 @@
 		t.Errorf("members: got %v, want %v", got, want)
 	}
 }
+
+// Guards against services that share admission although all their streams are equally
+// urgent, and against those that don't although some streams are more urgent.
+func TestMixedUrgencyComparesStreamingRoutes(t *testing.T) {
+	route := func(service burdockid.Service, stream bool, priority int, objective burdockclock.Millis) Route {
+		return Route{Stream: stream, Priority: priority, Objective: objective, Shares: []Share{{Service: "other", Weight: 1}, {Service: service, Weight: 1}}}
+	}
+	for _, c := range []struct {
+		name   string
+		routes []Route
+		want   bool
+	}{
+		{"no route", nil, false},
+		{"one stream", []Route{route("s", true, 3, 500)}, false},
+		{"equal streams", []Route{route("s", true, 3, 500), route("s", true, 3, 500)}, false},
+		{"different priorities", []Route{route("s", true, 3, 500), route("s", true, 4, 500)}, true},
+		{"different objectives", []Route{route("s", true, 3, 500), route("s", true, 3, 900)}, true},
+		{"a route without streams", []Route{route("s", true, 3, 500), route("s", false, 4, 900)}, false},
+		{"a route of another service", []Route{route("s", true, 3, 500), route("t", true, 4, 900)}, false},
+	} {
+		cfg := Config{Routes: c.routes}
+		if got := cfg.MixedUrgency("s"); got != c.want {
+			t.Errorf("%s: got %t, want %t", c.name, got, c.want)
+		}
+	}
+}
