Agent tells whether it holds the lease of its group now

It follows the clock that runs while the VM is suspended, so an agent that was frozen past the end of its lease does not hold it when it resumes.

--- a/internal/serve/burdockrank/host.go
+++ b/internal/serve/burdockrank/host.go
@@ -112,6 +112,16 @@
 	return nil
 }
 
+// HeldLease returns the fencing number of the lease of a group; false if this agent does
+// not hold it now.
+func (h *Host) HeldLease(group string) (burdockid.Fence, bool) {
+	m := h.memberOf(group)
+	if m == nil {
+		return 0, false
+	}
+	return m.leadership.lease.current()
+}
+
 func (h *Host) replace(m *member) {
 	h.mu.Lock()
 	old := h.current
--- a/internal/serve/burdockrank/lease.go
+++ b/internal/serve/burdockrank/lease.go
@@ -130,6 +130,15 @@
 	return lease, ok
 }
 
+// current returns the fencing number of the lease, and whether it is held now. The clock
+// keeps running while the VM is suspended, so a VM that was frozen past the end of its lease
+// does not hold it when it resumes.
+func (k *leaseKeeper) current() (burdockid.Fence, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.term.fence, k.term.heldAt(k.member.deps.Clock.Boot())
+}
+
 // confirmedByStore reports whether the lease is as the store confirmed it, not extended.
 func (k *leaseKeeper) confirmedByStore() bool {
 	k.mu.Lock()
--- a/internal/serve/burdockrank/leaseterm.go
+++ b/internal/serve/burdockrank/leaseterm.go
@@ -48,6 +48,9 @@
 // confirmedByStore reports whether the lease is as the store confirmed it, not extended.
 func (t *leaseTerm) confirmedByStore() bool { return t.until == t.requestedAt+t.ttl }
 
+// heldAt reports whether the lease is held at a time, as confirmed or extended.
+func (t *leaseTerm) heldAt(now burdockclock.Millis) bool { return now < t.until }
+
 // drop drops the lease.
 func (t *leaseTerm) drop() { t.until = 0 }
 
--- a/internal/serve/burdockrank/leaseterm_test.go
+++ b/internal/serve/burdockrank/leaseterm_test.go
@@ -16,6 +16,28 @@
 	testMinExtension = testStart + 19*burdockclock.Second
 )
 
+// Guards against an agent that was frozen past the end of its lease and goes on to answer
+// as its holder when it resumes, and against one that stops to answer while the lease is
+// extended during an outage of the store.
+func TestLeaseIsHeldUntilItsEnd(t *testing.T) {
+	term := leaseTerm{ttl: testTTL, maxStoreOutage: testOutage}
+	check := func(what string, at burdockclock.Millis, want bool) {
+		t.Helper()
+		if got := term.heldAt(at); got != want {
+			t.Errorf("%s: got held %t, want %t", what, got, want)
+		}
+	}
+	check("never acquired", testStart, false)
+	term.confirm(testStart, testFence)
+	check("confirmed", testStart+testTTL-1, true)
+	check("frozen until its end", testStart+testTTL, false)
+	term.extend(testStart + testEvery)
+	check("extended", testStart+testTTL, true)
+	check("frozen until the end of the extension", testStart+testEvery+testTTL, false)
+	term.drop()
+	check("lost to another agent", testStart, false)
+}
+
 // If the store is out and the lease expires, the group has no controller that follows the
 // popularity, and streams are late for seconds. The controller must extend its lease for
 // the maximum store outage, and no longer.
