Exchange of reports and parts between entries and the holder of the group's lease

Entries follow the leases with their existing watch. An agent answers only by the fencing number of the lease that it holds; an entry refuses parts that are late, of a replaced coordinator or invalid, and keeps the one before until it expires.

--- a/internal/serve/burdockhosted/agent.go
+++ b/internal/serve/burdockhosted/agent.go
@@ -154,6 +154,9 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle(burdockwire.NewGroupServiceHandler(a.host, burdocktransport.HandlerOptions(maxHeader, maxHeader)...))
+	if sharesRoom(settings) {
+		mux.Handle(newRoomServer(a.host.HeldLease, clock, p.metrics(), log).handler())
+	}
 	a.peers, a.admin = newServer(mux), newServer(adminHandler(p.metrics(), nil))
 	err := listenAll(log, p.metrics(),
 		endpoint{name: "peers", server: a.peers, address: address},
--- a/internal/serve/burdockhosted/entry.go
+++ b/internal/serve/burdockhosted/entry.go
@@ -15,6 +15,7 @@
 	"burdockbend.example/burdockbend/internal/state/burdockfollow"
 	"burdockbend.example/burdockbend/internal/state/burdockkv"
 	"burdockbend.example/burdockbend/internal/state/burdocksite"
+	"burdockbend.example/burdockbend/internal/wire/burdocktransport"
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 )
@@ -69,6 +70,7 @@
 	admin    *http.Server
 	follower *burdockkv.Follower
 	presence *presence
+	room     *roomClient // nil if no service may share its room
 	// crashPublisher and suspectedPublisher send notifications to the other entries.
 	crashPublisher     *publisher
 	suspectedPublisher *publisher
@@ -85,7 +87,7 @@
 	sharesRates := func() bool { return hasColdRate(site.Now()) || e.entry.RateLimited() }
 	e.presence = newPresence(p.Store, settings.VM, sharesRates, clock, log)
 	e.entry = burdockdirect.New(
-		burdockdirect.Config{DataCentre: settings.DataCentre, GraceMillis: settings.GraceMillis, QuarantineMillis: settings.QuarantineMillis},
+		burdockdirect.Config{DataCentre: settings.DataCentre, GraceMillis: settings.GraceMillis, QuarantineMillis: settings.QuarantineMillis, SharedAdmission: burdockdirect.SharedAdmission(settings.SharedAdmission)},
 		burdockdirect.Deps{
 			Clock: clock, Site: site, Dialect: p.Dialect, Log: log, Metrics: set, Seed: rand.Uint64(),
 			PublishCrashes: e.publishCrashes, PublishSuspected: e.publishSuspected,
@@ -93,7 +95,7 @@
 		},
 	)
 	site.Subscribe(e.entry.ApplySnapshot)
-	e.follower = burdockkv.NewRoutedFollower(p.Store, burdockkv.WatchOptions{History: settings.StoreHistoryMillis, CheckInterval: watchCheckInterval, Urgent: e.entry.CallersWait}, e.routes(p.Records, site), clock, log)
+	e.follower = burdockkv.NewRoutedFollower(p.Store, burdockkv.WatchOptions{History: settings.StoreHistoryMillis, CheckInterval: watchCheckInterval, Urgent: e.entry.CallersWait}, e.routes(p.Records, site, set), clock, log)
 	e.callers = newServer(e.entry)
 	e.ready = newServer(http.HandlerFunc(e.serveReady))
 	e.admin = newServer(adminHandler(set, e.entry.CrashingRequests))
@@ -108,6 +110,9 @@
 	e.suspectedPublisher.start()
 	e.presence.start()
 	e.follower.Start()
+	if e.room != nil {
+		e.room.start()
+	}
 	log.Info("entry started", zap.String("vm", string(settings.VM)), zap.String("dataCentre", string(settings.DataCentre)),
 		zap.String("callers", settings.CallerListen))
 	return e, nil
@@ -119,7 +124,9 @@
 //
 // The configuration is never read from a stale copy: a 404 or 401 by an old one is final
 // for a caller.
-func (e *entry) routes(records burdockfollow.Decoder, site *burdocksite.Site) []burdockkv.Route {
+//
+// It also creates the client of shared admission, which reads some of these keys.
+func (e *entry) routes(records burdockfollow.Decoder, site *burdocksite.Site, set *metrics.Set) []burdockkv.Route {
 	var routes []burdockkv.Route
 	for _, topic := range burdockfollow.Topics() {
 		routes = append(routes, burdockkv.Route{
@@ -127,11 +134,25 @@
 			NeedsLatest: topic == burdockfollow.TopicConfig,
 		})
 	}
-	return append(routes,
+	groups := newGroupReader(e.entry)
+	routes = append(routes,
 		burdockkv.Route{Prefix: prefixEntry, Sink: newEntriesReader(e.entry, e.presence)},
 		burdockkv.Route{Prefix: prefixNotifications, Sink: newNotificationReader(e.entry, e.log).mirror},
-		burdockkv.Route{Prefix: prefixRank, Sink: newGroupReader(e.entry).mirror},
+		burdockkv.Route{Prefix: prefixRank, Sink: groups.mirror},
 	)
+	if !sharesRoom(e.settings) {
+		return routes
+	}
+	leases := burdockkv.NewMirror()
+	directory := newRoomDirectory(site, leases, groups.mirror)
+	e.room = newRoomClient(e.entry, e.settings.VM, directory, newExchangeCall(burdocktransport.NewPeers(nil)), e.clock, set, e.log)
+	return append(routes, burdockkv.Route{Prefix: prefixLease, Sink: leases})
+}
+
+// sharesRoom reports whether services may share their room on this site.
+func sharesRoom(settings burdocksettings.Hosted) bool {
+	mode := burdockdirect.SharedAdmission(settings.SharedAdmission)
+	return mode == burdockdirect.SharedAdmissionAuto || mode == burdockdirect.SharedAdmissionOn
 }
 
 func (e *entry) serveReady(w http.ResponseWriter, _ *http.Request) {
@@ -158,6 +179,9 @@
 		}
 		time.Sleep(idlePollInterval)
 	}
+	if e.room != nil {
+		e.room.close()
+	}
 	e.presence.close()
 	e.follower.Close()
 	e.crashPublisher.close()
