--- a/internal/serve/burdockdirect/choose.go
+++ b/internal/serve/burdockdirect/choose.go
@@ -76,7 +76,7 @@
 // placeByLoad selects an upstream by load, a suspected one only if there is no other. The
 // lock must be held.
 func (p *pool) placeByLoad(now burdockclock.Millis, req *request, skip func(burdockid.Upstream) bool) (burdockplace.Choice, bool) {
-	wanted := burdockplace.Request{DataCentre: p.entry.cfg.DataCentre, Cost: req.cost, Exclude: skip}
+	wanted := burdockplace.Request{DataCentre: p.entry.cfg.DataCentre, Cost: req.cost, Exclude: skip, Compare: p.comparedEngines(now)}
 	avoid := p.suspectedFor(now, req)
 	if len(avoid) == 0 {
 		return p.placer.Choose(now, wanted)
--- a/internal/serve/burdockdirect/gate.go
+++ b/internal/serve/burdockdirect/gate.go
@@ -9,6 +9,7 @@
 	"burdockbend.example/burdockbend/internal/decide/burdocklimit"
 	"burdockbend.example/burdockbend/internal/decide/burdocklockstep"
 	"burdockbend.example/burdockbend/internal/decide/burdockqueue"
+	"burdockbend.example/burdockbend/internal/decide/burdockroom"
 	"burdockbend.example/burdockbend/internal/state/burdocksite"
 	"go.uber.org/zap"
 )
@@ -80,6 +81,11 @@
 	nextLogAt         burdockclock.Millis // earliest time of the next log line about the limit
 	// timeliness is nil unless the service has shared admission.
 	timeliness *timeliness
+	// part is the gate's part of the shared room, partUntil its end. Both are zero until
+	// there has been one.
+	part      burdockroom.Part
+	partUntil burdockclock.Millis
+	bounds    classBounds // that the queue has
 }
 
 // gateConfig holds what a gate's limits are computed from.
@@ -176,7 +182,10 @@
 	}
 	for i := range numPriorities * queueClassesPerPriority {
 		class := burdockqueue.ClassConfig{MaxWait: g.maxWait}
-		g.timeliness.configure(&class, i, cfg.Slots)
+		if !g.bounds.closed {
+			g.bounds.limit(&class, i)
+			g.timeliness.configure(&class, i, cfg.Slots)
+		}
 		cfg.Classes = append(cfg.Classes, class)
 	}
 	return cfg
--- a/internal/serve/burdockdirect/groupgate.go
+++ b/internal/serve/burdockdirect/groupgate.go
@@ -82,10 +82,19 @@
 func (g *gate) streamLimit(now burdockclock.Millis, running int, wanted bool) int {
 	state := g.updateGroupState(now)
 	g.queue.Pause(now, state != burdocklockstep.Advancing)
+	if state != burdocklockstep.Advancing {
+		g.boundClasses(classBounds{closed: true})
+	}
 	switch {
 	case state == burdocklockstep.Advancing:
-		stuck := g.groups.stuckStreams(now)
-		return g.limit.MaxStreams(g.reportClock(), max(running-stuck, 0)) + stuck
+		stuck := g.stuckStreams(now)
+		own := g.limit.MaxStreams(g.reportClock(), max(running-stuck, 0))
+		limits := g.roomLimits(now)
+		g.boundClasses(classBounds{limits: limits, stuck: stuck})
+		if limits != nil {
+			return limits[0] + stuck
+		}
+		return own + stuck
 	case wanted && g.groups.tryProbe(now):
 		g.queue.AllowProbe(now)
 		return max(g.slots, running+1)
--- a/internal/serve/burdockdirect/pool.go
+++ b/internal/serve/burdockdirect/pool.go
@@ -49,6 +49,10 @@
 	engine   *burdocksite.Engine
 	config   *burdocksite.Config        // last one applied
 	inFlight map[burdockid.Upstream]int // offers in flight
+	// reportedInFlight holds the offers in flight as last reported to the coordinator of the
+	// room. The streams at each engine over all entries are known until loadsKnownUntil.
+	reportedInFlight map[burdockid.Upstream]int
+	loadsKnownUntil  burdockclock.Millis
 	// speeds holds the speeds of slow engines by address, weightBySpeed the weights that
 	// follow from them.
 	speeds        map[string]burdockspeed.Speed
--- a/internal/serve/burdockdirect/shared.go
+++ b/internal/serve/burdockdirect/shared.go
@@ -13,7 +13,7 @@
 	// SharedAdmissionAuto selects the services with engines whose streaming routes differ
 	// in priority or objective.
 	SharedAdmissionAuto SharedAdmission = "auto"
-	// SharedAdmissionOn selects all services with engines.
+	// SharedAdmissionOn selects all services with engines that get streams.
 	SharedAdmissionOn SharedAdmission = "on"
 	// SharedAdmissionOff selects none.
 	SharedAdmissionOff SharedAdmission = "off"
@@ -24,5 +24,8 @@
 	if cfg == nil || cfg.Services[service].Engine == nil || mode == SharedAdmissionOff {
 		return false
 	}
-	return mode == SharedAdmissionOn || mixedUrgency(cfg, service)
+	if mode == SharedAdmissionOn {
+		return cfg.HasStreams(service)
+	}
+	return cfg.MixedUrgency(service)
 }
--- a/internal/serve/burdockdirect/timeliness.go
+++ b/internal/serve/burdockdirect/timeliness.go
@@ -46,7 +46,10 @@
 	case index%queueClassesPerPriority == 0:
 		class.NewestFirst = t.byPriority[index/queueClassesPerPriority].newestFirst
 	default:
-		class.MaxRunning = int(math.Ceil(lateShare * float64(limit)))
+		late := int(math.Ceil(lateShare * float64(limit)))
+		if class.MaxRunning == 0 || late < class.MaxRunning {
+			class.MaxRunning = late
+		}
 	}
 }
 
