--- a/internal/serve/burdockrank/leaseterm_test.go
+++ b/internal/serve/burdockrank/leaseterm_test.go
@@ -38,6 +38,29 @@
 	check("lost to another agent", testStart, false)
 }
 
+// Guards against a host that answers by a lease of another group, or by one that ended while
+// its VM was suspended: the clock that the lease follows keeps running then.
+func TestHostHoldsLeaseOfItsGroupOnly(t *testing.T) {
+	clock := burdockclock.NewManual(testStart)
+	h := NewHost("u", Deps{Clock: clock.Clock(), Tuning: Tuning{LeaseTTL: testTTL}})
+	check := func(what, group string, wantFence burdockid.Fence, want bool) {
+		t.Helper()
+		if fence, held := h.HeldLease(group); held != want || held && fence != wantFence {
+			t.Errorf("%s: got fence %d, held %t, want %d, %t", what, fence, held, wantFence, want)
+		}
+	}
+	check("in no group", "g@1", 0, false)
+	m := &member{assignment: Assignment{Group: "g@1"}, deps: h.deps}
+	m.leadership = &leadership{lease: newLeaseKeeper(m, nil)}
+	h.current = m
+	check("before the lease", "g@1", 0, false)
+	m.leadership.lease.confirm(testStart, testFence)
+	check("held", "g@1", testFence, true)
+	check("another group", "g@2", 0, false)
+	clock.Advance(testTTL)
+	check("suspended until its end", "g@1", 0, false)
+}
+
 // If the store is out and the lease expires, the group has no controller that follows the
 // popularity, and streams are late for seconds. The controller must extend its lease for
 // the maximum store outage, and no longer.
