--- a/internal/serve/burdockhosted/roomclient_test.go
+++ b/internal/serve/burdockhosted/roomclient_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"reflect"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -358,3 +359,17 @@
 	f.leases.Listed([]burdockkv.Item{{Key: prefixLease + "other/a@1", Value: []byte("10.0.0.2:80/life")}, {Key: prefixGroupLease + "a@1", Value: []byte("no life")}})
 	unknown("no readable lease", "s")
 }
+
+// Guards against a group that was formed again and whose former lease has yet to expire: the
+// former holder would be asked until then.
+func TestLatestLeaseOfGroupCounts(t *testing.T) {
+	item := func(group, engine string, fence burdockkv.Revision) burdockkv.Item {
+		return burdockkv.Item{Key: prefixGroupLease + group, Value: []byte(engine + "/life"), Created: burdockkv.Position{Revision: fence}}
+	}
+	items := []burdockkv.Item{item("a@9", "10.0.0.1:80", 5), item("a@10", "10.0.0.2:80", 8)}
+	want := map[burdockid.Group]leaseHolder{"a": {group: "a@10", fence: 8, engine: "10.0.0.2:80"}}
+	for range items {
+		checkSame(t, "holders", readLeaseHolders(items), want, nil)
+		slices.Reverse(items)
+	}
+}
