Agents keep the content of maps when the number of ranks of their group changes

Agents learn of the ranks one by one, and the number of ranks is part of an assignment. An agent dropped all that it had for the assignment before, the content of maps included. If all agents changed before a controller had read them again, no one had the content of the map in use. The two engines had begun a step with it and waited for the third, which could not get it: the controller stayed in settling, asking for the content (NeedMap). The state machines are right in that; the content was lost around them.

Now an agent that is assigned anew to the same group keeps the content of the maps that it received. Versions are unique in a group, so the content stays right. An agent that is assigned to another group keeps none.

--- a/internal/group/burdockgroup/rank.go
+++ b/internal/group/burdockgroup/rank.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"maps"
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
@@ -20,6 +21,9 @@
 	// Too short a delay costs a message for each change; too long a delay lengthens the
 	// time for which a group is stalled after its controller has died.
 	NotifyDelay burdockclock.Millis
+	// Contents is the content of maps that the agent kept under an earlier assignment to
+	// the same group. What the engine doesn't have is dropped.
+	Contents map[burdockid.MapVersion][]byte
 }
 
 // rankEvents is the number of past events that the state dump shows.
@@ -49,15 +53,17 @@
 	unreported    *Order // order to report on when the engine has answered
 }
 
-// NewRank returns a rank whose agent has just started.
+// NewRank returns a rank whose agent has just started or has just been assigned to it.
 func NewRank(cfg RankConfig) *Rank {
-	return &Rank{
+	r := &Rank{
 		cfg:          cfg,
 		machine:      rankChart.Start(),
 		journal:      burdockchart.NewJournal(rankEvents),
 		fenceAnswers: map[burdockid.Rank]FenceAnswered{},
 		contents:     map[burdockid.MapVersion][]byte{},
 	}
+	maps.Copy(r.contents, cfg.Contents)
+	return r
 }
 
 // Handle processes one input at time now and returns the outputs that the caller has to
--- a/internal/serve/burdockrank/directory.go
+++ b/internal/serve/burdockrank/directory.go
@@ -20,7 +20,8 @@
 }
 
 // Assignment is a rank in a group; the zero value means none. State that was built for
-// one assignment is never reused for another.
+// one assignment is never reused for another, except the content of maps, whose versions
+// are unique in their group.
 type Assignment struct {
 	Group string
 	Rank  burdockid.Rank
--- a/internal/serve/burdockrank/host.go
+++ b/internal/serve/burdockrank/host.go
@@ -94,10 +94,25 @@
 		// The old state machines must end before the new ones start: an engine accepts
 		// orders from one rank machine only.
 		h.replace(nil)
-		h.replace(newMember(want, h.upstream, h.deps, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))))
+		random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+		h.replace(newMember(want, h.upstream, h.deps, random, keptContents(m, want)))
 	}
 }
 
+// keptContents returns the maps that an agent keeps when it gets another assignment: those
+// of the same group.
+//
+// While a group is set up or grows, its agents learn of the ranks one by one, and those
+// that know the first ones may put a map in force. If all of them dropped its content with
+// the old assignment, no one could give it to the engine of a rank that joins, and the
+// others would wait for that rank for good.
+func keptContents(old *member, want Assignment) []mapContent {
+	if old == nil || old.assignment.Group != want.Group {
+		return nil
+	}
+	return old.receivedContents()
+}
+
 func (h *Host) member() *member {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/serve/burdockrank/member.go
+++ b/internal/serve/burdockrank/member.go
@@ -58,7 +58,9 @@
 	content []byte
 }
 
-func newMember(assignment Assignment, upstream burdockid.Upstream, deps Deps, random *rand.Rand) *member {
+// newMember returns a membership. contents are the maps that the agent has received under
+// its previous assignment to the same group.
+func newMember(assignment Assignment, upstream burdockid.Upstream, deps Deps, random *rand.Rand, contents []mapContent) *member {
 	if deps.EngineFor != nil {
 		deps.Engine = deps.EngineFor(assignment)
 	}
@@ -73,10 +75,16 @@
 		ctx:         ctx,
 		cancel:      cancel,
 		waiters:     map[burdockgroup.Number][]chan burdockgroup.Report{},
+		contents:    contents,
 	}
 	m.fanOut = m.relayCost(0).branches(assignment.Ranks)
 	m.loadInitialMap()
-	m.rank = burdockgroup.NewRank(burdockgroup.DefaultRankConfig(assignment.Rank, assignment.Ranks, m.incarnation))
+	cfg := burdockgroup.DefaultRankConfig(assignment.Rank, assignment.Ranks, m.incarnation)
+	cfg.Contents = map[burdockid.MapVersion][]byte{}
+	for _, c := range contents {
+		cfg.Contents[c.version] = c.content
+	}
+	m.rank = burdockgroup.NewRank(cfg)
 	m.engine = newEngineQueue(m)
 	m.queries = newFenceQueries(m)
 	m.remoteRanks = newRemoteRanks(m)
@@ -241,6 +249,13 @@
 	}
 }
 
+// receivedContents returns the maps that the agent has received.
+func (m *member) receivedContents() []mapContent {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Clone(m.contents)
+}
+
 // loadInitialMap stores the map that the engines start with, which no controller sends.
 func (m *member) loadInitialMap() {
 	if m.deps.InitialMap == nil {
--- a/internal/serve/burdockrank/relay_test.go
+++ b/internal/serve/burdockrank/relay_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -17,7 +16,6 @@
 	"burdockbend.example/burdockbend/internal/decide/burdockexpert"
 	"burdockbend.example/burdockbend/internal/external/burdockengine"
 	"burdockbend.example/burdockbend/internal/group/burdockgroup"
-	"burdockbend.example/burdockbend/internal/wire/burdocktransport"
 	"burdockbend.example/burdockbend/internal/wire/burdockwire"
 	"connectrpc.com/connect"
 	"go.uber.org/zap"
@@ -41,12 +39,10 @@
 	return burdockengine.GroupCounts{}, nil
 }
 
-// relayGroup holds the agents of a group, each behind its own server. Connections are
-// pipes, so that a group in a synctest bubble runs in simulated time, which stands still
-// while an agent works.
+// relayGroup holds the agents of a group, each behind its own server.
 type relayGroup struct {
 	members []*member
-	servers map[string]*pipeListener           // by address
+	network pipeNetwork
 	dead    map[burdockid.Rank]relayAgentFault // how agents fail
 }
 
@@ -58,49 +54,6 @@
 	agentFrozen relayAgentFault = "frozen"
 )
 
-// pipeListener accepts the connections that dial creates.
-type pipeListener struct {
-	conns  chan net.Conn
-	closed chan struct{}
-}
-
-func newPipeListener() *pipeListener {
-	return &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
-}
-
-// Accept implements net.Listener.
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case conn := <-l.conns:
-		return conn, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-// Close implements net.Listener. It is called once.
-func (l *pipeListener) Close() error {
-	close(l.closed)
-	return nil
-}
-
-// Addr implements net.Listener.
-func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
-
-// dial connects to the server at an address.
-func (g *relayGroup) dial(ctx context.Context, _, address string) (net.Conn, error) {
-	client, server := net.Pipe()
-	l := g.servers[address]
-	select {
-	case l.conns <- server:
-		return client, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-}
-
 // Agent implements Directory.
 func (g *relayGroup) Agent(_ string, rank burdockid.Rank) string {
 	return fmt.Sprintf("10.0.0.%d:80", rank)
@@ -120,15 +73,12 @@
 
 func newRelayGroup(t *testing.T, ranks int) *relayGroup {
 	t.Helper()
-	g := &relayGroup{servers: map[string]*pipeListener{}, dead: map[burdockid.Rank]relayAgentFault{}}
+	g := &relayGroup{network: pipeNetwork{}, dead: map[burdockid.Rank]relayAgentFault{}}
 	for rank := range burdockid.Rank(ranks) {
-		peers := burdocktransport.NewPeers(nil)
-		peers.Client.Transport = burdocktransport.NewOnce(&http.Transport{DialContext: g.dial})
-		t.Cleanup(peers.DropIdle)
-		deps := Deps{Clock: burdockclock.Wall(), Engine: &idleEngine{}, Directory: g, Peers: peers, Log: zap.NewNop()}
+		deps := Deps{Clock: burdockclock.Wall(), Engine: &idleEngine{}, Directory: g, Peers: g.network.peers(t), Log: zap.NewNop()}
 		deps.Tuning.setDefaults()
 		host := NewHost("u", deps)
-		m := newMember(Assignment{Group: "g", Rank: rank, Ranks: ranks}, "u", deps, rand.New(rand.NewPCG(1, uint64(rank))))
+		m := newMember(Assignment{Group: "g", Rank: rank, Ranks: ranks}, "u", deps, rand.New(rand.NewPCG(1, uint64(rank))), nil)
 		host.current = m
 		m.done.Add(1)
 		go m.engine.loop()
@@ -137,10 +87,7 @@
 		mux := http.NewServeMux()
 		mux.Handle(burdockwire.NewGroupServiceHandler(host))
 		g.members = append(g.members, m)
-		listener, server := newPipeListener(), &http.Server{Handler: g.faulty(rank, mux)}
-		g.servers[g.Agent("g", rank)] = listener
-		go func() { _ = server.Serve(listener) }()
-		t.Cleanup(func() { _ = server.Close() })
+		g.network.serve(t, g.Agent("g", rank), g.faulty(rank, mux))
 	}
 	return g
 }
