--- a/internal/serve/burdockdirect/metrics_test.go
+++ b/internal/serve/burdockdirect/metrics_test.go
@@ -35,6 +35,17 @@
 	f.site.DropUpstream("u0")
 	f.put(s)
 	f.send(t, context.Background(), "/stream/", nil)
+	// These are exported only for a service of mixed urgency.
+	mixed := mixedConfig(streamRoute("urgent", 0), streamRoute("batch", 7))
+	mixed.Version = f.site.Now().Config.Version + 1
+	f.site.SetConfig(*mixed)
+	if res := f.send(t, context.Background(), "/urgent/", map[string]string{"X-Max": "1"}); res.status != http.StatusOK || res.err != nil {
+		t.Fatalf("stream: got %d, %q, %v, want it answered", res.status, res.body, res.err)
+	}
+	await(t, "the stream has ended", f.entry.Idle)
+	slots := &slotFixture{fixture: f, now: f.entry.now()}
+	slots.limitRate("u1")
+	slots.play(50)
 	var text bytes.Buffer
 	f.entry.deps.Metrics.WritePrometheus(&text)
 	exported := map[string]bool{}
@@ -54,7 +65,7 @@
 // family returns the name of a metric without the suffix of a histogram's series.
 func family(name string) string {
 	for _, ending := range []string{"_bucket", "_sum", "_count"} {
-		if base, ok := strings.CutSuffix(name, ending); ok && strings.HasSuffix(base, "_seconds") {
+		if base, ok := strings.CutSuffix(name, ending); ok && (strings.HasSuffix(base, "_seconds") || strings.HasSuffix(base, "_ratio")) {
 			return base
 		}
 	}
--- a/internal/serve/burdockdirect/urgentslots_test.go
+++ b/internal/serve/burdockdirect/urgentslots_test.go
@@ -28,20 +28,29 @@
 	service.ColdRate = slotRate
 	cfg.Services["s"] = service
 	f.site.SetConfig(*cfg)
-	f.entry.SetEntries(burdocksharedrate.Listing{All: []burdockid.VM{"a"}, Self: "a", Known: true})
-	p := f.entry.pool("s")
 	u := burdocksite.Upstream{ID: "u", Service: "s", Address: "10.0.0.2:80"}
 	if cold {
+		f.beOnlyEntry()
 		u.ColdFor = burdockclock.Minute
 	}
 	f.site.PutUpstream(u)
 	f.now = f.entry.now()
 	if !cold {
-		p.rateLimits.Observe(f.now, "u", burdockratelimit.Response{Statement: burdockratelimit.Limited{Rate: slotRate}})
+		f.limitRate(u.ID)
 	}
 	return f
 }
 
+// limitRate makes the entry know a rate limit of an upstream, all of which is for it.
+func (f *slotFixture) limitRate(u burdockid.Upstream) {
+	f.beOnlyEntry()
+	f.entry.pool("s").rateLimits.Observe(f.now, u, burdockratelimit.Response{Statement: burdockratelimit.Limited{Rate: slotRate}})
+}
+
+func (f *slotFixture) beOnlyEntry() {
+	f.entry.SetEntries(burdocksharedrate.Listing{All: []burdockid.VM{"a"}, Self: "a", Known: true})
+}
+
 // place reports whether a request of a route is placed, and ends it.
 func (f *slotFixture) place(route int) bool {
 	cfg := f.site.Now().Config
