--- a/internal/serve/burdockdirect/offers.go
+++ b/internal/serve/burdockdirect/offers.go
@@ -106,6 +106,9 @@
 		res := att.run(ctx)
 		o.pool.offerEnded(o.entry.now(), target.ID, o.req.cost)
 		o.observe(target, res, began)
+		if o.req.sharedAdmission() && failedAtOnce(res) {
+			o.pool.holdFailed(target.ID)
+		}
 		o.logOffer(att, reason, res)
 		if _, ok := res.(answered); ok {
 			return true
@@ -116,6 +119,16 @@
 	}
 }
 
+// failedAtOnce reports whether an offer ended without an answer from the upstream, so that the
+// upstream looks less loaded than it would with an answer.
+func failedAtOnce(res result) bool {
+	switch res.(type) {
+	case unknown, unreached:
+		return true
+	}
+	return false
+}
+
 // observe records what the offer showed about the upstream's health. A stream that broke
 // shows nothing: all ranks of a group stall when one of them fails.
 func (o *offers) observe(target burdocksite.Upstream, res result, began burdockclock.Millis) {
--- a/internal/serve/burdockdirect/pool.go
+++ b/internal/serve/burdockdirect/pool.go
@@ -52,6 +52,7 @@
 	// reportedInFlight holds the offers in flight as last reported to the coordinator of the
 	// room. The streams at each engine over all entries are known until loadsKnownUntil.
 	reportedInFlight map[burdockid.Upstream]int
+	failedLately     map[burdockid.Upstream]int // streams that failed offers count as
 	loadsKnownUntil  burdockclock.Millis
 	// speeds holds the speeds of slow engines by address, weightBySpeed the weights that
 	// follow from them.
@@ -91,7 +92,7 @@
 func newPool(service burdockid.Service, e *Entry) *pool {
 	random := rand.New(rand.NewPCG(e.deps.Seed, uint64(time.Now().UnixNano())))
 	p := &pool{
-		service: service, entry: e, random: random, groups: e.groups, inFlight: map[burdockid.Upstream]int{}, migrations: migrations{}, suspected: burdocksuspicion.New(burdocksuspicion.Config{}),
+		service: service, entry: e, random: random, groups: e.groups, inFlight: map[burdockid.Upstream]int{}, failedLately: map[burdockid.Upstream]int{}, migrations: migrations{}, suspected: burdocksuspicion.New(burdocksuspicion.Config{}),
 		memberAge:   newMemberAge(),
 		lengths:     newLengths(),
 		lastContact: map[burdockid.Upstream]contact{}, typicalFirstEvent: initialFirstEvent,
--- a/internal/serve/burdockdirect/room.go
+++ b/internal/serve/burdockdirect/room.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
@@ -14,7 +15,9 @@
 
 const (
 	// maxComparedEngines is how many random engines are compared if their loads are known.
-	maxComparedEngines = 12
+	// Entries that compare more agree more often on the same engine before they hear of each
+	// other's streams.
+	maxComparedEngines = 6
 	// maxReportedCustomers and maxReportedEngines bound what a report lists.
 	maxReportedCustomers = 32
 	maxReportedEngines   = 256
@@ -57,10 +60,10 @@
 func (p *pool) engineLoads() []burdockroom.EngineLoad {
 	p.mu.Lock()
 	loads := make([]burdockroom.EngineLoad, 0, len(p.inFlight))
-	for u, n := range p.inFlight {
+	p.reportedInFlight = p.engineStreams()
+	for u, n := range p.reportedInFlight {
 		loads = append(loads, burdockroom.EngineLoad{Engine: u, Streams: n})
 	}
-	p.reportedInFlight = maps.Clone(p.inFlight)
 	p.mu.Unlock()
 	slices.SortFunc(loads, func(a, b burdockroom.EngineLoad) int {
 		return cmp.Or(cmp.Compare(b.Streams, a.Streams), cmp.Compare(a.Engine, b.Engine))
@@ -73,6 +76,40 @@
 // entries would send to the same engines.
 const sharedLoadsFreshFor burdockclock.Millis = 600
 
+// engineStreams returns this entry's offers in flight and those that failed lately, by engine.
+// The lock must be held.
+func (p *pool) engineStreams() map[burdockid.Upstream]int {
+	streams := maps.Clone(p.inFlight)
+	for u, n := range p.failedLately {
+		streams[u] += n
+	}
+	return streams
+}
+
+// failedWeight is how many streams a failed offer counts as: two of them within the time of an
+// answer fill an engine with the usual number of slots.
+const failedWeight = 5
+
+// holdFailed lets an offer that failed count as streams for as long as an answer takes.
+//
+// An engine that cuts off every request at once looks idle. Where the least loaded engine is
+// chosen, it would get most of all requests and fail them.
+func (p *pool) holdFailed(u burdockid.Upstream) {
+	hold := p.typicalAnswerTime().Duration()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.failedLately[u] += failedWeight
+	time.AfterFunc(hold, func() { p.releaseFailed(u) })
+}
+
+func (p *pool) releaseFailed(u burdockid.Upstream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.failedLately[u] -= failedWeight; p.failedLately[u] <= 0 {
+		delete(p.failedLately, u)
+	}
+}
+
 // setRoomLoads passes the streams at each engine over all entries to the placer.
 //
 // An entry hears of one engine in a response every few seconds. Near the limit, one stream in
@@ -88,9 +125,10 @@
 	for _, l := range loads {
 		all[l.Engine] = l.Streams
 	}
+	own := p.engineStreams()
 	for u, member := range p.members {
 		others := max(all[u]-p.reportedInFlight[u], 0)
-		p.placer.Report(now, u, burdockplace.Report{Running: others + p.inFlight[u], Slots: member.Slots})
+		p.placer.Report(now, u, burdockplace.Report{Running: others + own[u], Slots: member.Slots})
 	}
 	p.loadsKnownUntil = now + sharedLoadsFreshFor
 }
