Late requests leave the room that arrivals need

What arrives in time, by priority, and how long streams take give the room that late requests leave. Late urgent requests no longer wait for less urgent ones in time.

--- a/internal/serve/burdockdirect/gate.go
+++ b/internal/serve/burdockdirect/gate.go
@@ -184,7 +184,7 @@
 		class := burdockqueue.ClassConfig{MaxWait: g.maxWait}
 		if !g.bounds.closed {
 			g.bounds.limit(&class, i)
-			g.timeliness.configure(&class, i, cfg.Slots)
+			g.timeliness.configure(&class, i)
 		}
 		cfg.Classes = append(cfg.Classes, class)
 	}
--- a/internal/serve/burdockdirect/offers.go
+++ b/internal/serve/burdockdirect/offers.go
@@ -72,6 +72,7 @@
 	defer func() { p.gate.finish(id, served) }()
 	if o.run(r.Context(), ctx) {
 		served = o.servedCost()
+		p.gate.observeStream(e.now() - o.admittedAt)
 	}
 }
 
--- a/internal/serve/burdockdirect/room.go
+++ b/internal/serve/burdockdirect/room.go
@@ -150,10 +150,11 @@
 	for p := range r.Demands {
 		r.Demands[p].Priority = p
 	}
+	running := g.queue.Load().Running
 	for class, load := range g.queue.ClassLoads() {
 		demand := &r.Demands[class/queueClassesPerPriority]
 		demand.Running += load.Running
-		demand.Waiting += load.Queued
+		demand.Waiting += min(load.Queued, g.startable(class, running))
 	}
 	g.excludeStuck(r.Demands)
 	if g.limit != nil {
@@ -162,6 +163,16 @@
 	return r
 }
 
+// startable returns how many more requests of a queue class the entry would start if it had
+// the room: late ones leave some to others, and room for them would stay unused. The lock
+// must be held.
+func (g *gate) startable(class, running int) int {
+	if g.timeliness == nil || class%queueClassesPerPriority == 0 || g.timeliness.lateRoomAt == 0 {
+		return maxQueued
+	}
+	return max(g.timeliness.lateRoom[class/queueClassesPerPriority]-running, 0)
+}
+
 // excludeStuck takes the streams of stalled groups out of the demands, the least urgent
 // first: they use none of the capacity of the groups that advance. The lock must be held.
 func (g *gate) excludeStuck(demands []burdockroom.Demand) {
--- a/internal/serve/burdockdirect/room_test.go
+++ b/internal/serve/burdockdirect/room_test.go
@@ -60,6 +60,7 @@
 	}
 	offer("in time", 10, "acme", 70)
 	offer("late", 11, "acme", 20)
+	g.timeliness.lateRoom[5] = g.slots + 1
 	for i := range maxReportedCustomers {
 		offer(fmt.Sprint("waiting", i), 18, fmt.Sprint("customer", i), 30)
 	}
@@ -86,6 +87,10 @@
 	if got := r.Engines[len(r.Engines)-1]; len(r.Engines) != maxReportedEngines || r.Engines[0].Streams != 2 || got.Streams != 1 {
 		t.Errorf("engines: got %d, want the %d with most streams", len(r.Engines), maxReportedEngines)
 	}
+	g.timeliness.lateRoom[5] = g.slots
+	if got := e.RoomReport("mixed").Demands[5].Waiting; got != 1 {
+		t.Errorf("waiting with no room left for late requests: got %d, want 1", got)
+	}
 	if r.Slowdown != 0 {
 		t.Errorf("slowdown: got %v, want 0 before any was measured", r.Slowdown)
 	}
--- a/internal/serve/burdockdirect/timeliness.go
+++ b/internal/serve/burdockdirect/timeliness.go
@@ -1,8 +1,6 @@
 package burdockdirect
 
 import (
-	"math"
-
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/decide/burdockqueue"
 	"burdockbend.example/burdockbend/internal/decide/burdocktimeliness"
@@ -10,10 +8,9 @@
 )
 
 const (
-	// lateShare is the part of the limit up to which late requests start. Retries of
-	// refused callers would otherwise take every slot that becomes free between two
-	// arrivals of requests that can be in time.
-	lateShare = 0.85
+	// lateRoomInterval is how often the room for late requests is computed anew: a few
+	// times in the wait that callers accept.
+	lateRoomInterval burdockclock.Millis = 50
 	// neverLate is the lateAt of a request that goes behind no other.
 	neverLate burdockclock.Millis = 0
 )
@@ -22,7 +19,11 @@
 // still be in time. The gate's lock protects it.
 type timeliness struct {
 	tracker    *burdocktimeliness.Tracker
+	forecast   *burdocktimeliness.Forecast
 	byPriority [numPriorities]inTimeWaiters
+	// lateRoom holds by priority up to how many running streams late requests start.
+	lateRoom   [numPriorities]int
+	lateRoomAt burdockclock.Millis // when it was computed
 }
 
 // inTimeWaiters holds the requests of one priority that wait and can be in time.
@@ -36,20 +37,51 @@
 }
 
 func newTimeliness() *timeliness {
-	return &timeliness{tracker: burdocktimeliness.New(burdocktimeliness.Config{InitialFirstEvent: initialFirstEvent})}
+	return &timeliness{
+		tracker:  burdocktimeliness.New(burdocktimeliness.Config{InitialFirstEvent: initialFirstEvent}),
+		forecast: burdocktimeliness.NewForecast(numPriorities),
+	}
 }
 
-// configure sets how the queue class with an index is served, given the limit.
-func (t *timeliness) configure(class *burdockqueue.ClassConfig, index, limit int) {
-	switch {
-	case t == nil:
-	case index%queueClassesPerPriority == 0:
-		class.NewestFirst = t.byPriority[index/queueClassesPerPriority].newestFirst
-	default:
-		late := int(math.Ceil(lateShare * float64(limit)))
-		if class.MaxRunning == 0 || late < class.MaxRunning {
-			class.MaxRunning = late
+// configure sets how the queue class with an index is served.
+func (t *timeliness) configure(class *burdockqueue.ClassConfig, index int) {
+	if t == nil {
+		return
+	}
+	priority := index / queueClassesPerPriority
+	if index%queueClassesPerPriority == 0 {
+		class.NewestFirst = t.byPriority[priority].newestFirst
+		return
+	}
+	if room := t.lateRoom[priority]; class.MaxRunning == 0 || room < class.MaxRunning {
+		class.MaxRunning = room
+	}
+}
+
+// updateLateRoom computes the room for late requests anew if that is due, and reports whether
+// it has changed. limits are those of the entry's part of the room, if it has one.
+func (t *timeliness) updateLateRoom(now burdockclock.Millis, slots int, limits []int) bool {
+	if now < t.lateRoomAt+lateRoomInterval {
+		return false
+	}
+	t.lateRoomAt = now
+	before := t.lateRoom
+	for p := range t.lateRoom {
+		limit := slots
+		if p < len(limits) {
+			limit = limits[p]
 		}
+		t.lateRoom[p] = max(t.forecast.LateRoom(now, limit, p), 1)
+	}
+	return t.lateRoom != before
+}
+
+// observeStream records how long a stream that was answered took since it was admitted.
+func (g *gate) observeStream(took burdockclock.Millis) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.timeliness != nil {
+		g.timeliness.forecast.ObserveStream(took)
 	}
 }
 
@@ -64,6 +96,7 @@
 	tracker.ObserveBudget(ranked.Route, ranked.Budget)
 	rank := tracker.Rank(g.clock.Boot(), ranked)
 	if rank.Verdict == burdocktimeliness.InTime {
+		g.timeliness.forecast.ObserveArrival(g.clock.Boot(), int(queued.Class)/queueClassesPerPriority)
 		return rank.LateAt
 	}
 	req.late = rank.Reason
@@ -123,12 +156,13 @@
 }
 
 // updateOrder makes the newest requests of a priority start first while it has a standing
-// backlog. The lock must be held.
+// backlog, and bounds late requests by the room that the others leave. The lock must be held.
 func (g *gate) updateOrder() {
 	if g.timeliness == nil {
 		return
 	}
-	now, changed := g.clock.Boot(), false
+	now := g.clock.Boot()
+	changed := g.timeliness.updateLateRoom(now, max(g.slots, 1), g.bounds.limits)
 	for priority := range g.timeliness.byPriority {
 		s := &g.timeliness.byPriority[priority]
 		var waited, objective burdockclock.Millis
--- a/internal/serve/burdockdirect/timeliness_test.go
+++ b/internal/serve/burdockdirect/timeliness_test.go
@@ -58,6 +58,9 @@
 		if got := req.late == burdocktimeliness.ReasonRetry; got != shared {
 			t.Errorf("shared %v: logged as a retry: got %v", shared, got)
 		}
+		g.mu.Lock()
+		g.dispatch()
+		g.mu.Unlock()
 		if got := g.queueConfig().Classes[5].MaxRunning > 0; got != shared {
 			t.Errorf("shared %v: late requests are bounded: got %v", shared, got)
 		}
