Parts of the room, given and used by priority, in metrics and logs

An operator sees at an entry what each priority may use and uses, and at the agent that divides what runs and waits. Reports that the division refuses are counted by their field.

--- a/internal/serve/burdockdirect/gate.go
+++ b/internal/serve/burdockdirect/gate.go
@@ -333,7 +333,8 @@
 	state := g.limit.State(g.reportClock())
 	g.log.Info("admission limit", zap.Int("limit", g.slots), zap.Int("running", load.Running), zap.Int("waiting", load.Queued),
 		zap.Float64("engineLoad", state.Load), zap.Float64("engineMost", state.MaxPerEngine),
-		zap.Float64("passFactor", state.Slowdown), zap.Float64("usualFactor", state.TypicalSlowdown))
+		zap.Float64("passFactor", state.Slowdown), zap.Float64("usualFactor", state.TypicalSlowdown),
+		zap.Ints("partLimits", g.bounds.limits))
 }
 
 // armTimer sets the timer for the next time at which the queue or the group needs
--- a/internal/serve/burdockdirect/members.go
+++ b/internal/serve/burdockdirect/members.go
@@ -46,6 +46,9 @@
 func (p *pool) applySnapshot(now burdockclock.Millis, snap *burdocksite.Snapshot) {
 	cfg := gateConfigOf(snap, p.service, p.entry.cfg.SharedAdmission)
 	cfg.members = p.withoutLeaving(now, cfg.members)
+	if cfg.shared {
+		p.exportRoom.Do(func() { p.entry.meters.exportRoomGauges(p) })
+	}
 	p.setFirstEventTimeout(cfg.firstEventTimeout)
 	if !p.updateMembers(now, cfg.members, snap.Config, p.gate.requestsPerEngine()) {
 		return
--- a/internal/serve/burdockdirect/metrics.go
+++ b/internal/serve/burdockdirect/metrics.go
@@ -63,3 +63,12 @@
 		m.set.NewGauge(name+label, value)
 	}
 }
+
+// exportRoomGauges registers the gauges of a service with shared admission.
+func (m *meters) exportRoomGauges(p *pool) {
+	for priority := range numPriorities {
+		label := fmt.Sprintf("{service=%q,priority=\"%d\"}", p.service, priority)
+		m.set.NewGauge("burdock_direct_room_limit"+label, func() float64 { return float64(p.gate.roomUse(priority).limit) })
+		m.set.NewGauge("burdock_direct_room_running"+label, func() float64 { return float64(p.gate.roomUse(priority).running) })
+	}
+}
--- a/internal/serve/burdockdirect/pool.go
+++ b/internal/serve/burdockdirect/pool.go
@@ -38,8 +38,10 @@
 	entry   *Entry
 	gate    *gate
 	lengths *lengths
-	urgency urgency // guarded by mu
-	random  *rand.Rand
+	// exportRoom registers the gauges of shared admission, once.
+	exportRoom sync.Once
+	urgency    urgency // guarded by mu
+	random     *rand.Rand
 
 	mu       sync.Mutex
 	placer   *burdockplace.Placer
--- a/internal/serve/burdockdirect/room.go
+++ b/internal/serve/burdockdirect/room.go
@@ -268,3 +268,25 @@
 	g.bounds = b
 	g.queue.Reconfigure(g.clock.Boot(), g.queueConfig())
 }
+
+// roomUse is what one priority has of the entry's part of the room and what it uses.
+type roomUse struct {
+	limit   int // -1 if the entry has no part
+	running int
+}
+
+// roomUse returns what a priority has and uses, for metrics.
+func (g *gate) roomUse(priority int) roomUse {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	use := roomUse{limit: -1}
+	if limits := g.roomLimits(g.clock.Boot()); priority < len(limits) {
+		use.limit = limits[priority]
+	}
+	for class, load := range g.queue.ClassLoads() {
+		if class/queueClassesPerPriority == priority {
+			use.running += load.Running
+		}
+	}
+	return use
+}
--- a/internal/serve/burdockhosted/roomserver.go
+++ b/internal/serve/burdockhosted/roomserver.go
@@ -38,6 +38,8 @@
 	fence   burdockid.Fence // of the latest term
 	divider *burdockroom.Divider
 	latest  burdockroom.Part // the latest answer of the term
+	// nextLogAt is the earliest time of the next line about the division.
+	nextLogAt burdockclock.Millis
 }
 
 func newRoomServer(heldLease func(group string) (burdockid.Fence, bool), clock burdockclock.Clock, set *metrics.Set, log *zap.Logger) *roomServer {
@@ -110,6 +112,33 @@
 	part, err := s.divider.Handle(s.clock.Boot(), report)
 	if err == nil {
 		s.latest = part
+		s.logDivision()
 	}
 	return part, err
 }
+
+// divisionLogInterval is the minimum time between two lines about the division.
+const divisionLogInterval = 2 * burdockclock.Second
+
+// logDivision writes a line about the division if anything runs or waits. The lock must be
+// held.
+func (s *roomServer) logDivision() {
+	now := s.clock.Boot()
+	if now < s.nextLogAt {
+		return
+	}
+	state := s.divider.State(now)
+	var running, waiting []int
+	demand := 0
+	for _, counts := range state.Priority {
+		running, waiting = append(running, counts.Running), append(waiting, counts.Waiting)
+		demand += counts.Running + counts.Waiting
+	}
+	if demand == 0 {
+		return
+	}
+	s.nextLogAt = now + divisionLogInterval
+	s.log.Info("room divided", zap.String("group", s.group), zap.Int("room", state.Room), zap.Int("held", state.Held),
+		zap.Int("entries", state.Entries), zap.Int("silent", state.Silent), zap.Float64("usualFactor", state.Slowdown),
+		zap.Ints("running", running), zap.Ints("waiting", waiting))
+}
--- a/internal/serve/burdockhosted/roomwire.go
+++ b/internal/serve/burdockhosted/roomwire.go
@@ -49,6 +49,9 @@
 	if field, ok := errorx.ExtractProperty(err, roomFieldProperty); ok {
 		return field.(string)
 	}
+	if field := burdockroom.FieldOf(err); field != "" {
+		return field
+	}
 	return "other"
 }
 
