--- a/internal/serve/burdockdirect/room_test.go
+++ b/internal/serve/burdockdirect/room_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
@@ -144,3 +146,45 @@
 		}
 	}
 }
+
+// Guards against an engine that cuts off every request at once: it looks idle, so that it
+// would get most of all requests where the least loaded engine is chosen.
+func TestFailedOffersCountAsLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newRoomEntry(SharedAdmissionOn, burdockclock.System()).pool("mixed")
+		p.holdFailed("m0")
+		if got := p.engineLoads(); len(got) != 1 || got[0].Streams != failedWeight {
+			t.Errorf("reported after a failure: got %v, want m0 with %d", got, failedWeight)
+		}
+		req := &request{service: "mixed", route: &burdocksite.Route{Stream: true}}
+		p.setRoomLoads(p.entry.now(), []burdockroom.EngineLoad{{Engine: "m0", Streams: failedWeight}, {Engine: "m1", Streams: 2}})
+		if u, _, ok := p.choose(p.entry.now(), req, nil, ""); !ok || u.ID != "m1" {
+			t.Errorf("chosen: got %q, want the other engine", u.ID)
+		}
+		time.Sleep(p.typicalAnswerTime().Duration())
+		synctest.Wait()
+		for _, l := range p.engineLoads() {
+			if l.Engine == "m0" {
+				t.Errorf("reported after the time of an answer: got %v, want nothing for m0", l)
+			}
+		}
+	})
+}
+
+// Guards against counting an entry's own streams twice: those that it has started since its
+// report, and those that the coordinator has from it.
+func TestRoomLoadsAddOnlyOthersStreams(t *testing.T) {
+	p := newRoomEntry(SharedAdmissionOn, burdockclock.System()).pool("mixed")
+	p.mu.Lock()
+	p.inFlight["m0"], p.inFlight["m1"] = 3, 1
+	p.mu.Unlock()
+	p.engineLoads()
+	p.mu.Lock()
+	p.inFlight["m0"] = 1
+	p.mu.Unlock()
+	// m0 has 3 of this entry's as reported and 1 now; m1 has 3 of others.
+	p.setRoomLoads(p.entry.now(), []burdockroom.EngineLoad{{Engine: "m0", Streams: 3}, {Engine: "m1", Streams: 4}})
+	if u, _, ok := p.choose(p.entry.now(), &request{service: "mixed", route: &burdocksite.Route{Stream: true}}, nil, ""); !ok || u.ID != "m0" {
+		t.Errorf("chosen: got %q, want m0, which has one stream", u.ID)
+	}
+}
