--- a/internal/decide/burdocktimeliness/forecast.go
+++ b/internal/decide/burdocktimeliness/forecast.go
@@ -13,10 +13,10 @@
 	// serviceSamples is the number of streams over which their mean length is taken.
 	serviceSamples = 32
 	// initialService is the assumed length of a stream until one has ended.
-	initialService = 2 * burdockclock.Second
+	initialService = 1500 * burdockclock.Millis(1)
 	// minLateShare is the fraction of the limit that late requests may always use, so that
 	// they are served at all while demand exceeds the room.
-	minLateShare = 0.1
+	minLateShare = 0.2
 )
 
 // Forecast estimates how much of an entry's room the requests that can be in time are going
@@ -28,6 +28,7 @@
 type Forecast struct {
 	arrivals []arrivals
 	service  float64 // mean length of a stream in ms
+	streams  int     // over which it was taken, serviceSamples at most
 }
 
 // NewForecast returns a forecast for a number of priorities.
@@ -42,7 +43,8 @@
 
 // ObserveStream records how long a stream that was answered took.
 func (f *Forecast) ObserveStream(took burdockclock.Millis) {
-	f.service += (float64(took) - f.service) / serviceSamples
+	f.streams = min(f.streams+1, serviceSamples)
+	f.service += (float64(took) - f.service) / float64(f.streams)
 }
 
 // LateRoom returns up to how many running streams a late request of a priority may start,
