--- a/internal/decide/burdocktimeliness/forecast.go
+++ b/internal/decide/burdocktimeliness/forecast.go
@@ -48,15 +48,16 @@
 }
 
 // LateRoom returns up to how many running streams a late request of a priority may start,
-// given the limit. It leaves room for the requests of its own and of more urgent priorities
-// that can be in time, with a standard deviation on top, because they come irregularly.
-func (f *Forecast) LateRoom(now burdockclock.Millis, limit, priority int) int {
+// given the limit and how many streams of its own and of more urgent priorities run that
+// started in time. It leaves room for those that will come, with a standard deviation on top,
+// because they come irregularly.
+func (f *Forecast) LateRoom(now burdockclock.Millis, limit, priority, running int) int {
 	need := 0.0
 	for p := range priority + 1 {
 		need += f.arrivals[p].rate(now) * f.service
 	}
-	left := float64(limit) - need - math.Sqrt(need)
-	return int(math.Ceil(max(left, minLateShare*float64(limit))))
+	missing := max(need+math.Sqrt(need)-float64(running), 0)
+	return int(math.Ceil(max(float64(limit)-missing, minLateShare*float64(limit))))
 }
 
 // arrivals is the decayed number of arrivals.
--- a/internal/serve/burdockdirect/timeliness.go
+++ b/internal/serve/burdockdirect/timeliness.go
@@ -60,18 +60,19 @@
 
 // updateLateRoom computes the room for late requests anew if that is due, and reports whether
 // it has changed. limits are those of the entry's part of the room, if it has one.
-func (t *timeliness) updateLateRoom(now burdockclock.Millis, slots int, limits []int) bool {
+func (t *timeliness) updateLateRoom(now burdockclock.Millis, slots int, limits []int, classes []burdockqueue.ClassLoad) bool {
 	if now < t.lateRoomAt+lateRoomInterval {
 		return false
 	}
 	t.lateRoomAt = now
-	before := t.lateRoom
+	before, running := t.lateRoom, 0
 	for p := range t.lateRoom {
+		running += classes[queueClassesPerPriority*p].Running
 		limit := slots
 		if p < len(limits) {
 			limit = limits[p]
 		}
-		t.lateRoom[p] = max(t.forecast.LateRoom(now, limit, p), 1)
+		t.lateRoom[p] = max(t.forecast.LateRoom(now, limit, p, running), 1)
 	}
 	return t.lateRoom != before
 }
@@ -162,7 +163,7 @@
 		return
 	}
 	now := g.clock.Boot()
-	changed := g.timeliness.updateLateRoom(now, max(g.slots, 1), g.bounds.limits)
+	changed := g.timeliness.updateLateRoom(now, max(g.slots, 1), g.bounds.limits, g.queue.ClassLoads())
 	for priority := range g.timeliness.byPriority {
 		s := &g.timeliness.byPriority[priority]
 		var waited, objective burdockclock.Millis
