Review of shared admission: starved priorities, costs, stalled groups, learning time

The queue of an entry gives the start that the division grants to a starved priority (the test fails without). The cost of a customer's waiting work is scaled with what of it counts; late requests keep their room beside stalled streams and are looked at again without another event; a coordinator learns for longer than a former one's parts last, and idle entries report before theirs end.

--- a/internal/config/burdocksettings/hosted.go
+++ b/internal/config/burdocksettings/hosted.go
@@ -52,7 +52,7 @@
 	// SharedAdmissionAuto selects the services with engines whose streams differ in
 	// urgency.
 	SharedAdmissionAuto = "auto"
-	// SharedAdmissionOn selects all services with engines.
+	// SharedAdmissionOn selects all services with engines that get streams.
 	SharedAdmissionOn = "on"
 	// SharedAdmissionOff selects none.
 	SharedAdmissionOff = "off"
--- a/internal/decide/burdockroom/customers.go
+++ b/internal/decide/burdockroom/customers.go
@@ -72,7 +72,7 @@
 			continue
 		}
 		e.unlisted[d.Priority] -= waiting
-		w := customerWaiting{customer: c, waiting: waiting, cost: float64(d.Cost)}
+		w := customerWaiting{customer: c, waiting: waiting, cost: float64(d.Cost) * float64(waiting) / float64(d.Waiting)}
 		c.waiting += w.waiting
 		c.cost += w.cost
 		e.customers = append(e.customers, w)
--- a/internal/decide/burdockroom/divider.go
+++ b/internal/decide/burdockroom/divider.go
@@ -26,7 +26,8 @@
 	// ValidFor is how long a Part is valid. It spans two reports and a lost one.
 	ValidFor burdockclock.Millis
 	// LearningTime is how long a Divider learns from reports before it divides. It spans
-	// a report of each entry, also of idle ones.
+	// a report of each entry, also of idle ones, and the rest of the parts that a former
+	// Divider has given.
 	LearningTime burdockclock.Millis
 	// ForgetAfter is the time after its last report at which an entry is forgotten.
 	ForgetAfter burdockclock.Millis
@@ -62,7 +63,7 @@
 // Defaults of Config.
 const (
 	defaultValidFor        burdockclock.Millis = 600
-	defaultLearningTime    burdockclock.Millis = 500
+	defaultLearningTime    burdockclock.Millis = 700
 	defaultForgetAfter                         = 5 * burdockclock.Second
 	defaultReserveFraction                     = 0.05
 	defaultMaxStarvation                       = 2 * burdockclock.Second
@@ -145,15 +146,16 @@
 	return d.part(now, e), nil
 }
 
-// learning handles a Divider that has just started: entries that it hasn't heard from hold
-// room that it doesn't know of. Without any measured capacity it can't divide either.
+// learning reports whether parts carry no limits yet: entries that a Divider hasn't heard
+// from may hold room that it doesn't know of, and without any measured capacity there is
+// nothing to divide.
 func (d *Divider) learning(now burdockclock.Millis) bool {
 	return now-d.startedAt < d.cfg.LearningTime || d.division.room == 0
 }
 
-// reportInterval handles a fleet so large that its reports would take a notable part of a
-// core at the agent: entries with demand then report less often. It returns 0 for the
-// entry's usual interval.
+// reportInterval returns the interval of the reports of entries with demand, 0 for the usual
+// one. It grows with the fleet, whose reports would otherwise take a notable part of a core at
+// the agent.
 func (d *Divider) reportInterval() burdockclock.Millis {
 	idle := float64(len(d.all) - d.division.active)
 	rate := max(d.cfg.MaxReportRate-idle*perSecond(d.cfg.IdleInterval), perSecond(d.cfg.IdleInterval))
--- a/internal/decide/burdocktimeliness/timeliness_test.go
+++ b/internal/decide/burdocktimeliness/timeliness_test.go
@@ -61,6 +61,8 @@
 	}
 }
 
+// Guards against retries, and requests past their objective, that start before those that
+// can still be in time.
 func TestRank(t *testing.T) {
 	tr := New(Config{InitialFirstEvent: 100})
 	for range 64 {
--- a/internal/serve/burdockdirect/gate.go
+++ b/internal/serve/burdockdirect/gate.go
@@ -48,9 +48,10 @@
 	limitLogInterval = burdockclock.Second
 	// maxRetryAfter bounds the Retry-After of a refusal: callers wait for seconds only.
 	maxRetryAfter = 3 * burdockclock.Second
-	// rampCheckInterval is how often the limit's ramp is checked while requests wait and
+	// limitCheckInterval is how often the limits that change by themselves, the ramp and the
+	// room for late requests, are checked while requests wait and
 	// nothing else happens.
-	rampCheckInterval burdockclock.Millis = 50
+	limitCheckInterval burdockclock.Millis = 50
 )
 
 // gate controls the admission of requests to one service at this entry: it starts them,
@@ -350,8 +351,8 @@
 			at, ok = probe, true
 		}
 	}
-	if g.ramp() > 0 && g.queue.Load().Queued > 0 {
-		if check := g.clock.Boot() + rampCheckInterval; !ok || check < at {
+	if (g.ramp() > 0 || g.timeliness != nil) && g.queue.Load().Queued > 0 {
+		if check := g.clock.Boot() + limitCheckInterval; !ok || check < at {
 			at, ok = check, true
 		}
 	}
--- a/internal/serve/burdockdirect/room_test.go
+++ b/internal/serve/burdockdirect/room_test.go
@@ -188,3 +188,37 @@
 		t.Errorf("chosen: got %q, want m0, which has one stream", u.ID)
 	}
 }
+
+// Guards against less urgent requests that never start while urgent ones wait at every entry:
+// the division grants a start to the priority that has waited too long, and the queue of the
+// entry would give it to an urgent request.
+func TestStarvedPriorityGetsTheStart(t *testing.T) {
+	clock := burdockclock.NewManual(burdockclock.Hour)
+	e := newRoomEntry(SharedAdmissionOn, clock.Clock())
+	g := e.pool("mixed").gate
+	limits := func(n int) {
+		e.SetRoomPart("mixed", burdockroom.Part{Limits: slices.Repeat([]int{n}, numPriorities)}, g.clock.Boot()+600)
+	}
+	offer := func(id string, priority int) {
+		class := burdockqueue.Class(queueClassesPerPriority * priority)
+		g.queue.Offer(g.clock.Boot(), burdockqueue.Request{ID: burdockid.Request(id), Class: class})
+	}
+	limits(1)
+	g.mu.Lock()
+	offer("running", 0)
+	offer("batch", 5)
+	g.mu.Unlock()
+	// No request waits for as long as the bound, but one always does.
+	clock.Advance(starvationBound * 3 / 4)
+	g.mu.Lock()
+	offer("batch again", 5)
+	g.mu.Unlock()
+	clock.Advance(starvationBound / 4)
+	g.mu.Lock()
+	offer("urgent", 0)
+	g.mu.Unlock()
+	limits(2)
+	if got := e.RoomReport("mixed").Demands[5]; got.Running != 1 {
+		t.Errorf("batch requests: got %+v, want one running", got)
+	}
+}
--- a/internal/serve/burdockdirect/timeliness.go
+++ b/internal/serve/burdockdirect/timeliness.go
@@ -51,6 +51,7 @@
 	priority := index / queueClassesPerPriority
 	if index%queueClassesPerPriority == 0 {
 		class.NewestFirst = t.byPriority[priority].newestFirst
+		class.MaxStarvation = starvationBound
 		return
 	}
 	if room := t.lateRoom[priority]; class.MaxRunning == 0 || room < class.MaxRunning {
@@ -59,8 +60,9 @@
 }
 
 // updateLateRoom computes the room for late requests anew if that is due, and reports whether
-// it has changed. limits are those of the entry's part of the room, if it has one.
-func (t *timeliness) updateLateRoom(now burdockclock.Millis, slots int, limits []int, classes []burdockqueue.ClassLoad) bool {
+// it has changed. slots bounds all streams, bounds the classes of the queue, and classes are
+// their loads.
+func (t *timeliness) updateLateRoom(now burdockclock.Millis, slots int, bounds classBounds, classes []burdockqueue.ClassLoad) bool {
 	if now < t.lateRoomAt+lateRoomInterval {
 		return false
 	}
@@ -69,8 +71,8 @@
 	for p := range t.lateRoom {
 		running += classes[queueClassesPerPriority*p].Running
 		limit := slots
-		if p < len(limits) {
-			limit = limits[p]
+		if p < len(bounds.limits) {
+			limit = bounds.limits[p] + bounds.stuck
 		}
 		t.lateRoom[p] = max(t.forecast.LateRoom(now, limit, p, running), 1)
 	}
@@ -163,7 +165,7 @@
 		return
 	}
 	now := g.clock.Boot()
-	changed := g.timeliness.updateLateRoom(now, max(g.slots, 1), g.bounds.limits, g.queue.ClassLoads())
+	changed := g.timeliness.updateLateRoom(now, max(g.slots, 1), g.bounds, g.queue.ClassLoads())
 	for priority := range g.timeliness.byPriority {
 		s := &g.timeliness.byPriority[priority]
 		var waited, objective burdockclock.Millis
--- a/internal/serve/burdockdirect/timeliness_test.go
+++ b/internal/serve/burdockdirect/timeliness_test.go
@@ -96,8 +96,8 @@
 	})
 }
 
-// The part of the product for mixed urgency must neither change other services nor be
-// missing where the settings ask for it.
+// Guards against shared admission for services whose streams are equally urgent, and against
+// none where the settings ask for it.
 func TestSharedAdmissionSelection(t *testing.T) {
 	engine := &burdocksite.Engine{Slots: 8}
 	stream := func(priority int, objective burdockclock.Millis, service burdockid.Service) burdocksite.Route {
--- a/internal/serve/burdockdirect/urgentslots.go
+++ b/internal/serve/burdockdirect/urgentslots.go
@@ -12,9 +12,10 @@
 	// rate-limited upstreams to others like it. Requests that come more seldom gain little
 	// from slots that stay unused for them.
 	urgentWindow = 2 * burdockclock.Second
-	// starvationBound is the time after which requests of a class of which none has been
-	// placed take slots like the most urgent ones. It is the bound on starvation of the
-	// division of the room.
+	// starvationBound is the time after which requests of a priority of which none has been
+	// placed take slots like the most urgent ones, and after which one that waits is started.
+	// The division of the room has the same bound: it grants a start that the queue of an
+	// entry has to give to that priority.
 	starvationBound = 2 * burdockclock.Second
 )
 
--- a/internal/serve/burdockhosted/entry.go
+++ b/internal/serve/burdockhosted/entry.go
@@ -151,8 +151,7 @@
 
 // sharesRoom reports whether services may share their room on this site.
 func sharesRoom(settings burdocksettings.Hosted) bool {
-	mode := burdockdirect.SharedAdmission(settings.SharedAdmission)
-	return mode == burdockdirect.SharedAdmissionAuto || mode == burdockdirect.SharedAdmissionOn
+	return burdockdirect.SharedAdmission(settings.SharedAdmission) != burdockdirect.SharedAdmissionOff
 }
 
 func (e *entry) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/internal/serve/burdockhosted/roomclient.go
+++ b/internal/serve/burdockhosted/roomclient.go
@@ -22,9 +22,9 @@
 	// activeReportInterval is the time between two reports while anything runs or waits:
 	// an entry whose demand grows has to get room within three reports.
 	activeReportInterval burdockclock.Millis = 100
-	// idleReportInterval is shorter than a part is valid, so that an idle entry has a part
-	// when its first request arrives.
-	idleReportInterval burdockclock.Millis = 500
+	// idleReportInterval and exchangeTimeout together are shorter than a part is valid, so that
+	// an idle entry has a part when its first request arrives.
+	idleReportInterval burdockclock.Millis = 250
 	// reportJitter is the fraction of an interval by which it varies, so that the reports
 	// of entries that start together spread out.
 	reportJitter = 0.1
--- a/internal/serve/burdockhosted/roomserver.go
+++ b/internal/serve/burdockhosted/roomserver.go
@@ -127,6 +127,7 @@
 	if now < s.nextLogAt {
 		return
 	}
+	s.nextLogAt = now + divisionLogInterval
 	state := s.divider.State(now)
 	var running, waiting []int
 	demand := 0
@@ -137,8 +138,7 @@
 	if demand == 0 {
 		return
 	}
-	s.nextLogAt = now + divisionLogInterval
 	s.log.Info("room divided", zap.String("group", s.group), zap.Int("room", state.Room), zap.Int("held", state.Held),
-		zap.Int("entries", state.Entries), zap.Int("silent", state.Silent), zap.Float64("usualFactor", state.Slowdown),
+		zap.Int("entries", state.Entries), zap.Int("silent", state.Silent), zap.Float64("typicalSlowdown", state.Slowdown),
 		zap.Ints("running", running), zap.Ints("waiting", waiting))
 }
--- a/internal/serve/burdockhosted/roomwire.go
+++ b/internal/serve/burdockhosted/roomwire.go
@@ -25,8 +25,8 @@
 	maxRoomSlowdown = 1000
 	// maxRoomName bounds the length of names in bytes.
 	maxRoomName = 512
-	// maxPartValidity bounds how long a part is valid. The coordinator forgets an entry
-	// that has been silent for as long, and would grant its room to others.
+	// maxPartValidity bounds how long a part is valid, against corrupt values. The
+	// coordinator grants what a silent entry doesn't run to others once its part has expired.
 	maxPartValidity = 5 * burdockclock.Second
 	// maxRoomMessage bounds a message in bytes. The longest report takes some 20 KB, the
 	// longest part of a service with hundreds of engines as much.
