--- a/internal/serve/burdockdirect/estimate.go
+++ b/internal/serve/burdockdirect/estimate.go
@@ -24,9 +24,6 @@
 	return &lengths{estimator: burdockestimate.New(), logged: map[string]float64{}}
 }
 
-// sharedAdmission reports whether the entries share the admission to the request's service.
-func (req *request) sharedAdmission() bool { return req.enginePriority != nil }
-
 // outputTokens returns the number of output tokens by which a request's cost is computed:
 // the estimate, or its maximum where admission is not shared.
 func (e *Entry) outputTokens(req *request) burdockid.Tokens {
--- a/internal/serve/burdockdirect/room_test.go
+++ b/internal/serve/burdockdirect/room_test.go
@@ -63,31 +63,31 @@
 	offer("in time", 10, "acme", 70)
 	offer("late", 11, "acme", 20)
 	g.timeliness.lateRoom[5] = g.slots + 1
-	for i := range maxReportedCustomers {
+	for i := range burdockroom.MaxCustomers {
 		offer(fmt.Sprint("waiting", i), 18, fmt.Sprint("customer", i), 30)
 	}
 	slots := g.slots
 	g.mu.Unlock()
 	p := e.pool("mixed")
 	p.mu.Lock()
-	for i := range maxReportedEngines + 1 {
+	for i := range burdockroom.MaxEngines + 1 {
 		p.inFlight[burdockid.Upstream(fmt.Sprint("e", i))] = 1 + i%2
 	}
 	p.mu.Unlock()
 
 	r := e.RoomReport("mixed")
 	for i, d := range r.Demands {
-		want := map[int]burdockroom.Demand{0: {Running: slots}, 5: {Waiting: 2}, 9: {Waiting: maxReportedCustomers}}[i]
+		want := map[int]burdockroom.Demand{0: {Running: slots}, 5: {Waiting: 2}, 9: {Waiting: burdockroom.MaxCustomers}}[i]
 		want.Priority = i
 		if d != want {
 			t.Errorf("demand: got %+v, want %+v", d, want)
 		}
 	}
-	if got, want := r.Customers[0], (burdockroom.CustomerDemand{Priority: 5, Customer: "acme", Waiting: 2, Cost: 90}); got != want || len(r.Customers) != maxReportedCustomers {
-		t.Errorf("customers: got %+v first of %d, want %+v of %d", got, len(r.Customers), want, maxReportedCustomers)
+	if got, want := r.Customers[0], (burdockroom.CustomerDemand{Priority: 5, Customer: "acme", Waiting: 2, Cost: 90}); got != want || len(r.Customers) != burdockroom.MaxCustomers {
+		t.Errorf("customers: got %+v first of %d, want %+v of %d", got, len(r.Customers), want, burdockroom.MaxCustomers)
 	}
-	if got := r.Engines[len(r.Engines)-1]; len(r.Engines) != maxReportedEngines || r.Engines[0].Streams != 2 || got.Streams != 1 {
-		t.Errorf("engines: got %d, want the %d with most streams", len(r.Engines), maxReportedEngines)
+	if got := r.Engines[len(r.Engines)-1]; len(r.Engines) != burdockroom.MaxEngines || r.Engines[0].Streams != 2 || got.Streams != 1 {
+		t.Errorf("engines: got %d, want the %d with most streams", len(r.Engines), burdockroom.MaxEngines)
 	}
 	g.timeliness.lateRoom[5] = g.slots
 	if got := e.RoomReport("mixed").Demands[5].Waiting; got != 1 {
@@ -153,7 +153,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		p := newRoomEntry(SharedAdmissionOn, burdockclock.System()).pool("mixed")
 		p.holdFailed("m0")
-		if got := p.engineLoads(); len(got) != 1 || got[0].Streams != failedWeight {
+		if got := p.takeEngineLoads(); len(got) != 1 || got[0].Streams != failedWeight {
 			t.Errorf("reported after a failure: got %v, want m0 with %d", got, failedWeight)
 		}
 		req := &request{service: "mixed", route: &burdocksite.Route{Stream: true}}
@@ -163,7 +163,7 @@
 		}
 		time.Sleep(p.typicalAnswerTime().Duration())
 		synctest.Wait()
-		for _, l := range p.engineLoads() {
+		for _, l := range p.takeEngineLoads() {
 			if l.Engine == "m0" {
 				t.Errorf("reported after the time of an answer: got %v, want nothing for m0", l)
 			}
@@ -178,7 +178,7 @@
 	p.mu.Lock()
 	p.inFlight["m0"], p.inFlight["m1"] = 3, 1
 	p.mu.Unlock()
-	p.engineLoads()
+	p.takeEngineLoads()
 	p.mu.Lock()
 	p.inFlight["m0"] = 1
 	p.mu.Unlock()
--- a/internal/serve/burdockdirect/shared.go
+++ b/internal/serve/burdockdirect/shared.go
@@ -29,3 +29,6 @@
 	}
 	return cfg.MixedUrgency(service)
 }
+
+// sharedAdmission reports whether the entries share the admission to the request's service.
+func (req *request) sharedAdmission() bool { return req.enginePriority != nil }
--- a/internal/serve/burdockdirect/timeliness.go
+++ b/internal/serve/burdockdirect/timeliness.go
@@ -186,18 +186,3 @@
 		g.queue.Reconfigure(now, g.queueConfig())
 	}
 }
-
-// ramp returns the bound of the limit's ramp; 0 if there is none. The lock must be held.
-func (g *gate) ramp() int {
-	if g.limit == nil {
-		return 0
-	}
-	return g.limit.Ramp()
-}
-
-// currentRamp returns the bound of the limit's ramp; 0 if there is none.
-func (g *gate) currentRamp() int {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.ramp()
-}
--- a/internal/serve/burdockhosted/roomclient_test.go
+++ b/internal/serve/burdockhosted/roomclient_test.go
@@ -103,7 +103,7 @@
 
 // answerPart answers as a coordinator does.
 func answerPart(_ context.Context, msg *burdockwire.RoomReport) (*burdockwire.RoomPart, error) {
-	return partToWire(msg, burdockroom.Part{Sequence: msg.GetSequence(), ValidFor: 600, Limits: make([]int, roomPriorities), Room: 10})
+	return partToWire(msg, burdockroom.Part{Sequence: msg.GetSequence(), ValidFor: 600, Limits: make([]int, burdockroom.Priorities), Room: 10})
 }
 
 // last returns the latest call.
@@ -301,7 +301,7 @@
 func TestInvalidRoomPartsAreRefused(t *testing.T) {
 	f := newRoomFixture(burdockclock.NewManual(burdockclock.Hour).Clock())
 	f.exchange(context.Background())
-	limits := func(first ...int32) []int32 { return append(first, make([]int32, roomPriorities-len(first))...) }
+	limits := func(first ...int32) []int32 { return append(first, make([]int32, burdockroom.Priorities-len(first))...) }
 	for field, changes := range map[string][]func(*burdockwire.RoomPart){
 		"group":      {func(m *burdockwire.RoomPart) { m.Group = "b@1" }},
 		"fence":      {func(m *burdockwire.RoomPart) { m.Fence = 4 }, func(m *burdockwire.RoomPart) { m.Fence = 6 }},
@@ -311,7 +311,7 @@
 		"limits": {
 			func(m *burdockwire.RoomPart) { m.Limits = limits(-1) }, func(m *burdockwire.RoomPart) { m.Limits = limits(math.MaxInt32) },
 			func(m *burdockwire.RoomPart) { m.Limits = limits(1, 2) }, func(m *burdockwire.RoomPart) { m.Limits = nil },
-			func(m *burdockwire.RoomPart) { m.Learning, m.Limits = true, make([]int32, roomPriorities+1) },
+			func(m *burdockwire.RoomPart) { m.Learning, m.Limits = true, make([]int32, burdockroom.Priorities+1) },
 		},
 		"room":     {func(m *burdockwire.RoomPart) { m.Room = -1 }, func(m *burdockwire.RoomPart) { m.Room = math.MaxInt32 }},
 		"running":  {func(m *burdockwire.RoomPart) { m.Running = -1 }},
--- a/internal/serve/burdockhosted/roomserver_test.go
+++ b/internal/serve/burdockhosted/roomserver_test.go
@@ -94,7 +94,7 @@
 			func(m *burdockwire.RoomReport) { m.Demands = demand(-1, 0, 0) }, func(m *burdockwire.RoomReport) { m.Demands = demand(10, 0, 0) },
 			func(m *burdockwire.RoomReport) { m.Demands = demand(3, 0, 0) }, func(m *burdockwire.RoomReport) { m.Demands = demand(4, -1, 0) },
 			func(m *burdockwire.RoomReport) { m.Demands = demand(4, 0, math.MaxInt32) },
-			func(m *burdockwire.RoomReport) { m.Demands = make([]*burdockwire.RoomDemand, roomPriorities+1) },
+			func(m *burdockwire.RoomReport) { m.Demands = make([]*burdockwire.RoomDemand, burdockroom.Priorities+1) },
 		},
 		"customers": {
 			func(m *burdockwire.RoomReport) {
@@ -110,7 +110,7 @@
 				m.Customers = customers(&burdockwire.RoomCustomerDemand{CostTokens: math.MaxInt64})
 			},
 			func(m *burdockwire.RoomReport) {
-				m.Customers = make([]*burdockwire.RoomCustomerDemand, maxRoomCustomers+1)
+				m.Customers = make([]*burdockwire.RoomCustomerDemand, burdockroom.MaxCustomers+1)
 			},
 		},
 		"engines": {
@@ -122,7 +122,7 @@
 				m.Engines = []*burdockwire.RoomEngineLoad{{Engine: "e"}, {Engine: "e"}}
 			},
 			func(m *burdockwire.RoomReport) {
-				m.Engines = make([]*burdockwire.RoomEngineLoad, maxRoomEngines+1)
+				m.Engines = make([]*burdockwire.RoomEngineLoad, burdockroom.MaxEngines+1)
 			},
 		},
 	} {
--- a/internal/serve/burdockhosted/roomwire.go
+++ b/internal/serve/burdockhosted/roomwire.go
@@ -9,13 +9,8 @@
 )
 
 const (
-	// roomPriorities is the number of priorities, from 0.
-	roomPriorities = 10
-	// maxRoomCustomers and maxRoomEngines bound the lists of a report. A part lists the
-	// engines of all reports, so it may be longer.
-	maxRoomCustomers = 32
-	maxRoomEngines   = 256
-	maxRoomLoads     = 4096
+	// maxRoomLoads bounds the engines that a part lists: those of all reports.
+	maxRoomLoads = 4096
 	// maxRoomStreams bounds a number of streams, far beyond what the engines of a service
 	// run or callers send, so that sums over hundreds of entries can't overflow.
 	maxRoomStreams = 1 << 24
@@ -73,7 +68,7 @@
 
 func (c *roomChecker) streams(field string, n int) { c.between(field, float64(n), maxRoomStreams) }
 
-func (c *roomChecker) priority(field string, p int) { c.between(field, float64(p), roomPriorities-1) }
+func (c *roomChecker) priority(field string, p int) { c.between(field, float64(p), burdockroom.Priorities-1) }
 
 // name checks the length of a name. Only customers may have an empty one: requests without
 // a key count as one customer.
@@ -101,13 +96,13 @@
 	}
 	c.between("capacity", r.Capacity, maxRoomStreams)
 	c.between("slowdown", r.Slowdown, maxRoomSlowdown)
-	if c.length("demands", len(r.Demands), roomPriorities) {
+	if c.length("demands", len(r.Demands), burdockroom.Priorities) {
 		c.demands(r.Demands)
 	}
-	if c.length("customers", len(r.Customers), maxRoomCustomers) {
+	if c.length("customers", len(r.Customers), burdockroom.MaxCustomers) {
 		c.customers(r.Customers)
 	}
-	if c.length("engines", len(r.Engines), maxRoomEngines) {
+	if c.length("engines", len(r.Engines), burdockroom.MaxEngines) {
 		c.engines("engines", r.Engines)
 	}
 	return c.err
@@ -177,8 +172,8 @@
 
 // limits checks the limits of a part. There may be none while the coordinator learns.
 func (c *roomChecker) limits(p burdockroom.Part) {
-	if len(p.Limits) != roomPriorities && !(p.Learning && len(p.Limits) == 0) {
-		c.fail("limits", "%d of them, want %d", len(p.Limits), roomPriorities)
+	if len(p.Limits) != burdockroom.Priorities && !(p.Learning && len(p.Limits) == 0) {
+		c.fail("limits", "%d of them, want %d", len(p.Limits), burdockroom.Priorities)
 	}
 	for i, limit := range p.Limits {
 		c.streams("limits", limit)
@@ -233,7 +228,7 @@
 }
 
 func withAllPriorities(demands []burdockroom.Demand) []burdockroom.Demand {
-	all := make([]burdockroom.Demand, roomPriorities)
+	all := make([]burdockroom.Demand, burdockroom.Priorities)
 	for p := range all {
 		all[p].Priority = p
 	}
