--- a/internal/serve/burdockhosted/roomclient_test.go
+++ b/internal/serve/burdockhosted/roomclient_test.go
@@ -301,7 +301,9 @@
 func TestInvalidRoomPartsAreRefused(t *testing.T) {
 	f := newRoomFixture(burdockclock.NewManual(burdockclock.Hour).Clock())
 	f.exchange(context.Background())
-	limits := func(first ...int32) []int32 { return append(first, make([]int32, burdockroom.Priorities-len(first))...) }
+	limits := func(first ...int32) []int32 {
+		return append(first, make([]int32, burdockroom.Priorities-len(first))...)
+	}
 	for field, changes := range map[string][]func(*burdockwire.RoomPart){
 		"group":      {func(m *burdockwire.RoomPart) { m.Group = "b@1" }},
 		"fence":      {func(m *burdockwire.RoomPart) { m.Fence = 4 }, func(m *burdockwire.RoomPart) { m.Fence = 6 }},
--- a/internal/serve/burdockhosted/roomwire.go
+++ b/internal/serve/burdockhosted/roomwire.go
@@ -68,7 +68,9 @@
 
 func (c *roomChecker) streams(field string, n int) { c.between(field, float64(n), maxRoomStreams) }
 
-func (c *roomChecker) priority(field string, p int) { c.between(field, float64(p), burdockroom.Priorities-1) }
+func (c *roomChecker) priority(field string, p int) {
+	c.between(field, float64(p), burdockroom.Priorities-1)
+}
 
 // name checks the length of a name. Only customers may have an empty one: requests without
 // a key count as one customer.
