Log the shared parts of prompts and what an examination of an upstream found

When an upstream crashed, no line told what its requests had in common, nor whether an entry took it for crashed and why not. An offer whose connection broke now names the first shared parts of its prompt, and each examination of an upstream leaves one line: accepts connections, refuses them, record gone, unreachable; how many requests; whether it counts as a mass crash.

Nothing is decided by them yet.

--- a/internal/base/burdockid/id.go
+++ b/internal/base/burdockid/id.go
@@ -28,6 +28,9 @@
 // Request identifies one request on each of its hops.
 type Request string
 
+// PromptPart identifies a part of a prompt that several requests may share.
+type PromptPart string
+
 // IdempotencyKey is a caller's key that identifies repeats of one request.
 type IdempotencyKey string
 
--- a/internal/serve/burdockdirect/crashes.go
+++ b/internal/serve/burdockdirect/crashes.go
@@ -106,6 +106,7 @@
 	upstream  burdocksite.Upstream
 	startedAt burdockclock.Millis
 	requests  []burdockcrash.Digest
+	broken    int // requests whose connections broke
 	crashed   bool
 }
 
@@ -120,25 +121,57 @@
 		go x.run()
 	}
 	x.requests = append(x.requests, d)
+	x.broken++
 	if x.crashed {
 		x.recordCrashes()
 	}
 }
 
-// run determines whether the upstream crashed. One that accepts a connection is alive, so
-// the network broke the earlier ones. One that refuses has crashed. For one that doesn't
-// respond, its record decides.
+// verdict tells what an examination found.
+type verdict string
+
+// Verdicts of an examination.
+const (
+	// verdictAccepts: the upstream accepts connections, so the network broke the earlier
+	// ones.
+	verdictAccepts verdict = "accepts connections"
+	// verdictRefuses: the upstream's VM is there, its process isn't.
+	verdictRefuses verdict = "refuses connections"
+	// verdictGone: the upstream can't be reached, and its record has gone or is that of
+	// another process.
+	verdictGone verdict = "record gone"
+	// verdictUnreachable: the upstream can't be reached, and its record stays.
+	verdictUnreachable verdict = "unreachable"
+)
+
+// crashed reports whether the upstream has crashed.
+func (v verdict) crashed() bool { return v == verdictRefuses || v == verdictGone }
+
+// run determines whether the upstream crashed.
 func (x *examination) run() {
 	defer x.expire()
+	found := x.examine()
+	if found.crashed() {
+		x.confirmCrash()
+	}
+	x.logVerdict(found)
+}
+
+// examine connects to the upstream. If that doesn't tell whether it crashed, its record
+// decides.
+func (x *examination) examine() verdict {
 	dialer := net.Dialer{Timeout: upstreamDialTimeout}
 	conn, err := dialer.DialContext(context.Background(), "tcp", x.upstream.Address)
-	if err == nil {
+	switch {
+	case err == nil:
 		_ = conn.Close() // nothing was sent
-		return
-	}
-	if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) || x.recordRemoved() {
-		x.confirmCrash()
+		return verdictAccepts
+	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ECONNRESET):
+		return verdictRefuses
+	case x.recordRemoved():
+		return verdictGone
 	}
+	return verdictUnreachable
 }
 
 // recordRemoved waits for the upstream's record to disappear or become that of another
@@ -157,6 +190,16 @@
 	return false
 }
 
+func (x *examination) logVerdict(found verdict) {
+	c := x.crashes
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.log.Info("upstream examined", zap.String("upstream", string(x.upstream.ID)), zap.String("service", string(x.upstream.Service)),
+		zap.String("found", string(found)), zap.Int("requests", x.broken),
+		zap.Bool("massCrash", found.crashed() && c.isMassCrash(x.upstream.Service, x.startedAt)),
+		zap.Int64("tookMillis", int64(c.clock.Now()-x.startedAt)))
+}
+
 // confirmCrash records the crash for the requests that ran at the upstream.
 func (x *examination) confirmCrash() {
 	c := x.crashes
--- a/internal/serve/burdockdirect/crashes_test.go
+++ b/internal/serve/burdockdirect/crashes_test.go
@@ -140,3 +140,20 @@
 		}
 	}
 }
+
+// Guards against crashes whose common cause the log doesn't tell.
+func TestCrashLeavesLinesWithPromptParts(t *testing.T) {
+	f := newCrashFleet(t, 1, 2)
+	logs := f.fixtures[0].observeLog()
+	f.fixtures[0].entry.crashes.log = f.fixtures[0].entry.deps.Log
+	f.fixtures[0].send(t, context.Background(), "/once/crash", map[string]string{"X-Parts": "a b"})
+	await(t, "the examination leaves a line", func() bool { return logs.FilterMessage("upstream examined").Len() == 1 })
+	examined := logs.FilterMessage("upstream examined").All()[0].ContextMap()
+	if examined["found"] != string(verdictRefuses) || examined["requests"] != int64(1) || examined["massCrash"] != false {
+		t.Errorf("examination: got %v, want one request, a refused connection and no mass crash", examined)
+	}
+	offer := logs.FilterMessage("offer ended").All()[0].ContextMap()
+	if got, want := fmt.Sprint(offer["sharedParts"]), "[a b]"; got != want {
+		t.Errorf("shared parts of the offer: got %v, want %v", got, want)
+	}
+}
--- a/internal/serve/burdockdirect/dialect.go
+++ b/internal/serve/burdockdirect/dialect.go
@@ -24,6 +24,9 @@
 	LengthHint burdockid.Tokens
 	// LastEventID is the event after which the stream resumes.
 	LastEventID string
+	// SharedParts holds the parts of the prompt that other requests may have too, in their
+	// order and each once.
+	SharedParts []burdockid.PromptPart
 }
 
 // UpstreamHeaders holds what an offer passes to an upstream in headers.
--- a/internal/serve/burdockdirect/fixture_test.go
+++ b/internal/serve/burdockdirect/fixture_test.go
@@ -29,8 +29,13 @@
 	budget, _ := strconv.ParseInt(h.Get("X-Budget"), 10, 64)
 	maximum, _ := strconv.ParseInt(h.Get("X-Max"), 10, 64)
 	hint, _ := strconv.ParseInt(h.Get("X-Hint"), 10, 64)
+	var shared []burdockid.PromptPart
+	for _, part := range strings.Fields(h.Get("X-Parts")) {
+		shared = append(shared, burdockid.PromptPart(part))
+	}
 	return CallerHeaders{
-		ID: burdockid.Request(h.Get("X-Id")), APIKey: h.Get("X-Key"),
+		SharedParts: shared,
+		ID:          burdockid.Request(h.Get("X-Id")), APIKey: h.Get("X-Key"),
 		TimeBudget: burdockclock.Millis(budget), LastEventID: h.Get("Last-Event-Id"),
 		MaxOutputTokens: burdockid.Tokens(maximum), LengthHint: burdockid.Tokens(hint),
 	}
--- a/internal/serve/burdockdirect/log.go
+++ b/internal/serve/burdockdirect/log.go
@@ -17,6 +17,9 @@
 // wait in memory for the reader of the log.
 const maxLoggedID = 128
 
+// maxLoggedParts bounds the parts of a prompt that are named in a line.
+const maxLoggedParts = 8
+
 func requestID(id burdockid.Request) zap.Field {
 	return zap.String("requestId", string(id[:min(len(id), maxLoggedID)]))
 }
@@ -94,11 +97,28 @@
 	outcome, cause := describe(res)
 	o.entry.meters.recordOffer(o.req.service, outcome, took)
 	load := o.pool.gate.load()
-	o.entry.logEnd(o.req, "offer ended", zap.String("outcome", string(outcome)), zap.String("cause", cause),
+	fields := []zap.Field{zap.String("outcome", string(outcome)), zap.String("cause", cause),
 		zap.Int("status", att.status), zap.Bool("fromUpstream", att.fromUpstream),
 		zap.String("upstream", string(att.target.ID)), zap.String("placed", string(reason)), zap.Int("offers", o.sent+o.unreached+1),
 		zap.Int64("waitMillis", int64(o.admittedAt-o.req.arrived)), zap.Int64("firstEventMillis", int64(o.firstEventTime)),
 		zap.Int64("offerMillis", int64(took)), zap.Int("events", o.eventCount), zap.Int64("longestPauseMillis", int64(o.maxEventGap)),
 		zap.Int("running", load.Running), zap.Int("waiting", load.Queued), zap.Int("limit", load.Slots),
-		zap.Int("rateLimitedUpstreams", o.pool.rateLimited()), zap.Int("pausingUpstreams", o.pool.pausing()))
+		zap.Int("rateLimitedUpstreams", o.pool.rateLimited()), zap.Int("pausingUpstreams", o.pool.pausing())}
+	if connectionBroke(res) {
+		fields = append(fields, sharedParts(o.req.SharedParts))
+	}
+	o.entry.logEnd(o.req, "offer ended", fields...)
+}
+
+// sharedParts returns the log field that names the first parts of a prompt.
+func sharedParts(parts []burdockid.PromptPart) zap.Field {
+	return zap.Strings("sharedParts", partNames(parts[:min(len(parts), maxLoggedParts)]))
+}
+
+func partNames(parts []burdockid.PromptPart) []string {
+	names := make([]string, len(parts))
+	for i, part := range parts {
+		names[i] = string(part)
+	}
+	return names
 }
