Keep requests with a prompt part that crashes upstreams from those

Callers saw upstream after upstream end under requests that had one part of their prompts in common, and with them the streams of the whole lock-step group.

Cause: entries recognised a request that crashes upstreams by its method, target, customer and body as a whole. No two of these requests were alike, so no count got past one crash.

Now the parts of the requests that were pending at an upstream when it crashed (without an event, or with a first one less than half a second before) are suspects. burdockparts weighs them: an answer that begins on a part and crashes nothing clears it; crashes at the same moment count as one draw of some upstreams of all; a part on which answers used to begin needs far more evidence than one on which none ever has. Entries exchange crashes, what they found harmless, and trials through the store; conviction is each entry's own, so a false report can't deny a part that others see served. The check stands before each offer, and requests that wait, or are queued at an engine, are cancelled when their part is quarantined. After a minute, then four times later each time, one request of one entry tries the part again. Operators list and free parts at the entry's /suspects/parts.

An examination is now known by the process, not by the ID, and a request that may be sent again waits up to 100 ms for the examination of the upstream that broke it.

--- a/internal/serve/burdockdirect/attempt.go
+++ b/internal/serve/burdockdirect/attempt.go
@@ -202,6 +202,8 @@
 func (a *attempt) bufferAnswer(ctx context.Context, res *http.Response) result {
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxBufferedAnswer+1))
 	switch {
+	case err != nil && cancelledLocally(ctx):
+		return unknown{reason: context.Cause(ctx).Error()}
 	case err != nil && ctx.Err() != nil:
 		return ended{}
 	case err != nil:
@@ -213,6 +215,7 @@
 	if res.StatusCode >= http.StatusInternalServerError && a.offers.req.route.Repeatable() {
 		return unknown{reason: http.StatusText(res.StatusCode), errorAnswer: ans}
 	}
+	a.offers.watch.answerBegan(a.target)
 	a.offers.caller.writeBuffered(ans)
 	return answered{}
 }
--- a/internal/serve/burdockdirect/entry.go
+++ b/internal/serve/burdockdirect/entry.go
@@ -52,6 +52,9 @@
 	// PublishCrashes notifies the other entries of crashes. It must not block; nil
 	// notifies nobody.
 	PublishCrashes func([]burdockcrash.Crash)
+	// PartNews tells the other entries about parts of prompts that crash upstreams; nil if
+	// there are none.
+	PartNews PartNews
 	// PublishSuspected notifies the other entries that an upstream has failed a request.
 	// It must not block; nil notifies nobody.
 	PublishSuspected func(burdockid.Upstream)
@@ -68,6 +71,8 @@
 	meters *meters
 	// crashes detects the requests that crash upstreams.
 	crashes *crashDetector
+	// parts keeps requests with a part that crashes upstreams from those.
+	parts *partGuard
 
 	drainingAt atomic.Int64 // boot time of the planned stop; 0 before it
 	active     atomic.Int64
@@ -111,7 +116,9 @@
 
 // New returns an entry that has no pools yet.
 func New(cfg Config, deps Deps) *Entry {
-	e := &Entry{cfg: cfg, deps: deps, complete: make(chan struct{}), pools: map[burdockid.Service]*pool{}, meters: newMeters(deps.Metrics), crashes: newCrashDetector(deps, cfg.QuarantineMillis)}
+	e := &Entry{cfg: cfg, deps: deps, complete: make(chan struct{}), pools: map[burdockid.Service]*pool{}, meters: newMeters(deps.Metrics)}
+	e.parts = newPartGuard(deps, e.meters)
+	e.crashes = newCrashDetector(deps, cfg.QuarantineMillis, e.parts)
 	e.client = &http.Client{
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		Transport: burdocktransport.NewOnce(&http.Transport{
--- a/internal/serve/burdockdirect/metrics.go
+++ b/internal/serve/burdockdirect/metrics.go
@@ -20,6 +20,10 @@
 	// those of them that a caller had sent before.
 	late        *metrics.Counter
 	retriesSeen *metrics.Counter
+	// partRefusals counts the requests refused for a quarantined part of their prompts,
+	// partQuarantines the parts that were quarantined.
+	partRefusals    *metrics.Counter
+	partQuarantines *metrics.Counter
 }
 
 func newMeters(set *metrics.Set) *meters {
@@ -32,6 +36,9 @@
 		firstEvents: set.NewHistogram("burdock_direct_first_event_seconds"),
 		late:        set.NewCounter("burdock_direct_late_total"),
 		retriesSeen: set.NewCounter("burdock_direct_retries_seen_total"),
+
+		partRefusals:    set.NewCounter("burdock_direct_part_refusals_total"),
+		partQuarantines: set.NewCounter("burdock_direct_part_quarantines_total"),
 	}
 }
 
--- a/internal/serve/burdockdirect/offers.go
+++ b/internal/serve/burdockdirect/offers.go
@@ -4,10 +4,12 @@
 	"context"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/decide/burdockeject"
+	"burdockbend.example/burdockbend/internal/decide/burdockparts"
 	"burdockbend.example/burdockbend/internal/decide/burdockretry"
 	"burdockbend.example/burdockbend/internal/state/burdocksite"
 )
@@ -30,7 +32,9 @@
 	preferred   burdockid.Upstream
 	owedRetries int
 	// retryPaid reports that the budget has already been charged for the next offer.
-	retryPaid      atomic.Bool
+	retryPaid atomic.Bool
+	// watch cancels the request if a part of its prompt is quarantined.
+	watch          *partWatch
 	lastEventID    string
 	eventCount     int
 	admittedAt     burdockclock.Millis // when the request was admitted
@@ -49,8 +53,12 @@
 		c.refuse(req, *rejection)
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), (req.deadline - req.arrived).Duration())
-	defer cancel()
+	ctx, stop := context.WithTimeout(r.Context(), (req.deadline - req.arrived).Duration())
+	defer stop()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watch := e.parts.watch(req, cancel)
+	defer watch.end()
 	// Callers choose their IDs, so two requests may have the same one. The queue needs
 	// unique IDs.
 	id := burdockid.NewRequest()
@@ -60,14 +68,14 @@
 		e.logEnd(req, "caller gone while waiting")
 		return
 	case err != nil:
-		c.refuse(req, refusal{http.StatusServiceUnavailable, "not run: no time left", 0})
+		c.refuse(req, e.refusalInQueue(req))
 		return
 	case refuse != nil:
 		c.refuse(req, refusal{http.StatusServiceUnavailable, "not run: " + refuse.Reason.String(), p.gate.retryAfter(req, refuse.RetryAfter)})
 		return
 	}
 	e.meters.waits.Update((e.now() - req.arrived).Duration().Seconds())
-	o := &offers{admittedAt: e.now(), entry: e, pool: p, req: req, caller: c, excluded: map[burdockid.Upstream]bool{}, lastEventID: req.LastEventID}
+	o := &offers{admittedAt: e.now(), entry: e, pool: p, req: req, caller: c, excluded: map[burdockid.Upstream]bool{}, lastEventID: req.LastEventID, watch: watch}
 	served := burdockid.Tokens(0)
 	defer func() { p.gate.finish(id, served) }()
 	if o.run(r.Context(), ctx) {
@@ -85,14 +93,27 @@
 	if left := e.crashes.quarantined(req); left > 0 {
 		return &refusal{http.StatusServiceUnavailable, "not run: it has crashed the upstreams that ran it", left}
 	}
-	return nil
+	return e.parts.refusalFor(req)
+}
+
+// refusalInQueue returns the refusal of a request whose context ended while it waited.
+func (e *Entry) refusalInQueue(req *request) refusal {
+	if rejection := e.parts.refusalFor(req); rejection != nil {
+		return *rejection
+	}
+	return refusal{http.StatusServiceUnavailable, "not run: no time left", 0}
 }
 
 // run makes offers until one is answered or the request is given up. It reports whether
 // the caller has its answer.
 func (o *offers) run(caller, ctx context.Context) bool {
 	for {
-		if !o.awaitMembers(ctx) || !o.awaitGroupOpen(ctx) {
+		ready := o.awaitMembers(ctx) && o.awaitGroupOpen(ctx)
+		if g, quarantined := o.entry.parts.quarantined(o.req); quarantined {
+			o.giveUp(g)
+			return false
+		}
+		if !ready {
 			o.groupStayedClosed(caller, ctx)
 			return false
 		}
@@ -114,7 +135,8 @@
 		if _, ok := res.(answered); ok {
 			return true
 		}
-		if o.decideNext(caller, ctx, target, res) {
+		o.req.trial = false
+		if o.decideNext(caller, ctx, att, res) {
 			return false
 		}
 	}
@@ -164,10 +186,11 @@
 }
 
 // decideNext ends the request, or reports false if it is to be offered again.
-func (o *offers) decideNext(caller, ctx context.Context, target burdocksite.Upstream, res result) bool {
+func (o *offers) decideNext(caller, ctx context.Context, att *attempt, res result) bool {
+	target := att.target
 	o.excluded[target.ID] = true
-	if connectionBroke(res) && caller.Err() == nil {
-		o.entry.crashes.connectionBroke(target, o.req.digest())
+	if caller.Err() == nil {
+		o.examine(ctx, att, res)
 	}
 	switch res := res.(type) {
 	case ended:
@@ -202,6 +225,41 @@
 	return true
 }
 
+// examine has the upstream examined if its connection broke, and waits for a moment: the
+// request must not go to the next upstream while it may be what crashed this one.
+func (o *offers) examine(ctx context.Context, att *attempt, res result) {
+	broke, silent := connectionBroke(res), brokeAfterSilence(res)
+	if !broke && !silent {
+		return
+	}
+	pending := brokenRequest{silent: silent}
+	if broke {
+		digest := o.req.digest()
+		pending.digest = &digest
+	}
+	if att.isPending() {
+		pending.parts = o.req.SharedParts
+	}
+	known := o.entry.crashes.connectionBroke(att.target, pending)
+	if !o.req.route.Repeatable() {
+		return
+	}
+	timer := time.NewTimer(examinationWait)
+	defer timer.Stop()
+	select {
+	case <-known:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// isPending reports whether the answer has not begun yet, or so shortly before that it may have
+// crashed the upstream.
+func (a *attempt) isPending() bool {
+	began := a.startedAt + a.offers.firstEventTime
+	return !a.gotFirstEvent || a.offers.entry.now()-began < burdockparts.SettleTime
+}
+
 // connectionBroke reports whether the upstream's connection broke while it ran the
 // request.
 func connectionBroke(res result) bool {
@@ -213,3 +271,15 @@
 	}
 	return false
 }
+
+// brokeAfterSilence reports whether the upstream's connection broke after the stream had no
+// event for long.
+func brokeAfterSilence(res result) bool {
+	switch res := res.(type) {
+	case unknown:
+		return res.brokeAfterSilence
+	case broken:
+		return res.brokeAfterSilence
+	}
+	return false
+}
--- /dev/null
+++ b/internal/serve/burdockdirect/partguard.go
@@ -0,0 +1,324 @@
+package burdockdirect
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/decide/burdockparts"
+	"burdockbend.example/burdockbend/internal/decide/burdockretry"
+	"burdockbend.example/burdockbend/internal/state/burdocksite"
+	"go.uber.org/zap"
+)
+
+// PartNews tells the other entries what this one finds out about parts of prompts that crash
+// upstreams. No method may block.
+type PartNews interface {
+	PublishPartCrash(burdockparts.Crash)
+	PublishPartSound(burdockparts.Sound)
+	// ClaimPartTrial claims a trial, and calls done with whether this entry has it. At most one
+	// entry may.
+	ClaimPartTrial(trial burdockparts.Trial, done func(claimed bool))
+}
+
+// noPartNews is used by an entry that is alone.
+type noPartNews struct{}
+
+func (noPartNews) PublishPartCrash(burdockparts.Crash) {}
+func (noPartNews) PublishPartSound(burdockparts.Sound) {}
+func (noPartNews) ClaimPartTrial(_ burdockparts.Trial, done func(bool)) {
+	done(true)
+}
+
+const (
+	// maxSettleDelay spreads over time what many entries find out from the same crash, so that
+	// most of them hear it before they would tell it.
+	maxSettleDelay = burdockclock.Second
+	// minPartRetryAfter is the least Retry-After of a request with a quarantined part.
+	minPartRetryAfter = burdockclock.Second
+)
+
+// errPartQuarantined is the cancel cause of a request with a part that is quarantined
+// meanwhile.
+var errPartQuarantined = errors.New("a part of the prompt has crashed upstreams")
+
+// partGuard keeps requests with a part that crashes upstreams from those.
+type partGuard struct {
+	clock  burdockclock.Clock
+	log    *zap.Logger
+	news   PartNews
+	meters *meters
+	// clockOffset is the wall clock less the boot clock at the start. The times that entries
+	// exchange must not jump when the wall clock does.
+	clockOffset burdockclock.Millis
+
+	mu       sync.Mutex
+	tracker  *burdockparts.Tracker
+	active   map[*partWatch]bool
+	trials   partTrials
+	settling bool // a timer for Settle runs
+}
+
+func newPartGuard(deps Deps, m *meters) *partGuard {
+	g := &partGuard{
+		clock: deps.Clock, log: deps.Log, news: deps.PartNews, meters: m,
+		clockOffset: deps.Clock.Now() - deps.Clock.Boot(),
+		tracker:     burdockparts.New(), active: map[*partWatch]bool{}, trials: newPartTrials(),
+	}
+	if g.news == nil {
+		g.news = noPartNews{}
+	}
+	m.set.NewGauge("burdock_direct_quarantined_parts", func() float64 { return float64(g.quarantinedParts()) })
+	return g
+}
+
+func (g *partGuard) now() burdockclock.Millis { return g.clock.Boot() + g.clockOffset }
+
+func (g *partGuard) quarantinedParts() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.tracker.QuarantinedParts()
+}
+
+// refusalFor returns the refusal of a request with a quarantined part; nil if it has none, or
+// is a trial.
+func (g *partGuard) refusalFor(req *request) *refusal {
+	if len(req.SharedParts) == 0 {
+		return nil
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	v, found := g.tracker.Quarantined(g.now(), req.service, req.SharedParts)
+	if !found || req.trial || g.startTrial(req, v) {
+		return nil
+	}
+	g.meters.partRefusals.Inc()
+	return &refusal{
+		http.StatusServiceUnavailable, "not run: part " + string(v.Part) + " of its prompt has crashed upstreams",
+		max(v.Remaining, minPartRetryAfter),
+	}
+}
+
+// quarantined returns why a request must not be offered; false if it may be. It is the last
+// check before an offer, whichever way the request came there.
+func (g *partGuard) quarantined(req *request) (burdockretry.GiveUp, bool) {
+	rejection := g.refusalFor(req)
+	if rejection == nil {
+		return burdockretry.GiveUp{}, false
+	}
+	return burdockretry.GiveUp{Reason: burdockretry.ReasonCrashes, RetryAfter: rejection.retryAfter}, true
+}
+
+// crashed records and publishes a crash at which requests of this entry with the given parts
+// were pending.
+func (g *partGuard) crashed(c burdockparts.Crash, parts []burdockid.PromptPart) {
+	g.mu.Lock()
+	c.Parts, c.Starts = g.tracker.Starts(c.Service, parts)
+	g.mu.Unlock()
+	g.addCrashes([]burdockparts.Crash{c})
+	g.news.PublishPartCrash(c)
+}
+
+// addCrashes records crashes that this or other entries saw.
+func (g *partGuard) addCrashes(all []burdockparts.Crash) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(all) == 0 {
+		return
+	}
+	for _, c := range all {
+		g.tracker.AddCrash(g.now(), c)
+	}
+	g.decide()
+	time.AfterFunc(burdockparts.DecideAfter.Duration(), g.decideLater)
+	g.scheduleSettle()
+}
+
+func (g *partGuard) decideLater() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.decide()
+}
+
+// decide quarantines the parts that crash upstreams. The lock must be held.
+func (g *partGuard) decide() {
+	for _, key := range g.tracker.Decide(g.now()) {
+		g.meters.partQuarantines.Inc()
+		g.logSuspect("prompt part quarantined", key)
+		g.cancelActive(key)
+	}
+}
+
+// addSounds records parts that other entries found harmless.
+func (g *partGuard) addSounds(all []burdockparts.Sound) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, sound := range all {
+		if g.tracker.AddSound(g.now(), sound.Key, sound.At) {
+			g.logSuspect("prompt part freed", sound.Key)
+		}
+	}
+}
+
+// addTrials records trials of other entries.
+func (g *partGuard) addTrials(all []burdockparts.Trial) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, trial := range all {
+		g.tracker.AddTrial(g.now(), trial)
+	}
+}
+
+// free ends the quarantine of a part, and tells the other entries. It reports false if the part
+// isn't quarantined.
+func (g *partGuard) free(key burdockparts.Key) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	sound := burdockparts.Sound{Key: key, At: g.now(), Freed: true}
+	if !g.tracker.Describe(sound.At, key).Quarantined || !g.tracker.AddSound(sound.At, key, sound.At) {
+		return false
+	}
+	g.logSuspect("prompt part freed by an operator", key)
+	g.news.PublishPartSound(sound)
+	return true
+}
+
+// suspects returns the parts that were pending at crashes.
+func (g *partGuard) suspects() []burdockparts.Suspect {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.tracker.Suspects(g.now())
+}
+
+// scheduleSettle evaluates the answers that have begun lately, if any part is suspected. The
+// lock must be held.
+func (g *partGuard) scheduleSettle() {
+	if g.settling || !g.tracker.HasSuspects() {
+		return
+	}
+	g.settling = true
+	delay := burdockparts.SettleTime + rand.N(maxSettleDelay)
+	time.AfterFunc(delay.Duration(), g.settle)
+}
+
+func (g *partGuard) settle() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.settling = false
+	g.settleNow()
+	if g.tracker.HasUnsettled() {
+		g.scheduleSettle()
+	}
+}
+
+// settleNow publishes the parts that have turned out to be harmless. The lock must be held.
+func (g *partGuard) settleNow() {
+	for _, sound := range g.tracker.Settle(g.now()) {
+		if sound.Freed {
+			g.logSuspect("prompt part freed", sound.Key)
+		}
+		g.news.PublishPartSound(sound)
+	}
+}
+
+// logSuspect writes a line with the evidence on a part. The lock must be held.
+func (g *partGuard) logSuspect(message string, key burdockparts.Key) {
+	s := g.tracker.Describe(g.now(), key)
+	names := make([]string, len(s.Crashed))
+	for i, u := range s.Crashed {
+		names[i] = string(u)
+	}
+	g.log.Warn(message, zap.String("service", string(key.Service)), zap.String("part", string(key.Part)),
+		zap.Strings("crashed", names), zap.Int64("latestCrashAtMillis", int64(s.LatestCrashAt)),
+		zap.Int64("soundAtMillis", int64(s.SoundAt)), zap.Int("trials", s.Trials), zap.Int64("remainingMillis", int64(s.Remaining)))
+}
+
+// partWatch is a request with shared parts that is served.
+type partWatch struct {
+	guard  *partGuard
+	req    *request
+	cancel context.CancelCauseFunc
+	begun  bool // its answer has begun
+}
+
+// watch registers a request until end is called. It is cancelled if one of its parts is
+// quarantined before its answer has begun: at an engine that has queued it, it would crash the
+// next upstream.
+func (g *partGuard) watch(req *request, cancel context.CancelCauseFunc) *partWatch {
+	w := &partWatch{guard: g, req: req, cancel: cancel}
+	if len(req.SharedParts) > 0 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.active[w] = true
+	}
+	return w
+}
+
+func (w *partWatch) end() {
+	w.guard.mu.Lock()
+	defer w.guard.mu.Unlock()
+	delete(w.guard.active, w)
+}
+
+// answerBegan records that the answer to the request has begun at an upstream.
+func (w *partWatch) answerBegan(u burdocksite.Upstream) {
+	if len(w.req.SharedParts) == 0 {
+		return
+	}
+	g := w.guard
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	w.begun = true
+	g.tracker.AddStart(g.now(), w.req.service, processOf(u), w.req.SharedParts)
+	if !g.tracker.HasSuspects() {
+		g.settleNow()
+		return
+	}
+	g.scheduleSettle()
+}
+
+// cancelActive cancels the requests with a part whose answer has not begun. The lock must be
+// held.
+func (g *partGuard) cancelActive(key burdockparts.Key) {
+	for w := range g.active {
+		if !w.begun && !w.req.trial && w.req.service == key.Service && w.req.hasPart(key.Part) {
+			w.cancel(errPartQuarantined)
+		}
+	}
+}
+
+func (req *request) hasPart(part burdockid.PromptPart) bool {
+	for _, p := range req.SharedParts {
+		if p == part {
+			return true
+		}
+	}
+	return false
+}
+
+// processOf returns the process that a record is of.
+func processOf(u burdocksite.Upstream) burdockparts.Process {
+	return burdockparts.Process{Upstream: u.ID, StartedAt: u.StartedAt}
+}
+
+// AddPartCrashes adds the crashes that other entries reported.
+func (e *Entry) AddPartCrashes(all []burdockparts.Crash) { e.parts.addCrashes(all) }
+
+// AddPartSounds adds the parts of prompts that other entries found harmless.
+func (e *Entry) AddPartSounds(all []burdockparts.Sound) { e.parts.addSounds(all) }
+
+// AddPartTrials adds the trials of quarantined parts at other entries.
+func (e *Entry) AddPartTrials(all []burdockparts.Trial) { e.parts.addTrials(all) }
+
+// SuspectedParts returns the parts of prompts that were pending at upstreams that crashed, for
+// operators.
+func (e *Entry) SuspectedParts() []burdockparts.Suspect { return e.parts.suspects() }
+
+// FreePart ends the quarantine of a part at all entries. It reports false if the part isn't
+// quarantined.
+func (e *Entry) FreePart(key burdockparts.Key) bool { return e.parts.free(key) }
--- a/internal/serve/burdockdirect/request.go
+++ b/internal/serve/burdockdirect/request.go
@@ -47,6 +47,9 @@
 	// late is why the request went behind those that can be in time, if the service has
 	// shared admission.
 	late burdocktimeliness.Reason
+	// trial means that the request may go to an upstream although a part of its prompt is
+	// quarantined.
+	trial bool
 }
 
 // refusal is an answer by the entry itself.
--- a/internal/serve/burdockdirect/result.go
+++ b/internal/serve/burdockdirect/result.go
@@ -25,12 +25,15 @@
 	errorAnswer *bufferedAnswer
 	// connectionBroke reports that the upstream's connection broke.
 	connectionBroke bool
+	// brokeAfterSilence reports that it broke after the stream had no event for long.
+	brokeAfterSilence bool
 }
 
 // broken means that a stream broke off after part of it was passed on.
 type broken struct {
-	reason          string
-	connectionBroke bool // the upstream's connection broke
+	reason            string
+	connectionBroke   bool // the upstream's connection broke
+	brokeAfterSilence bool // it broke after the stream had no event for long
 }
 
 // ended means that the time is over, or the caller went away.
--- a/internal/serve/burdockdirect/stream.go
+++ b/internal/serve/burdockdirect/stream.go
@@ -98,6 +98,7 @@
 		s.attempt.gotFirstEvent = true
 		o.firstEventTime = now - s.attempt.startedAt
 		o.pool.recordFirstEvent(s.attempt.target.ID, o.firstEventTime)
+		o.watch.answerBegan(s.attempt.target)
 		o.entry.meters.firstEvents.Update(o.firstEventTime.Duration().Seconds())
 	} else {
 		gap := now - burdockclock.Millis(s.lastEventAt.Load())
@@ -148,7 +149,10 @@
 	if ctx.Err() != nil {
 		return ended{}
 	}
-	return s.brokenResult(err.Error(), s.hadRecentEvent())
+	if s.hadRecentEvent() {
+		return s.brokenResult(err.Error(), true)
+	}
+	return s.brokenAfterSilence(err.Error())
 }
 
 // hadRecentEvent reports whether the stream had an event within silenceTimeout. When a
@@ -158,11 +162,11 @@
 	return s.attempt.offers.entry.now()-burdockclock.Millis(s.lastEventAt.Load()) < silenceTimeout
 }
 
-// cancelledLocally reports whether this entry cancelled an offer so that the stream can
-// resume at another upstream.
+// cancelledLocally reports whether this entry cancelled an offer, so that the stream can
+// resume at another upstream or because a part of its prompt was quarantined.
 func cancelledLocally(ctx context.Context) bool {
 	cause := context.Cause(ctx)
-	return errors.Is(cause, errSilent) || errors.Is(cause, errEngineSlow)
+	return errors.Is(cause, errSilent) || errors.Is(cause, errEngineSlow) || errors.Is(cause, errPartQuarantined)
 }
 
 // brokenResult returns the result of a stream that broke off. If byUpstream, the
@@ -173,3 +177,12 @@
 	}
 	return unknown{reason: reason, connectionBroke: byUpstream}
 }
+
+// brokenAfterSilence returns the result of a stream that broke off after it had no event for
+// long, as those at all ranks of a group do when one rank dies.
+func (s *stream) brokenAfterSilence(reason string) result {
+	if s.attempt.offers.caller.headWritten {
+		return broken{reason: reason, brokeAfterSilence: true}
+	}
+	return unknown{reason: reason, brokeAfterSilence: true}
+}
--- a/internal/serve/burdockhosted/entry.go
+++ b/internal/serve/burdockhosted/entry.go
@@ -74,6 +74,7 @@
 	// crashPublisher and suspectedPublisher send notifications to the other entries.
 	crashPublisher     *publisher
 	suspectedPublisher *publisher
+	partNews           *partNews
 }
 
 // StartEntry starts an entry.
@@ -84,6 +85,7 @@
 	e := &entry{settings: settings, clock: clock, log: log}
 	e.crashPublisher = newPublisher(p.Store, settings.QuarantineMillis, true, log)
 	e.suspectedPublisher = newPublisher(p.Store, suspectedTTL, false, log)
+	e.partNews = newPartNews(p.Store, settings.VM, log)
 	sharesRates := func() bool { return hasColdRate(site.Now()) || e.entry.RateLimited() }
 	e.presence = newPresence(p.Store, settings.VM, sharesRates, clock, log)
 	e.entry = burdockdirect.New(
@@ -91,14 +93,14 @@
 		burdockdirect.Deps{
 			Clock: clock, Site: site, Dialect: p.Dialect, Log: log, Metrics: set, Seed: rand.Uint64(),
 			PublishCrashes: e.publishCrashes, PublishSuspected: e.publishSuspected,
-			NeedEntries: e.presence.checkNow,
+			NeedEntries: e.presence.checkNow, PartNews: e.partNews,
 		},
 	)
 	site.Subscribe(e.entry.ApplySnapshot)
 	e.follower = burdockkv.NewRoutedFollower(p.Store, burdockkv.WatchOptions{History: settings.StoreHistoryMillis, CheckInterval: watchCheckInterval, Urgent: e.entry.CallersWait}, e.routes(p.Records, site, set), clock, log)
 	e.callers = newServer(e.entry)
 	e.ready = newServer(http.HandlerFunc(e.serveReady))
-	e.admin = newServer(adminHandler(set, e.entry.CrashingRequests))
+	e.admin = newServer(adminHandler(set, e.entry))
 	err := listenAll(log, set,
 		endpoint{name: "callers", server: e.callers, address: settings.CallerListen, describe: e.entry.Describe},
 		endpoint{name: "ready", server: e.ready, address: settings.ReadyListen},
@@ -107,6 +109,7 @@
 		return nil, err
 	}
 	e.crashPublisher.start()
+	e.partNews.publisher.start()
 	e.suspectedPublisher.start()
 	e.presence.start()
 	e.follower.Start()
@@ -122,12 +125,15 @@
 // it starts. After a power cut, all processes of a fleet list at once, and the store's link
 // takes more than a second for all listings together.
 //
+// The notifications come first. They are few, and without them a started entry would offer
+// requests that the others keep from upstreams.
+//
 // The configuration is never read from a stale copy: a 404 or 401 by an old one is final
 // for a caller.
 //
 // It also creates the client of shared admission, which reads some of these keys.
 func (e *entry) routes(records burdockfollow.Decoder, site *burdocksite.Site, set *metrics.Set) []burdockkv.Route {
-	var routes []burdockkv.Route
+	routes := []burdockkv.Route{{Prefix: prefixNotifications, Sink: newNotificationReader(e.entry, e.log).mirror}}
 	for _, topic := range burdockfollow.Topics() {
 		routes = append(routes, burdockkv.Route{
 			Prefix: records.Prefix(topic), Sink: burdockfollow.New(topic, records, site, e.clock, e.log),
@@ -137,7 +143,6 @@
 	groups := newGroupReader(e.entry)
 	routes = append(routes,
 		burdockkv.Route{Prefix: prefixEntry, Sink: newEntriesReader(e.entry, e.presence)},
-		burdockkv.Route{Prefix: prefixNotifications, Sink: newNotificationReader(e.entry, e.log).mirror},
 		burdockkv.Route{Prefix: prefixRank, Sink: groups.mirror},
 	)
 	if !sharesRoom(e.settings) {
@@ -184,6 +189,7 @@
 	e.presence.close()
 	e.follower.Close()
 	e.crashPublisher.close()
+	e.partNews.publisher.close()
 	e.suspectedPublisher.close()
 	e.log.Info("stopped", zap.Bool("idle", e.entry.Idle()), zap.Int64("tookMillis", int64(e.clock.Boot()-start)))
 }
--- a/internal/serve/burdockhosted/notifications.go
+++ b/internal/serve/burdockhosted/notifications.go
@@ -24,10 +24,11 @@
 	log       *zap.Logger
 	opened    map[string]string // epoch by group, as last read
 	suspected suspectedKeys
+	parts     partNewsReader
 }
 
 func newNotificationReader(entry *burdockdirect.Entry, log *zap.Logger) *notificationReader {
-	n := &notificationReader{mirror: burdockkv.NewMirror(), entry: entry, log: log}
+	n := &notificationReader{mirror: burdockkv.NewMirror(), entry: entry, log: log, parts: partNewsReader{entry: entry, log: log}}
 	n.mirror.Subscribe(n.changed)
 	return n
 }
@@ -46,6 +47,7 @@
 	}
 	n.entry.SetSpeeds(readSpeeds(byPrefix[prefixSpeed], n.log))
 	n.entry.AddCrashes(readCrashes(byPrefix[prefixCrash], n.log))
+	n.parts.read(byPrefix)
 	n.entry.MarkSuspected(n.suspected.updated(byPrefix[prefixSuspected]))
 	for name, epoch := range opened {
 		if n.opened[name] != epoch {
@@ -55,6 +57,25 @@
 	n.opened = opened
 }
 
+// freshKeys finds the keys that were written since it last checked.
+type freshKeys struct {
+	seen map[string]burdockkv.Position // by key
+}
+
+// updated returns the items that were written since the last call.
+func (k *freshKeys) updated(items []burdockkv.Item) []burdockkv.Item {
+	seen := make(map[string]burdockkv.Position, len(items))
+	var fresh []burdockkv.Item
+	for _, item := range items {
+		seen[item.Key] = item.Modified
+		if k.seen[item.Key] != item.Modified {
+			fresh = append(fresh, item)
+		}
+	}
+	k.seen = seen
+	return fresh
+}
+
 // openKey returns the key and the value that announce that a group is open. The group's
 // name is that of a rank assignment, which contains the epoch.
 func openKey(assignedGroup string) (key string, epoch []byte) {
--- a/internal/serve/burdockhosted/server.go
+++ b/internal/serve/burdockhosted/server.go
@@ -6,7 +6,9 @@
 	"net/http"
 	"time"
 
-	"burdockbend.example/burdockbend/internal/decide/burdockcrash"
+	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/decide/burdockparts"
+	"burdockbend.example/burdockbend/internal/serve/burdockdirect"
 	"burdockbend.example/burdockbend/internal/serve/burdockstatus"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/joomcode/errorx"
@@ -26,22 +28,33 @@
 	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
 }
 
-// adminHandler serves the metrics and, if suspects is not nil, the requests that were
-// running at upstreams when those crashed.
-func adminHandler(set *metrics.Set, suspects func() []burdockcrash.CrashingRequest) http.Handler {
+// adminHandler serves the metrics and, if entry is not nil, what it has found out about requests
+// that crash upstreams.
+func adminHandler(set *metrics.Set, entry *burdockdirect.Entry) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { set.WritePrometheus(w) })
-	if suspects == nil {
+	if entry == nil {
 		return mux
 	}
-	mux.HandleFunc("GET /suspects", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		// If writing fails, the client has gone.
-		_ = json.NewEncoder(w).Encode(suspects())
+	mux.HandleFunc("GET /suspects", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, entry.CrashingRequests()) })
+	mux.HandleFunc("GET /suspects/parts", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, entry.SuspectedParts()) })
+	mux.HandleFunc("DELETE /suspects/parts/{service}/{part}", func(w http.ResponseWriter, r *http.Request) {
+		key := burdockparts.Key{Service: burdockid.Service(r.PathValue("service")), Part: burdockid.PromptPart(r.PathValue("part"))}
+		if !entry.FreePart(key) {
+			http.Error(w, "part "+string(key.Part)+" of service "+string(key.Service)+" is not quarantined", http.StatusNotFound)
+			return
+		}
+		w.WriteHeader(http.StatusNoContent)
 	})
 	return mux
 }
 
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	// If writing fails, the client has gone.
+	_ = json.NewEncoder(w).Encode(value)
+}
+
 // endpoint is a server and the address where it listens.
 type endpoint struct {
 	name    string
--- a/internal/serve/burdockhosted/suspected.go
+++ b/internal/serve/burdockhosted/suspected.go
@@ -22,22 +22,14 @@
 	e.suspectedPublisher.publish([]burdockkv.Put{{Key: prefixSuspected + string(u), Value: []byte(e.settings.VM)}})
 }
 
-// suspectedKeys finds the keys under prefixSuspected that have been written since it last
-// checked.
-type suspectedKeys struct {
-	seen map[string]burdockkv.Position // by key
-}
+// suspectedKeys finds the keys under prefixSuspected that were written since it last checked.
+type suspectedKeys struct{ fresh freshKeys }
 
-// updated returns the upstreams whose keys have been written since the last call.
+// updated returns the upstreams whose keys were written since the last call.
 func (k *suspectedKeys) updated(items []burdockkv.Item) []burdockid.Upstream {
-	seen := map[string]burdockkv.Position{}
-	var fresh []burdockid.Upstream
-	for _, item := range items {
-		seen[item.Key] = item.Modified
-		if k.seen[item.Key] != item.Modified {
-			fresh = append(fresh, burdockid.Upstream(strings.TrimPrefix(item.Key, prefixSuspected)))
-		}
+	var all []burdockid.Upstream
+	for _, item := range k.fresh.updated(items) {
+		all = append(all, burdockid.Upstream(strings.TrimPrefix(item.Key, prefixSuspected)))
 	}
-	k.seen = seen
-	return fresh
+	return all
 }
