--- a/internal/serve/burdockdirect/stream.go
+++ b/internal/serve/burdockdirect/stream.go
@@ -25,7 +25,8 @@
 )
 
 var (
-	eventEnd  = []byte("\n\n")
+	// eventEnds are the ends of a line followed by an empty line.
+	eventEnds = [][]byte{[]byte("\n\n"), []byte("\n\r\n")}
 	idField   = []byte("id:")
 	errSilent = errors.New("the connection went silent")
 )
@@ -67,11 +68,11 @@
 // can't be written to or an event is too large.
 func (s *stream) forwardEvents(b []byte) bool {
 	s.partial = append(s.partial, b...)
-	at := bytes.LastIndex(s.partial, eventEnd)
-	if at < 0 {
+	end := endOfEvents(s.partial)
+	if end == 0 {
 		return len(s.partial) < maxEvent
 	}
-	events := s.partial[:at+len(eventEnd)]
+	events := s.partial[:end]
 	s.recordEvents(events)
 	o := s.attempt.offers
 	if !o.caller.headWritten {
@@ -80,10 +81,21 @@
 	if o.caller.write(events) != nil {
 		return false
 	}
-	s.partial = append(s.partial[:0], s.partial[at+len(eventEnd):]...)
+	s.partial = append(s.partial[:0], s.partial[end:]...)
 	return true
 }
 
+// endOfEvents returns the length of the complete events that a text begins with.
+func endOfEvents(b []byte) int {
+	end := 0
+	for _, sep := range eventEnds {
+		if at := bytes.LastIndex(b, sep); at >= 0 {
+			end = max(end, at+len(sep))
+		}
+	}
+	return end
+}
+
 // recordEvents records the last event's ID and the gap before the events.
 func (s *stream) recordEvents(events []byte) {
 	o := s.attempt.offers
