Bound the connections of callers, and keep descriptors for upstreams and the store

An entry took connections without bound. With 200 descriptors and 400 connections on which nothing is sent, callers got no answer at all for as long as those stayed: no descriptor was left for upstreams and the store.

An entry now takes as many callers' connections as leave one descriptor for the upstream of each, and 64 for everything else. Beyond that the connection that has been without a request for the longest, half a second at least, gives way; if all are in use, the new one is closed unread, which its caller tries elsewhere at once. What arrives while a connection is closed for another one is not read, so no request runs whose answer can't be written.

--- a/internal/proof/burdockprograms/process.go
+++ b/internal/proof/burdockprograms/process.go
@@ -93,6 +93,9 @@
 	<-p.exit
 }
 
+// Pid returns the process's ID.
+func (p *Process) Pid() int { return p.cmd.Process.Pid }
+
 // Freeze suspends the process with SIGSTOP until Thaw is called.
 func (p *Process) Freeze() { _ = p.cmd.Process.Signal(syscall.SIGSTOP) }
 
--- a/internal/serve/burdockhosted/entry.go
+++ b/internal/serve/burdockhosted/entry.go
@@ -102,7 +102,7 @@
 	e.ready = newServer(http.HandlerFunc(e.serveReady))
 	e.admin = newServer(adminHandler(set, e.entry))
 	err := listenAll(log, set,
-		endpoint{name: "callers", server: e.callers, address: settings.CallerListen, describe: e.entry.Describe},
+		endpoint{name: "callers", server: e.callers, address: settings.CallerListen, describe: e.entry.Describe, connections: newConnections(maxConnections, set, log)},
 		endpoint{name: "ready", server: e.ready, address: settings.ReadyListen},
 		endpoint{name: "admin", server: e.admin, address: net.JoinHostPort(settings.IP, strconv.Itoa(settings.AdminPort))})
 	if err != nil {
--- a/internal/serve/burdockhosted/server.go
+++ b/internal/serve/burdockhosted/server.go
@@ -62,6 +62,8 @@
 	address string
 	// describe returns the log fields of a request; nil for none.
 	describe burdockstatus.Describe
+	// connections bounds the open connections; nil for no bound.
+	connections *connections
 }
 
 // listenAll starts all servers. Their 3xx and 4xx responses are logged, and counted in set.
@@ -71,6 +73,9 @@
 		if err != nil {
 			return errorx.Decorate(err, "listen for %s", l.name)
 		}
+		if l.connections != nil {
+			listener = l.connections.bound(l.server, listener)
+		}
 		observed := burdockstatus.New(l.name, log, set, l.describe).Observe(l.server, listener)
 		go server{l.server, observed, log}.run()
 	}
--- a/internal/serve/burdockstatus/observer.go
+++ b/internal/serve/burdockstatus/observer.go
@@ -50,7 +50,8 @@
 type connKey struct{}
 
 // Observe makes a server report its responses. It returns the listener that the server
-// must serve: l, for plain TCP connections. It must be called before the server serves.
+// must serve: l, for plain TCP connections. It must be called before the server serves. A
+// ConnState that the server has already goes on being called, with the connections of l.
 func (o *Observer) Observe(s *http.Server, l net.Listener) net.Listener {
 	next := s.Handler
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -62,10 +63,18 @@
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, c)
 	}
+	before := s.ConnState
 	s.ConnState = func(nc net.Conn, state http.ConnState) {
-		if c, ok := nc.(*conn); ok && state == http.StateIdle {
+		c, ok := nc.(*conn)
+		if !ok {
+			return
+		}
+		if state == http.StateIdle {
 			c.awaitRequest()
 		}
+		if before != nil {
+			before(c.Conn, state)
+		}
 	}
 	return &listener{Listener: l, observer: o}
 }
