Tests of every way on which a quarantined part is checked; prompt parts are part of a request's digest

Found by the tests: two requests that differ only in the parts of their prompts, which stand in a header, had the same digest. Once one of them had crashed upstreams the other was refused as well. A request that waited for its group and was refused for a part got '503 not run: crashes' without the part's name.

What entries find out about parts is kept for ten minutes, as long as the platform's leases last, not for an hour.

--- a/internal/decide/burdockcrash/digest.go
+++ b/internal/decide/burdockcrash/digest.go
@@ -23,12 +23,16 @@
 // this attempt.
 type Digest [digestBytes]byte
 
-// DigestOf returns the digest of a request's method, path and query, customer and body.
-// Each part is preceded by its length, so that requests whose parts merely split at
+// DigestOf returns the digest of a request's method, path and query, customer, body and
+// shared parts of its prompt, which may stand in a header. Each of them is preceded by its length, so that requests whose parts merely split at
 // different positions have different digests.
-func DigestOf(method, target string, customer burdockid.Customer, body []byte) Digest {
+func DigestOf(method, target string, customer burdockid.Customer, body []byte, shared ...burdockid.PromptPart) Digest {
 	h := sha256.New()
-	for _, part := range [][]byte{[]byte(method), []byte(target), []byte(customer), body} {
+	parts := [][]byte{[]byte(method), []byte(target), []byte(customer), body}
+	for _, part := range shared {
+		parts = append(parts, []byte(part))
+	}
+	for _, part := range parts {
 		_, _ = h.Write(binary.BigEndian.AppendUint64(nil, uint64(len(part)))) // never fails
 		_, _ = h.Write(part)
 	}
--- a/internal/proof/burdockhostedproof/fatalpart_test.go
+++ b/internal/proof/burdockhostedproof/fatalpart_test.go
@@ -190,3 +190,26 @@
 		t.Errorf("seed %d: sound requests served: got %.3f of %d, want at least %.2f of %.3f", *seedFlag, after, n, minSoundShare, before)
 	}
 }
+
+// Guards against an entry that has just started, knows of no crash and offers upstreams what
+// the others keep from them.
+func TestStartedEntryKnowsQuarantinedParts(t *testing.T) {
+	part := &burdockfakeplatform.FatalPart{ID: "bad0"}
+	s := startFatalSite(t, 2, false, part)
+	l := &partLoad{site: s, fatal: []*burdockfakeplatform.FatalPart{part}, fatalEvery: 15, burst: 1, random: rand.New(rand.NewPCG(*seedFlag, 6))}
+	began := time.Now()
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(5*time.Second))
+	defer cancel()
+	l.run(ctx, began.Add(time.Second))
+	before := len(part.Arrivals())
+	e := s.entries[0]
+	e.Kill()
+	e.start(t)
+	e.waitReady(t)
+	for i := range 20 {
+		l.send(e, i, fmt.Sprintf("c0:800,%s:100,%x:50", part.ID, 0xe0000+i), false)
+	}
+	if got := len(part.Arrivals()) - before; before == 0 || got != 0 {
+		t.Errorf("requests with the part from the started entry: got %d after %d before, want none after some", got, before)
+	}
+}
--- a/internal/serve/burdockdirect/crashes.go
+++ b/internal/serve/burdockdirect/crashes.go
@@ -53,7 +53,7 @@
 
 // digest identifies a request by its content, whatever its ID.
 func (req *request) digest() burdockcrash.Digest {
-	return burdockcrash.DigestOf(req.method, req.target, req.customer, req.body)
+	return burdockcrash.DigestOf(req.method, req.target, req.customer, req.body, req.SharedParts...)
 }
 
 // quarantined returns how much longer a request is kept from upstreams; 0 if it
--- a/internal/serve/burdockdirect/giveup.go
+++ b/internal/serve/burdockdirect/giveup.go
@@ -30,6 +30,21 @@
 	o.giveUp(o.pool.giveUpGroupClosed(o.entry.now()))
 }
 
+// refusedForPart ends the request, and reports true, if a part of its prompt is quarantined. It
+// is the last check before an offer, whichever way the request came there.
+func (o *offers) refusedForPart() bool {
+	rejection := o.entry.parts.refusalFor(o.req)
+	if rejection == nil {
+		return false
+	}
+	if o.caller.headWritten || o.lastUnknown != nil {
+		o.giveUp(burdockretry.GiveUp{Reason: burdockretry.ReasonCrashes, RetryAfter: rejection.retryAfter})
+		return true
+	}
+	o.caller.refuse(o.req, *rejection)
+	return true
+}
+
 // giveUp ends the request with its final answer, at once.
 //
 // An earlier offer with an unknown outcome decides the answer. If a later offer is
--- a/internal/serve/burdockdirect/offers.go
+++ b/internal/serve/burdockdirect/offers.go
@@ -109,8 +109,7 @@
 func (o *offers) run(caller, ctx context.Context) bool {
 	for {
 		ready := o.awaitMembers(ctx) && o.awaitGroupOpen(ctx)
-		if g, quarantined := o.entry.parts.quarantined(o.req); quarantined {
-			o.giveUp(g)
+		if o.refusedForPart() {
 			return false
 		}
 		if !ready {
--- a/internal/serve/burdockdirect/partguard.go
+++ b/internal/serve/burdockdirect/partguard.go
@@ -11,7 +11,6 @@
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/decide/burdockparts"
-	"burdockbend.example/burdockbend/internal/decide/burdockretry"
 	"burdockbend.example/burdockbend/internal/state/burdocksite"
 	"go.uber.org/zap"
 )
@@ -104,16 +103,6 @@
 	}
 }
 
-// quarantined returns why a request must not be offered; false if it may be. It is the last
-// check before an offer, whichever way the request came there.
-func (g *partGuard) quarantined(req *request) (burdockretry.GiveUp, bool) {
-	rejection := g.refusalFor(req)
-	if rejection == nil {
-		return burdockretry.GiveUp{}, false
-	}
-	return burdockretry.GiveUp{Reason: burdockretry.ReasonCrashes, RetryAfter: rejection.retryAfter}, true
-}
-
 // crashed records and publishes a crash at which requests of this entry with the given parts
 // were pending.
 func (g *partGuard) crashed(c burdockparts.Crash, parts []burdockid.PromptPart) {
--- a/internal/serve/burdockdirect/retry.go
+++ b/internal/serve/burdockdirect/retry.go
@@ -11,8 +11,7 @@
 // retryOrGiveUp asks the retry budget whether the request may be offered again. It reports
 // true if the request has ended.
 func (o *offers) retryOrGiveUp(caller, ctx context.Context, outcome burdockretry.Outcome) bool {
-	if g, quarantined := o.entry.parts.quarantined(o.req); quarantined {
-		o.giveUp(g)
+	if o.refusedForPart() {
 		return true
 	}
 	if o.retryPaid.Swap(false) {
--- a/internal/serve/burdockhosted/partnews.go
+++ b/internal/serve/burdockhosted/partnews.go
@@ -25,8 +25,8 @@
 	// "service/part/number".
 	prefixPartTrial = prefixNotifications + "parttrial/"
 	// partNewsTTL is how long what entries find out about parts is kept for entries that start
-	// later.
-	partNewsTTL = burdockclock.Hour
+	// later. The platform's leases last no longer.
+	partNewsTTL = 10 * burdockclock.Minute
 	// claimTimeout bounds the claim of a trial.
 	claimTimeout = 2 * burdockclock.Second
 )
