--- a/internal/decide/burdockparts/quarantine.go
+++ b/internal/decide/burdockparts/quarantine.go
@@ -30,8 +30,8 @@
 	At     burdockclock.Millis
 }
 
-// Verdict tells why a request is kept from upstreams.
-type Verdict struct {
+// Quarantine tells why a request is kept from upstreams: a part of its prompt.
+type Quarantine struct {
 	Key
 	// Remaining is how long no trial is due.
 	Remaining burdockclock.Millis
@@ -53,10 +53,10 @@
 
 // Quarantined returns why a request with the given parts is kept from upstreams; false if it
 // isn't.
-func (t *Tracker) Quarantined(now burdockclock.Millis, name burdockid.Service, parts []burdockid.PromptPart) (Verdict, bool) {
+func (t *Tracker) Quarantined(now burdockclock.Millis, name burdockid.Service, parts []burdockid.PromptPart) (Quarantine, bool) {
 	s := t.services[name]
 	if s == nil {
-		return Verdict{}, false
+		return Quarantine{}, false
 	}
 	for _, part := range parts {
 		found := s.suspects[part]
@@ -64,12 +64,12 @@
 			continue
 		}
 		key := Key{name, part}
-		return Verdict{
+		return Quarantine{
 			Key: key, Remaining: max(found.until()-now, 0),
 			Trial: Trial{Key: key, Number: found.trials + 1, At: now},
 		}, true
 	}
-	return Verdict{}, false
+	return Quarantine{}, false
 }
 
 // AddTrial records a trial of this or another entry.
--- a/internal/serve/burdockdirect/offers.go
+++ b/internal/serve/burdockdirect/offers.go
@@ -134,7 +134,7 @@
 		if _, ok := res.(answered); ok {
 			return true
 		}
-		o.req.trial = false
+		o.entry.parts.endTrial(o.req)
 		if o.decideNext(caller, ctx, att, res) {
 			return false
 		}
--- a/internal/serve/burdockdirect/partguard.go
+++ b/internal/serve/burdockdirect/partguard.go
@@ -1,7 +1,6 @@
 package burdockdirect
 
 import (
-	"context"
 	"errors"
 	"math/rand/v2"
 	"net/http"
@@ -107,6 +106,7 @@
 // were pending.
 func (g *partGuard) crashed(c burdockparts.Crash, parts []burdockid.PromptPart) {
 	g.mu.Lock()
+	g.settleNow()
 	c.Parts, c.Starts = g.tracker.Starts(c.Service, parts)
 	g.mu.Unlock()
 	g.addCrashes([]burdockparts.Crash{c})
@@ -120,6 +120,7 @@
 	if len(all) == 0 {
 		return
 	}
+	g.settleNow()
 	for _, c := range all {
 		g.tracker.AddCrash(g.now(), c)
 	}
@@ -227,69 +228,6 @@
 		zap.Int64("soundAtMillis", int64(s.SoundAt)), zap.Int("trials", s.Trials), zap.Int64("remainingMillis", int64(s.Remaining)))
 }
 
-// partWatch is a request with shared parts that is served.
-type partWatch struct {
-	guard  *partGuard
-	req    *request
-	cancel context.CancelCauseFunc
-	begun  bool // its answer has begun
-}
-
-// watch registers a request until end is called. It is cancelled if one of its parts is
-// quarantined before its answer has begun: at an engine that has queued it, it would crash the
-// next upstream.
-func (g *partGuard) watch(req *request, cancel context.CancelCauseFunc) *partWatch {
-	w := &partWatch{guard: g, req: req, cancel: cancel}
-	if len(req.SharedParts) > 0 {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		g.active[w] = true
-	}
-	return w
-}
-
-func (w *partWatch) end() {
-	w.guard.mu.Lock()
-	defer w.guard.mu.Unlock()
-	delete(w.guard.active, w)
-}
-
-// answerBegan records that the answer to the request has begun at an upstream.
-func (w *partWatch) answerBegan(u burdocksite.Upstream) {
-	if len(w.req.SharedParts) == 0 {
-		return
-	}
-	g := w.guard
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	w.begun = true
-	g.tracker.AddStart(g.now(), w.req.service, processOf(u), w.req.SharedParts)
-	if !g.tracker.HasSuspects() {
-		g.settleNow()
-		return
-	}
-	g.scheduleSettle()
-}
-
-// cancelActive cancels the requests with a part whose answer has not begun. The lock must be
-// held.
-func (g *partGuard) cancelActive(key burdockparts.Key) {
-	for w := range g.active {
-		if !w.begun && !w.req.trial && w.req.service == key.Service && w.req.hasPart(key.Part) {
-			w.cancel(errPartQuarantined)
-		}
-	}
-}
-
-func (req *request) hasPart(part burdockid.PromptPart) bool {
-	for _, p := range req.SharedParts {
-		if p == part {
-			return true
-		}
-	}
-	return false
-}
-
 // processOf returns the process that a record is of.
 func processOf(u burdocksite.Upstream) burdockparts.Process {
 	return burdockparts.Process{Upstream: u.ID, StartedAt: u.StartedAt}
--- a/internal/serve/burdockdirect/parttrial.go
+++ b/internal/serve/burdockdirect/parttrial.go
@@ -29,7 +29,7 @@
 // startTrial reports whether a request with a quarantined part may go to an upstream, to find
 // out whether the part still crashes those. One request of one entry does, once a trial is due.
 // The lock must be held.
-func (g *partGuard) startTrial(req *request, v burdockparts.Verdict) bool {
+func (g *partGuard) startTrial(req *request, v burdockparts.Quarantine) bool {
 	now := g.now()
 	if until, ok := g.trials.usableUntil[v.Key]; ok {
 		delete(g.trials.usableUntil, v.Key)
@@ -46,6 +46,16 @@
 	return false
 }
 
+// endTrial ends the trial that a request may have been: it is offered once.
+func (g *partGuard) endTrial(req *request) {
+	if len(req.SharedParts) == 0 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	req.trial = false
+}
+
 // partClaim claims a trial.
 type partClaim struct {
 	guard *partGuard
--- a/internal/serve/burdockdirect/request.go
+++ b/internal/serve/burdockdirect/request.go
@@ -48,7 +48,7 @@
 	// shared admission.
 	late burdocktimeliness.Reason
 	// trial means that the request may go to an upstream although a part of its prompt is
-	// quarantined.
+	// quarantined. The guard's lock protects it.
 	trial bool
 }
 
