--- a/review/standin/model.go
+++ b/review/standin/model.go
@@ -18,23 +18,40 @@
 	formTime  = 600 * time.Millisecond
 )
 
+// promptTokens and answerTokens are the size of a prompt and of the largest answer, eventTokens
+// the tokens in an event.
+const (
+	promptTokens = 787
+	answerTokens = 240
+	eventTokens  = 4
+)
+
+// sheetSlots and sheetMemory are those of a replica on the sheet.
+const (
+	sheetSlots  = 12
+	sheetMemory = 280000
+)
+
 // modelConfiguration has one route of streams that may not be resumed: each request runs at
 // most once.
-func modelConfiguration() configuration {
+func modelConfiguration(slots int) configuration {
+	figures := sheetEngine()
+	figures.Slots = slots
 	return configuration{
 		Version: 3, Limits: sheetLimits,
 		Routes: []route{{
 			Name: "member-letter", Hostname: modelHost, Prefix: "/letter/", Type: "streaming", Timeout: 8000, Target: 500,
 			Priority: 1, Service: modelService, Attempts: 2, Public: true, Gap: 120,
 		}},
-		Services: []service{{Name: modelService, Engine: sheetEngine()}},
+		Services: []service{{Name: modelService, Engine: figures}},
 	}
 }
 
 // modelCall returns a request for a stream.
 func modelCall(id string) call {
 	return call{id: id, path: modelPath, host: modelHost, budget: modelBudget, body: "write a letter " + id, header: map[string]string{
-		"Burdockbend-Model": "m", "Burdockbend-Token-Count": "787,96", "Burdockbend-Prompt-Prefix": fmt.Sprintf("5c1e07a2:40,%s:747", id),
+		"Burdockbend-Model": "m", "Burdockbend-Token-Count": fmt.Sprintf("%d,%d", promptTokens, answerTokens),
+		"Burdockbend-Prompt-Prefix": fmt.Sprintf("5c1e07a2:40,%s:%d", id, promptTokens-40),
 	}}
 }
 
@@ -44,8 +61,12 @@
 	at          time.Time
 	events      int
 	ended       string
+	waited      time.Duration // for memory
 }
 
+// stillRunning is how a run has ended that has not.
+const stillRunning = "running"
+
 // model is a group of model replicas in lock-step.
 type model struct {
 	world *world
@@ -54,8 +75,9 @@
 	events  int
 	pause   time.Duration
 	prefill time.Duration
-	// preempt, if set, returns how long a run is preempted after an event.
-	preempt func(id string, event int) time.Duration
+	// slots is the number of requests that a rank runs at once, memory the number of tokens
+	// for which it has memory.
+	slots, memory int
 	// garble, if set, tells whether the replica sends a second answer to the refusal that it
 	// has given before on this connection, right before it answers the next request there.
 	garble func(*exchange) bool
@@ -71,11 +93,11 @@
 // start writes the configuration and starts the ranks and the agents beside them.
 func (m *model) start(ranks int) error {
 	m.open, m.epoch = true, 1
-	m.world.store.put("op/config", modelConfiguration())
+	m.world.store.put("op/config", modelConfiguration(m.slots))
 	for i := range ranks {
-		p := &replica{id: fmt.Sprintf("i-%02d", i), service: modelService, zone: "hall-a", slots: 12}
+		p := &replica{id: fmt.Sprintf("i-%02d", i), service: modelService, zone: "hall-a", slots: m.slots}
 		p.serve = m.serve
-		p.report = func() any { return m.report(i, ranks) }
+		p.report = func() any { return m.report(p, i, ranks) }
 		if err := m.world.addReplica(p); err != nil {
 			return err
 		}
@@ -86,7 +108,8 @@
 	return nil
 }
 
-func (m *model) report(rank, ranks int) any {
+func (m *model) report(p *replica, rank, ranks int) any {
+	running := p.runningCount()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	state := "open"
@@ -94,7 +117,7 @@
 		state = "broken"
 	}
 	return map[string]any{
-		"stage": "unified", "models": []any{}, "busy": false, "seq": 0, "queue_depth": 0, "in_flight": 0, "kv_used": 0, "kv_total": 280000,
+		"stage": "unified", "models": []any{}, "busy": false, "seq": 0, "queue_depth": 0, "in_flight": running, "kv_used": min(promptTokens*running, m.memory), "kv_total": m.memory,
 		"handles": 0, "born": born, "pace": 1, "size": ranks, "step": 1, "map": 0, "prepared": nil, "armed": nil, "held": nil,
 		"group": map[string]any{"name": "g", "epoch": m.epoch, "rank": rank, "state": state},
 	}
@@ -138,9 +161,12 @@
 			return false
 		}
 	}
-	x.replica.begin(1)
+	if !x.replica.tryBegin() {
+		m.world.rec.now("%s is full and refuses %s", x.replica.id, x.id)
+		return x.refuse(503, "")
+	}
 	defer x.replica.begin(-1)
-	r := &modelRun{id: x.id, replica: x.replica.id, at: time.Now(), ended: "running"}
+	r := &modelRun{id: x.id, replica: x.replica.id, at: time.Now(), ended: stillRunning}
 	m.mu.Lock()
 	m.runs = append(m.runs, r)
 	m.mu.Unlock()
@@ -170,9 +196,7 @@
 		r.events = n
 		m.mu.Unlock()
 		time.Sleep(m.pause)
-		if m.preempt != nil {
-			time.Sleep(m.preempt(x.id, n))
-		}
+		m.awaitMemory(r)
 	}
 	if !x.endStream() {
 		return "its connection was closed"
@@ -180,6 +204,40 @@
 	return "whole"
 }
 
+// awaitMemory preempts a run if its rank has run out of memory and this is its newest one: the
+// run waits until it fits, and its prompt is read again.
+func (m *model) awaitMemory(r *modelRun) {
+	if m.fits(r) {
+		return
+	}
+	began := time.Now()
+	m.world.rec.now("%s has run out of memory and preempts %s, its newest request", r.replica, r.id)
+	for !m.fits(r) {
+		time.Sleep(memoryCheck)
+	}
+	time.Sleep(m.prefill)
+	m.world.rec.now("%s goes on with %s", r.replica, r.id)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r.waited = time.Since(began)
+}
+
+// memoryCheck is how often a preempted run is looked at.
+const memoryCheck = 5 * time.Millisecond
+
+// fits reports whether a rank has memory for a run: it always has, but for the newest one.
+func (m *model) fits(r *modelRun) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	used, newest := 0, r
+	for _, other := range m.runs {
+		if other.replica == r.replica && other.ended == stillRunning {
+			used, newest = used+promptTokens+eventTokens*other.events, other
+		}
+	}
+	return newest != r || used <= m.memory
+}
+
 // begunRuns returns the runs that have begun, by request.
 func (m *model) begunRuns() map[string][]modelRun {
 	m.mu.Lock()
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -157,6 +157,23 @@
 	return fmt.Sprintf("%d,0,%d", p.running, p.slots)
 }
 
+func (p *replica) runningCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.running
+}
+
+// tryBegin takes a slot; it reports false if there is none.
+func (p *replica) tryBegin() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.running >= p.slots {
+		return false
+	}
+	p.running++
+	return true
+}
+
 func (p *replica) begin(delta int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/review/standin/silence.go
+++ b/review/standin/silence.go
@@ -8,31 +8,27 @@
 
 const (
 	silenceRanks   = 6
-	silenceStreams = 12
+	silenceStreams = 10
 	// silenceEvents and silencePause make streams of 3.5 seconds.
-	silenceEvents = 60
+	silenceEvents = answerTokens / eventTokens
 	silencePause  = 58 * time.Millisecond
 	// silenceEvery is the time between the starts of two streams.
 	silenceEvery = 100 * time.Millisecond
-	// silencePreempted is how long a request waits for memory in the middle of its stream.
-	// Clients leave after a gap of two seconds.
-	silencePreempted = 1500 * time.Millisecond
-	// silenceAfter is the event after which that happens.
-	silenceAfter = 15
+	// silenceSlots is the number of requests that a replica runs at once. Its memory bears two
+	// until they have written half of their answers.
+	silenceSlots  = 2
+	silenceMemory = 1800
+	// silenceAccepted is the gap between two events after which clients leave.
+	silenceAccepted = 2 * time.Second
 )
 
-// playSilence stops an entry as planned while streams run that may not be resumed. A replica
-// runs out of memory and preempts the newest of its requests for a moment, in the middle of
-// its stream. The stop may not cut off any stream.
+// playSilence stops an entry as planned while streams run that may not be resumed. Replicas
+// run out of memory and preempt their newest request for a moment, in the middle of its
+// stream. The stop may not cut off any stream.
 func playSilence(w *world) (int, error) {
-	preempted := map[string]bool{"b0000004": true, "b0000008": true}
-	m := &model{world: w, events: silenceEvents, pause: silencePause, prefill: 90 * time.Millisecond}
-	m.preempt = func(id string, event int) time.Duration {
-		if !preempted[id] || event != silenceAfter {
-			return 0
-		}
-		w.rec.now("the replica of %s preempts it for %v after event %d", id, silencePreempted, event)
-		return silencePreempted
+	m := &model{
+		world: w, events: silenceEvents, pause: silencePause, prefill: 90 * time.Millisecond,
+		slots: silenceSlots, memory: silenceMemory,
 	}
 	if err := m.start(silenceRanks); err != nil {
 		return 0, err
@@ -68,6 +64,7 @@
 		w.rec.at(stoppedAt, "SIGTERM to %s", entries[0].name)
 	}
 	done.Wait()
+	time.Sleep(time.Second) // runs whose connections were closed notice it
 	if err := w.checkOthers(entries[0]); err != nil {
 		return 0, err
 	}
@@ -93,7 +90,7 @@
 	for _, a := range answers {
 		m.world.rec.at(a.endAt, "sent at %.3f s: %v", m.world.rec.since(a.sentAt), a)
 		for _, r := range runs[a.id] {
-			m.world.rec.at(r.at, "run of %s at %s: %d events of %d; %s", a.id, r.replica, r.events, m.events, r.ended)
+			m.world.rec.at(r.at, "run of %s at %s: %d events of %d, waited %d ms for memory; %s", a.id, r.replica, r.events, m.events, r.waited.Milliseconds(), r.ended)
 		}
 		if a.whole && a.events == m.events {
 			whole++
@@ -103,6 +100,10 @@
 		if len(runs[a.id]) == 0 || after < 0 || after > grace*5/6 {
 			continue
 		}
+		if waited := runs[a.id][0].waited + silencePause; waited >= silenceAccepted {
+			m.world.rec.verdict("%s would have been left by its client: its replica was silent for %v", a.id, waited)
+			continue
+		}
 		if !m.world.trouble {
 			m.world.rec.verdict("%s was cut off without planned work, which the rule does not count", a.id)
 			continue
--- a/review/standin/twice.go
+++ b/review/standin/twice.go
@@ -29,7 +29,7 @@
 // run twice.
 func playTwice(w *world) (int, error) {
 	g := &secondAnswers{by: map[string]bool{}}
-	m := &model{world: w, events: 4, pause: 15 * time.Millisecond, prefill: 20 * time.Millisecond}
+	m := &model{world: w, events: 4, pause: 15 * time.Millisecond, prefill: 20 * time.Millisecond, slots: sheetSlots, memory: sheetMemory}
 	if w.trouble {
 		m.garble = g.due
 	}
