--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -55,7 +55,7 @@
 	conns   map[net.Conn]struct{}
 	stopped bool
 	running int
-	answers int // whole answers so far, refusals too
+	answers int // whole answers to requests so far, refusals too
 }
 
 // start makes the replica listen, at the address that it had before if there is one.
@@ -142,7 +142,7 @@
 	case x.req.URL.Path == "/picked" && p.report != nil:
 		return x.json(map[string]any{"step": 1, "epoch": 1, "counts": []int{}})
 	case x.req.URL.Path == "/order" && p.report != nil:
-		return x.respond(http.StatusConflict, nil, "")
+		return x.send(http.StatusConflict, nil, "")
 	case x.id == "":
 		return x.refuse(http.StatusBadRequest, "")
 	case x.req.Header.Get(headerExpect) != "" && x.req.Header.Get(headerExpect) != p.id:
@@ -214,9 +214,13 @@
 	return b.String()
 }
 
-// respond sends a whole answer with a length.
+// respond sends a whole answer to a request with a length.
 func (x *exchange) respond(status int, header map[string]string, body string) bool {
 	x.replica.countAnswer()
+	return x.send(status, header, body)
+}
+
+func (x *exchange) send(status int, header map[string]string, body string) bool {
 	_, err := io.WriteString(x.conn, x.head(status, header)+fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body))
 	return err == nil
 }
@@ -238,7 +242,7 @@
 	if err != nil {
 		panic(err) // unreachable: plain values
 	}
-	return x.respond(http.StatusOK, map[string]string{"Content-Type": "application/json"}, string(data))
+	return x.send(http.StatusOK, map[string]string{"Content-Type": "application/json"}, string(data))
 }
 
 // startStream sends the head of a stream of events.
