--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -20,7 +20,8 @@
 
 // cases are the cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(rec *recorder, trouble bool) (broken bool, err error){
-	"stop": playStop,
+	"stop":  playStop,
+	"crash": playCrash,
 }
 
 func main() { os.Exit(play()) }
