Review case 6: canned prompts are refused beside a part that crashes replicas

Sound requests that are equal are quarantined for five minutes after two crashes of replicas that ran them, whether a part of another prompt caused these or not.

--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -20,8 +20,9 @@
 
 // cases are the cases by name. Each reports whether the rule was broken.
 var cases = map[string]func(rec *recorder, trouble bool) (broken bool, err error){
-	"stop":  playStop,
-	"crash": playCrash,
+	"stop":   playStop,
+	"crash":  playCrash,
+	"canned": playCanned,
 }
 
 func main() { os.Exit(play()) }
