Review case 7: a part goes on crashing the replicas of a quiet service

Until five answers have begun in a service, a part counts as one that used to be harmless, and is quarantined late and for seconds.

--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -23,6 +23,7 @@
 	"stop":   playStop,
 	"crash":  playCrash,
 	"canned": playCanned,
+	"quiet":  playQuiet,
 }
 
 func main() { os.Exit(play()) }
