--- a/review/standin2/kit.go
+++ b/review/standin2/kit.go
@@ -129,14 +129,6 @@
 	ReadPerS   float64 `json:"read_per_s"`
 	Chunk      int     `json:"chunk"`
 	Usual      usual   `json:"usual"`
-	// The figures of lock-step groups; 0 if the replicas form none.
-	Sets        int     `json:"sets,omitempty"`
-	Experts     int     `json:"experts,omitempty"`
-	Places      int     `json:"places,omitempty"`
-	Spare       int     `json:"spare,omitempty"`
-	ExpertMB    float64 `json:"expert_mb,omitempty"`
-	LinkMbps    float64 `json:"link_mbps,omitempty"`
-	ExpertShare float64 `json:"expert_share,omitempty"`
 }
 
 type usual struct {
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -24,7 +24,6 @@
 	"crash":  playCrash,
 	"canned": playCanned,
 	"quiet":  playQuiet,
-	"second": playSecond,
 }
 
 func main() { os.Exit(play()) }
