--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -24,6 +24,7 @@
 	"crash":  playCrash,
 	"canned": playCanned,
 	"quiet":  playQuiet,
+	"deep":   playDeep,
 }
 
 func main() { os.Exit(play()) }
--- a/review/standin2/parts.go
+++ b/review/standin2/parts.go
@@ -31,6 +31,8 @@
 	// cannedPrompts is the number of different prompts that sound requests have in the case
 	// of canned prompts.
 	cannedPrompts = 3
+	// deepTurns is the number of earlier turns in the prompts of the case of long prompts.
+	deepTurns = 64
 )
 
 // partsPlan is how requests come.
@@ -40,6 +42,8 @@
 	fatalEvery time.Duration
 	soundEvery time.Duration
 	canned     bool // sound requests have few different prompts
+	// turns is the number of parts that all prompts have before those that differ.
+	turns int
 }
 
 // partsResult is what a client saw of one request.
@@ -85,6 +89,19 @@
 	return l.judgeFatal(rec, replicas), nil
 }
 
+// playDeep plays a part that crashes replicas and comes late in long prompts, as in a
+// conversation of many turns, and judges whether it is kept from replicas.
+func playDeep(rec *recorder, trouble bool) (bool, error) {
+	plan := partsPlan{
+		length: 50 * time.Second, fatalFrom: 10 * time.Second, fatalEvery: 1500 * time.Millisecond, soundEvery: 50 * time.Millisecond, turns: deepTurns,
+	}
+	l, replicas, err := playParts(rec, plan, trouble)
+	if err != nil {
+		return false, err
+	}
+	return l.judgeFatal(rec, replicas), nil
+}
+
 // playParts plays a plan in front of model replicas.
 func playParts(rec *recorder, plan partsPlan, trouble bool) (*partsLoad, []*replica, error) {
 	s, err := newSite(rec, []route{{
@@ -141,7 +158,7 @@
 			own := rand.Uint32()
 			q := request{
 				id: fmt.Sprintf("fatal-%08x", rand.Uint32()), method: http.MethodPost, path: fmt.Sprintf("/draft/%x", own), body: fmt.Appendf(nil, "prompt %x", own),
-				budget: streamBudget, prompt: fmt.Sprintf("%s,%s:410,%x:250", promptStart, fatalPart, own),
+				budget: streamBudget, prompt: fmt.Sprintf("%s,%s:410,%x:250", l.promptStart(), fatalPart, own),
 			}
 			sent.Go(func() { l.send(q, true) })
 		}
@@ -149,6 +166,15 @@
 	sent.Wait()
 }
 
+// promptStart returns the parts that all prompts begin with.
+func (l *partsLoad) promptStart() string {
+	start := promptStart
+	for turn := range l.plan.turns {
+		start += fmt.Sprintf(",%x:5", 0x100+turn)
+	}
+	return start
+}
+
 func (l *partsLoad) soundRequest() request {
 	own := uint32(0xaa00) + rand.Uint32N(cannedPrompts)
 	if !l.plan.canned {
@@ -156,7 +182,7 @@
 	}
 	return request{
 		id: fmt.Sprintf("sound-%08x", rand.Uint32()), method: http.MethodPost, path: "/draft/2f", body: fmt.Appendf(nil, "prompt %x", own),
-		budget: streamBudget, prompt: fmt.Sprintf("%s,%x:250", promptStart, own),
+		budget: streamBudget, prompt: fmt.Sprintf("%s,%x:250", l.promptStart(), own),
 	}
 }
 
@@ -169,7 +195,7 @@
 		res.answer = conn.ask(q)
 		_ = conn.Close()
 	}
-	l.site.rec.add("client: %s, prompt %s, sent %.0f ms ago: status %d, %d bytes %.60q, error %v",
+	l.site.rec.add("client: %s, prompt %.40s, sent %.0f ms ago: status %d, %d bytes %.60q, error %v",
 		q.id, q.prompt, time.Since(res.sentAt).Seconds()*1000, res.answer.status, len(res.answer.body), res.answer.body, res.answer.err)
 	l.mu.Lock()
 	defer l.mu.Unlock()
