--- a/review/standin2/kit.go
+++ b/review/standin2/kit.go
@@ -41,12 +41,17 @@
 	readyInterval = time.Second
 	readyMisses   = 2
 	startTimeout  = 20 * time.Second
+	startTries    = 3
 	// recordLapse is how long after its end a replica's record is removed: three heartbeats.
 	recordLapse = 3600 * time.Millisecond
 )
 
-// errSetup means that a case could not run.
-var errSetup = errors.New("the case could not run")
+var (
+	// errSetup means that a case could not run.
+	errSetup = errors.New("the case could not run")
+	// errEnded means that a process ended at its start.
+	errEnded = errors.New("the process ended at its start")
+)
 
 // recorder writes what happened to a file, with the time since the start.
 type recorder struct {
@@ -241,28 +246,38 @@
 	in    bool // gets new connections
 }
 
-// addEntry starts an entry and waits until it is ready.
+// addEntry starts an entry and waits until it is ready. If its process ends at once, as one of
+// its ports was taken meanwhile, it gets others.
 func (s *site) addEntry() (*entryProcess, error) {
 	n := len(s.entries) + 1
-	ip := s.network + fmt.Sprint(n)
 	e := &entryProcess{site: s, name: fmt.Sprintf("entry-%d", n)}
+	s.entries = append(s.entries, e)
+	err := errEnded
+	for try := 0; try < startTries && errors.Is(err, errEnded); try++ {
+		if err = e.configure(s.network + fmt.Sprint(n)); err != nil {
+			return nil, err
+		}
+		err = e.start()
+	}
+	return e, err
+}
+
+// configure draws the entry's ports and writes its settings.
+func (e *entryProcess) configure(ip string) error {
+	// Both ports are held until both are known, so that they differ.
 	for _, address := range []*string{&e.callers, &e.ready} {
 		listener, err := net.Listen("tcp", ip+":0")
 		if err != nil {
-			return nil, err
+			return err
 		}
+		defer func() { _ = listener.Close() }()
 		*address = listener.Addr().String()
-		_ = listener.Close()
 	}
-	e.settings = filepath.Join(s.dir, e.name+".toml")
+	e.settings = filepath.Join(e.site.dir, e.name+".toml")
 	// What the platform makes of deploy/settings.toml.
 	text := fmt.Sprintf("vm = %q\ndataCentre = %q\nip = %q\ncallerListen = %q\nreadyListen = %q\npeerPort = 7340\nstoreAddress = %q\nstoreHistoryMillis = 20000\ngraceMillis = %d\nmemoryMB = %d\nlinkMbps = 1000.0\n",
-		e.name, zoneName, ip, e.callers, e.ready, s.storeAt, graceTime.Milliseconds(), memoryMB)
-	if err := os.WriteFile(e.settings, []byte(text), 0o600); err != nil {
-		return nil, err
-	}
-	s.entries = append(s.entries, e)
-	return e, e.start()
+		e.name, zoneName, ip, e.callers, e.ready, e.site.storeAt, graceTime.Milliseconds(), memoryMB)
+	return os.WriteFile(e.settings, []byte(text), 0o600)
 }
 
 // start starts the process, also in place of one that has ended, and waits until it is ready.
@@ -289,13 +304,21 @@
 		e.site.rec.add("%s ended: %v", e.name, cmd.ProcessState)
 	}()
 	for until := time.Now().Add(startTimeout); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+		select {
+		case <-ended:
+			text, _ := os.ReadFile(log.Name())
+			e.site.rec.add("%s ended at its start: %s", e.name, text)
+			return errEnded
+		default:
+		}
 		if e.askReady() {
 			e.setIn(true)
 			e.site.rec.add("%s is ready, pid %d", e.name, cmd.Process.Pid)
 			return nil
 		}
 	}
-	return fmt.Errorf("%s is not ready", e.name)
+	text, _ := os.ReadFile(log.Name())
+	return fmt.Errorf("%s is not ready: %s", e.name, text)
 }
 
 // terminate asks the process to stop, and kills it at the end of the grace time as the
