A stopping entry accepts only requests that it can answer in time

Cause: the entry compared the time left with twice the mean time of all answers of the service. A service with quick and slow requests has a mean that tells nothing about one request. Only the request's deadline bounds its time.

Ruled out: requests held up in the queue, answers lost at the exit (each lost request reached its replica at once, with less time left than its own work takes). The new line "ended by the planned stop" and its counter tell these apart from now on.

Fix: the deadline decides, for new requests and before each further offer; only requests that may be repeated and arrive in the first 2.7 s are judged by the mean. At the end of the stop, open requests are answered (503 not run, 502 may have run) and the answers written before connections close.

TestNoStreamStartsLateInStop expected that a plain request with 5 s allowed is accepted 5 s before the end: that took the mean for certain. Its plain request now has 4 s; its stream check is as before.

The own cluster's entry, which accepted requests until it closed, refuses those whose deadline comes after its stop.

--- a/internal/decide/burdockretry/retry.go
+++ b/internal/decide/burdockretry/retry.go
@@ -100,6 +100,8 @@
 	ReasonGroupClosed Reason = "groupClosed"
 	// ReasonCrashes: the request has crashed the upstreams that ran it.
 	ReasonCrashes Reason = "crashes"
+	// ReasonStop: the process stops before an answer could be complete.
+	ReasonStop Reason = "stopping"
 	// ReasonNoUpstream: no upstream was available.
 	ReasonNoUpstream Reason = "noUpstream"
 )
--- a/internal/serve/burdockdirect/entry.go
+++ b/internal/serve/burdockdirect/entry.go
@@ -28,7 +28,8 @@
 // Config holds the settings of an entry.
 type Config struct {
 	DataCentre burdockid.DataCentre
-	// GraceMillis is the maximum duration of a planned stop.
+	// GraceMillis is the time from the start of a planned stop to its end, at which what is
+	// still open is ended.
 	GraceMillis burdockclock.Millis
 	// QuarantineMillis is how long a request is kept from upstreams after it has crashed
 	// some; 0 selects the default.
@@ -76,6 +77,9 @@
 
 	drainingAt atomic.Int64 // boot time of the planned stop; 0 before it
 	active     atomic.Int64
+	// ending is cancelled at the end of a planned stop, by endRequests.
+	ending      context.Context
+	endRequests context.CancelFunc
 	// complete is closed when the site's snapshot is complete for the first time. starting
 	// is the number of requests that wait for that.
 	complete     chan struct{}
@@ -91,16 +95,6 @@
 }
 
 const (
-	// streamStartWindow is how long after the start of a planned stop new streams are
-	// accepted. New connections arrive for two to three seconds, until the balancer has
-	// checked readiness twice. An answer under load takes up to twice as long as the rest
-	// of a stop of some eight seconds.
-	streamStartWindow burdockclock.Millis = 2700
-	// stopDurationFactor and stopSlack give the time that a request must have left when it
-	// starts during a planned stop: a multiple of the typical time of an answer, and a
-	// slack on top.
-	stopDurationFactor                     = 2
-	stopSlack          burdockclock.Millis = 700
 	// upstreamDialTimeout bounds the opening of a connection, at some two hundred times
 	// the latency between data centres. An upstream that takes longer is unreachable, and
 	// since nothing was sent, another one can still answer in time.
@@ -117,6 +111,7 @@
 // New returns an entry that has no pools yet.
 func New(cfg Config, deps Deps) *Entry {
 	e := &Entry{cfg: cfg, deps: deps, complete: make(chan struct{}), pools: map[burdockid.Service]*pool{}, meters: newMeters(deps.Metrics)}
+	e.ending, e.endRequests = context.WithCancel(context.Background())
 	e.parts = newPartGuard(deps, e.meters)
 	e.crashes = newCrashDetector(deps, cfg.QuarantineMillis, e.parts)
 	e.client = &http.Client{
@@ -166,31 +161,6 @@
 	return ""
 }
 
-// Drain begins a planned stop: from now on, responses close their connections.
-func (e *Entry) Drain() { e.drainingAt.CompareAndSwap(0, int64(e.now())) }
-
-// tooLate reports whether a planned stop would come before the answer of a request that
-// starts now.
-//
-// Callers go on using their connections while the process stops, so a request can start
-// shortly before the end, and the stop would cut off its answer. Callers that are refused
-// go to another entry at once. With twice the typical time and a little more, hardly any
-// answer is cut.
-func (e *Entry) tooLate(p *pool, req *request) bool {
-	began := burdockclock.Millis(e.drainingAt.Load())
-	if began == 0 {
-		return false
-	}
-	if req.route.Stream && e.now()-began > streamStartWindow {
-		return true
-	}
-	left := began + e.cfg.GraceMillis - e.now()
-	return left < stopDurationFactor*p.typicalAnswerTime()+stopSlack
-}
-
-// Idle reports whether no request is in flight.
-func (e *Entry) Idle() bool { return e.active.Load() == 0 }
-
 func (e *Entry) now() burdockclock.Millis { return e.deps.Clock.Boot() }
 
 // pool returns the pool of a service, and creates it for the first request.
--- a/internal/serve/burdockdirect/giveup.go
+++ b/internal/serve/burdockdirect/giveup.go
@@ -8,14 +8,16 @@
 	"go.uber.org/zap"
 )
 
-// finish ends a request whose time is over or whose caller has gone.
-func (o *offers) finish(caller context.Context) {
+// finish ends a request whose time is over, whose caller has gone, or whose entry stops.
+func (o *offers) finish(caller, ctx context.Context) {
 	switch {
 	case caller.Err() != nil:
 		// Nobody is left to read an answer.
 		o.caller.abort()
 	case o.caller.headWritten:
 		o.caller.abort()
+	case wasStopped(ctx):
+		o.giveUp(burdockretry.GiveUp{Reason: burdockretry.ReasonStop, RetryAfter: stopRetryAfter})
 	default:
 		o.caller.refuse(o.req, refusal{status: http.StatusGatewayTimeout, reason: "no answer within the time allowed"})
 	}
@@ -24,12 +26,22 @@
 // groupStayedClosed ends a request that waited in vain for its group to open.
 func (o *offers) groupStayedClosed(caller, ctx context.Context) {
 	if ctx.Err() != nil {
-		o.finish(caller)
+		o.finish(caller, ctx)
 		return
 	}
 	o.giveUp(o.pool.giveUpGroupClosed(o.entry.now()))
 }
 
+// refusedForStop ends the request, and reports true, if the process stops before the offer that
+// is due would be answered. A stream that has begun goes on: its caller loses nothing by that.
+func (o *offers) refusedForStop() bool {
+	if o.caller.headWritten || !o.entry.tooLate(o.pool, o.req) {
+		return false
+	}
+	o.giveUp(burdockretry.GiveUp{Reason: burdockretry.ReasonStop, RetryAfter: stopRetryAfter})
+	return true
+}
+
 // refusedForPart ends the request, and reports true, if a part of its prompt is quarantined. It
 // is the last check before an offer, whichever way the request came there.
 func (o *offers) refusedForPart() bool {
--- a/internal/serve/burdockdirect/metrics.go
+++ b/internal/serve/burdockdirect/metrics.go
@@ -20,6 +20,8 @@
 	// those of them that a caller had sent before.
 	late        *metrics.Counter
 	retriesSeen *metrics.Counter
+	// stopped counts the requests that the end of a planned stop has ended.
+	stopped *metrics.Counter
 	// partRefusals counts the requests refused for a quarantined part of their prompts,
 	// partQuarantines the parts that were quarantined.
 	partRefusals    *metrics.Counter
@@ -37,6 +39,8 @@
 		late:        set.NewCounter("burdock_direct_late_total"),
 		retriesSeen: set.NewCounter("burdock_direct_retries_seen_total"),
 
+		stopped: set.NewCounter("burdock_direct_stopped_total"),
+
 		partRefusals:    set.NewCounter("burdock_direct_part_refusals_total"),
 		partQuarantines: set.NewCounter("burdock_direct_part_quarantines_total"),
 	}
--- a/internal/serve/burdockdirect/offers.go
+++ b/internal/serve/burdockdirect/offers.go
@@ -57,6 +57,13 @@
 	defer stop()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	stopEnd := context.AfterFunc(e.ending, func() { cancel(errStopped) })
+	defer stopEnd()
+	defer func() {
+		if wasStopped(ctx) {
+			e.recordStopped(req)
+		}
+	}()
 	watch := e.parts.watch(req, cancel)
 	defer watch.end()
 	// Callers choose their IDs, so two requests may have the same one. The queue needs
@@ -68,7 +75,7 @@
 		e.logEnd(req, "caller gone while waiting")
 		return
 	case err != nil:
-		c.refuse(req, e.refusalInQueue(req))
+		c.refuse(req, e.refusalInQueue(ctx, req))
 		return
 	case refuse != nil:
 		c.refuse(req, refusal{http.StatusServiceUnavailable, "not run: " + refuse.Reason.String(), p.gate.retryAfter(req, refuse.RetryAfter)})
@@ -88,7 +95,8 @@
 // can.
 func (e *Entry) refusalFor(p *pool, req *request) *refusal {
 	if e.tooLate(p, req) {
-		return &refusal{http.StatusServiceUnavailable, "not run: this entry stops", stopRetryAfter}
+		rejection := stopRefusal()
+		return &rejection
 	}
 	if left := e.crashes.quarantined(req); left > 0 {
 		return &refusal{http.StatusServiceUnavailable, "not run: it has crashed the upstreams that ran it", left}
@@ -97,7 +105,10 @@
 }
 
 // refusalInQueue returns the refusal of a request whose context ended while it waited.
-func (e *Entry) refusalInQueue(req *request) refusal {
+func (e *Entry) refusalInQueue(ctx context.Context, req *request) refusal {
+	if wasStopped(ctx) {
+		return stopRefusal()
+	}
 	if rejection := e.parts.refusalFor(req); rejection != nil {
 		return *rejection
 	}
@@ -109,7 +120,7 @@
 func (o *offers) run(caller, ctx context.Context) bool {
 	for {
 		ready := o.awaitMembers(ctx) && o.awaitGroupOpen(ctx)
-		if o.refusedForPart() {
+		if o.refusedForPart() || o.refusedForStop() {
 			return false
 		}
 		if !ready {
@@ -193,7 +204,7 @@
 	}
 	switch res := res.(type) {
 	case ended:
-		o.finish(caller)
+		o.finish(caller, ctx)
 		return true
 	case notRun:
 		if o.pool.gate.engineRefused(target.ID, res) {
--- a/internal/serve/burdockdirect/rules_test.go
+++ b/internal/serve/burdockdirect/rules_test.go
@@ -412,9 +412,7 @@
 	}
 }
 
-// Three of a stop's eight seconds are over when a caller sends on a connection that it
-// kept. A stream that starts now might be cut off at the end, though streams usually take
-// less. A plain request ends long before.
+// Guards against streams that start late in a planned stop and are cut off at its end.
 func TestNoStreamStartsLateInStop(t *testing.T) {
 	u := newUpstream(t, answerOK)
 	f := newFixture(t, testTimeout, u)
@@ -425,7 +423,7 @@
 	if got := f.send(t, context.Background(), "/stream/", nil); got.status != http.StatusServiceUnavailable {
 		t.Errorf("stream: got status %d, want 503", got.status)
 	}
-	if got := f.send(t, context.Background(), "/again/", nil); got.status != http.StatusOK {
+	if got := f.send(t, context.Background(), "/again/", map[string]string{"X-Budget": "4000"}); got.status != http.StatusOK {
 		t.Errorf("plain request: got status %d, want 200", got.status)
 	}
 }
--- a/internal/serve/burdockdirect/stream.go
+++ b/internal/serve/burdockdirect/stream.go
@@ -175,10 +175,16 @@
 }
 
 // cancelledLocally reports whether this entry cancelled an offer, so that the stream can
-// resume at another upstream or because a part of its prompt was quarantined.
+// resume at another upstream, because a part of its prompt was quarantined, or at the end of a
+// planned stop.
 func cancelledLocally(ctx context.Context) bool {
 	cause := context.Cause(ctx)
-	return errors.Is(cause, errSilent) || errors.Is(cause, errEngineSlow) || errors.Is(cause, errPartQuarantined)
+	for _, local := range []error{errSilent, errEngineSlow, errPartQuarantined, errStopped} {
+		if errors.Is(cause, local) {
+			return true
+		}
+	}
+	return false
 }
 
 // brokenResult returns the result of a stream that broke off. If byUpstream, the
--- a/internal/serve/burdockentry/entry.go
+++ b/internal/serve/burdockentry/entry.go
@@ -48,7 +48,7 @@
 type Entry struct {
 	cfg          Config
 	deps         Deps
-	draining     atomic.Bool
+	stopAt       atomic.Int64 // boot time of the end of a planned stop; 0 before it
 	openRequests atomic.Int64
 	outcomes     outcomes
 	meters       meters
@@ -129,11 +129,18 @@
 	return p
 }
 
-// Drain marks the process as about to stop. Requests are still served.
-func (e *Entry) Drain() { e.draining.Store(true) }
+// Drain marks the process as about to stop: what is still open at the boot time stopAt will be
+// cut off. Requests are still served if their deadlines come before that.
+func (e *Entry) Drain(stopAt burdockclock.Millis) { e.stopAt.CompareAndSwap(0, int64(stopAt)) }
 
 // Draining reports whether Drain was called.
-func (e *Entry) Draining() bool { return e.draining.Load() }
+func (e *Entry) Draining() bool { return e.stopAt.Load() != 0 }
+
+// stopsBefore reports whether the process stops before a deadline.
+func (e *Entry) stopsBefore(deadline burdockclock.Millis) bool {
+	stopAt := burdockclock.Millis(e.stopAt.Load())
+	return stopAt != 0 && deadline > stopAt
+}
 
 // Idle reports whether no request is open.
 func (e *Entry) Idle() bool { return e.openRequests.Load() == 0 }
--- a/internal/serve/burdockentry/entry_test.go
+++ b/internal/serve/burdockentry/entry_test.go
@@ -70,6 +70,12 @@
 // startEntry starts an entry with one upstream, whose agent is scripted. It returns the
 // entry's server and the customer's API key.
 func startEntry(t *testing.T, agent *scriptedAgent) (*httptest.Server, string) {
+	t.Helper()
+	_, server, key := newEntry(t, agent)
+	return server, key
+}
+
+func newEntry(t *testing.T, agent *scriptedAgent) (*Entry, *httptest.Server, string) {
 	t.Helper()
 	mux := http.NewServeMux()
 	mux.Handle(burdockwire.NewAgentServiceHandler(agent))
@@ -97,7 +103,7 @@
 		server.Close()
 		e.Close()
 	})
-	return server, key
+	return e, server, key
 }
 
 func fleetEntries(t *testing.T, agent, keyHash string) []burdockconfig.Entry {
--- a/internal/serve/burdockentry/serve.go
+++ b/internal/serve/burdockentry/serve.go
@@ -13,8 +13,12 @@
 	"go.uber.org/zap"
 )
 
-// notReadyRetryAfter is the Retry-After of an entry that has no configuration yet.
-const notReadyRetryAfter = burdockclock.Second
+const (
+	// notReadyRetryAfter is the Retry-After of an entry that has no configuration yet.
+	notReadyRetryAfter = burdockclock.Second
+	// stopRetryAfter is the Retry-After of an entry that stops, since other entries serve.
+	stopRetryAfter burdockclock.Millis = 20
+)
 
 // OutcomeCounts holds the number of ended requests by outcome.
 type OutcomeCounts map[outcome]int
@@ -94,6 +98,13 @@
 		e.reject(w, req, problem)
 		return
 	}
+	if e.stopsBefore(req.deadline) {
+		e.reject(w, req, &burdockapi.Problem{
+			Status: http.StatusServiceUnavailable, Code: burdockapi.CodeLeaving, NotRun: true,
+			Message: "this entry stops before the request's deadline", RetryAfter: stopRetryAfter,
+		})
+		return
+	}
 	d := newDispatcher(e, fleet, req, newResponse(w, r, e.cfg.Limits))
 	aborted := true
 	defer func() { e.end(req, d.requestEnd, aborted) }()
--- a/internal/serve/burdockhosted/entry.go
+++ b/internal/serve/burdockhosted/entry.go
@@ -3,6 +3,7 @@
 package burdockhosted
 
 import (
+	"context"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -55,9 +56,10 @@
 	// watchCheckInterval leaves half of the time within which a configuration has to be in
 	// force for listing it again.
 	watchCheckInterval = burdockclock.Second
-	// shutdownMargin is the part of the grace time that is reserved for an orderly end of
-	// what is still open.
+	// shutdownMargin is the part of the grace time that is reserved for the end of what is
+	// still open; endTime of it is for writing the last answers.
 	shutdownMargin burdockclock.Millis = 400
+	endTime        burdockclock.Millis = 250
 )
 
 type entry struct {
@@ -89,7 +91,7 @@
 	sharesRates := func() bool { return hasColdRate(site.Now()) || e.entry.RateLimited() }
 	e.presence = newPresence(p.Store, settings.VM, sharesRates, clock, log)
 	e.entry = burdockdirect.New(
-		burdockdirect.Config{DataCentre: settings.DataCentre, GraceMillis: settings.GraceMillis, QuarantineMillis: settings.QuarantineMillis, SharedAdmission: burdockdirect.SharedAdmission(settings.SharedAdmission)},
+		burdockdirect.Config{DataCentre: settings.DataCentre, GraceMillis: settings.GraceMillis - shutdownMargin, QuarantineMillis: settings.QuarantineMillis, SharedAdmission: burdockdirect.SharedAdmission(settings.SharedAdmission)},
 		burdockdirect.Deps{
 			Clock: clock, Site: site, Dialect: p.Dialect, Log: log, Metrics: set, Seed: rand.Uint64(),
 			PublishCrashes: e.publishCrashes, PublishSuspected: e.publishSuspected,
@@ -171,7 +173,8 @@
 //
 // It closes no idle connection, because a request may already be on its way on it, and a
 // planned stop would then fail a caller's request. All connections stay open; each answer
-// asks its caller to close.
+// asks its caller to close. At the end the entry answers what is still open before its
+// connections are closed.
 func (e *entry) Stop() {
 	start := e.clock.Boot()
 	e.log.Info("stopping")
@@ -183,6 +186,7 @@
 		}
 		time.Sleep(idlePollInterval)
 	}
+	idle := e.closeCallers(deadline)
 	if e.room != nil {
 		e.room.close()
 	}
@@ -191,5 +195,21 @@
 	e.crashPublisher.close()
 	e.partNews.publisher.close()
 	e.suspectedPublisher.close()
-	e.log.Info("stopped", zap.Bool("idle", e.entry.Idle()), zap.Int64("tookMillis", int64(e.clock.Boot()-start)))
+	e.log.Info("stopped", zap.Bool("idle", idle), zap.Int64("tookMillis", int64(e.clock.Boot()-start)))
+}
+
+// closeCallers closes the callers' connections: those with a request once it has been answered,
+// at the deadline at the latest. It reports whether all of them have been.
+func (e *entry) closeCallers(deadline burdockclock.Millis) bool {
+	if e.shutdownCallers(deadline-e.clock.Boot()) == nil {
+		return true
+	}
+	e.entry.EndRequests()
+	return e.shutdownCallers(endTime) == nil
+}
+
+func (e *entry) shutdownCallers(wait burdockclock.Millis) error {
+	ctx, cancel := context.WithTimeout(context.Background(), max(wait, 0).Duration())
+	defer cancel()
+	return e.callers.Shutdown(ctx)
 }
--- a/internal/serve/burdockprocess/entry.go
+++ b/internal/serve/burdockprocess/entry.go
@@ -90,7 +90,7 @@
 		return
 	}
 	e.log.Info("stopping")
-	e.entry.Drain()
+	e.entry.Drain(e.clock.Boot() + e.grace)
 	e.callers.Drain()
 	e.drain(e.entry.Idle, e.grace)
 	e.callers.Close(lateRequestGrace.Duration())
