Read all parts of a prompt, and bound what is recorded of them instead

Cause: an entry read the first 64 parts of a prompt and dropped the rest. Prompts of one route begin alike, so the parts that differ were lost first.

The log named the first eight parts only, and names the last eight now.

Fix: all parts are read, in time that grows with their number; a header bounds that. The same silent cut in the evidence is mended: reports of crashes hold the rarest parts, not the first ones; the oldest crashes and weakest suspects make room for new ones; what is dropped is counted and logged. Stored parts no longer hold on to whole headers.

--- a/internal/base/burdockid/id.go
+++ b/internal/base/burdockid/id.go
@@ -5,6 +5,7 @@
 import (
 	"crypto/rand"
 	"encoding/hex"
+	"strings"
 )
 
 // DataCentre names one data centre of a site, such as "gua-hall-a".
@@ -31,6 +32,9 @@
 // PromptPart identifies a part of a prompt that several requests may share.
 type PromptPart string
 
+// Clone returns a copy that doesn't hold on to the memory of a longer string.
+func (p PromptPart) Clone() PromptPart { return PromptPart(strings.Clone(string(p))) }
+
 // IdempotencyKey is a caller's key that identifies repeats of one request.
 type IdempotencyKey string
 
--- a/internal/decide/burdockparts/decide.go
+++ b/internal/decide/burdockparts/decide.go
@@ -39,7 +39,7 @@
 func (t *Tracker) Decide(now burdockclock.Millis) []Key {
 	var candidates []Key
 	for name, s := range t.services {
-		w := &weighing{tracker: t, name: name, now: now, windows: s.windows(), causes: map[*crash]cause{}}
+		w := &weighing{tracker: t, name: name, now: now, windows: s.windows(), startedAt: t.starts.latestAt(name), causes: map[*crash]cause{}}
 		for part, found := range s.suspects {
 			key := Key{name, part}
 			if found.quarantinedAt == 0 && len(found.crashes) >= minCrashes && w.isConvincing(key, found) {
@@ -97,7 +97,9 @@
 	name    burdockid.Service
 	now     burdockclock.Millis
 	windows [][]*crash
-	causes  map[*crash]cause // found so far
+	// startedAt is when the latest unsettled answer began on each part.
+	startedAt map[burdockid.PromptPart]burdockclock.Millis
+	causes    map[*crash]cause // found so far
 }
 
 // cause is what may explain a crash for other parts that were pending.
@@ -117,7 +119,7 @@
 func (w *weighing) isConvincing(key Key, found *suspect) bool {
 	t := w.tracker
 	known := t.isKnown(key, found)
-	startedAt := t.starts.latestAt(key)
+	startedAt := w.startedAt[key.Part]
 	counted := slices.DeleteFunc(slices.Clone(found.crashes), func(c *crash) bool {
 		return c.at <= startedAt || known && w.now-c.at < DecideAfter || w.explained(c, key, known)
 	})
--- a/internal/decide/burdockparts/starts.go
+++ b/internal/decide/burdockparts/starts.go
@@ -11,7 +11,7 @@
 	SettleTime burdockclock.Millis = 500
 	// maxCounted bounds the parts of each of two generations whose answers are counted, and
 	// generationTime is the span of one. Most parts occur once.
-	maxCounted     = 4096
+	maxCounted     = 16384
 	generationTime = burdockclock.Minute
 	// maxUnsettled bounds the answers that have begun less than SettleTime ago.
 	maxUnsettled = 4096
@@ -24,6 +24,8 @@
 	// empty part those of the whole service.
 	latest, previous map[Key]int
 	rotateAt         burdockclock.Millis
+	// dropped is the number of answers that were not counted for want of room.
+	dropped int
 }
 
 // start is an answer that has begun.
@@ -48,7 +50,11 @@
 // AddStart records that an answer has begun at a process. If that hasn't crashed SettleTime
 // later, none of the request's parts is a cause.
 func (t *Tracker) AddStart(now burdockclock.Millis, name burdockid.Service, process Process, parts []burdockid.PromptPart) {
-	if len(parts) > 0 && len(t.starts.unsettled) < maxUnsettled {
+	switch {
+	case len(parts) == 0:
+	case len(t.starts.unsettled) >= maxUnsettled:
+		t.starts.dropped++
+	default:
 		t.starts.unsettled = append(t.starts.unsettled, start{now, process, name, parts})
 	}
 }
@@ -119,25 +125,29 @@
 	s.unsettled = kept
 }
 
-// latestAt returns when the latest unsettled answer on a part began; 0 if there is none.
-func (s *starts) latestAt(key Key) burdockclock.Millis {
-	var at burdockclock.Millis
+// latestAt returns when the latest unsettled answer began on each part of a service.
+func (s *starts) latestAt(name burdockid.Service) map[burdockid.PromptPart]burdockclock.Millis {
+	at := map[burdockid.PromptPart]burdockclock.Millis{}
 	for _, st := range s.unsettled {
-		if st.service != key.Service {
+		if st.service != name {
 			continue
 		}
 		for _, part := range st.parts {
-			if part == key.Part {
-				at = st.at
-			}
+			at[part] = st.at
 		}
 	}
 	return at
 }
 
 func (s *starts) add(key Key) {
-	if _, known := s.latest[key]; known || len(s.latest) < maxCounted {
+	switch _, known := s.latest[key]; {
+	case known:
 		s.latest[key]++
+	case len(s.latest) < maxCounted:
+		key.Part = key.Part.Clone() // the caller's may hold on to the memory of a whole header
+		s.latest[key] = 1
+	default:
+		s.dropped++
 	}
 }
 
--- a/internal/decide/burdockparts/tracker.go
+++ b/internal/decide/burdockparts/tracker.go
@@ -50,10 +50,6 @@
 	// suspicionTTL is how long after its latest crash a part that isn't quarantined is
 	// remembered.
 	suspicionTTL = 5 * burdockclock.Minute
-	// maxCrashes bounds the crashes of a service that are remembered, maxSuspects the parts
-	// that were pending at them.
-	maxCrashes  = 512
-	maxSuspects = 4096
 	// expiryInterval is the time between two removals of what has expired.
 	expiryInterval = burdockclock.Second
 )
@@ -63,6 +59,8 @@
 	services map[burdockid.Service]*service
 	starts   starts
 	expireAt burdockclock.Millis
+	// droppedBefore is what Dropped counts of services that are forgotten.
+	droppedBefore int
 }
 
 // service is what is known of the upstreams of one service.
@@ -71,6 +69,10 @@
 	suspects map[burdockid.PromptPart]*suspect
 	// reportedStarts is the most answers that another entry reported for the service.
 	reportedStarts int
+	// evidence is the number of parts of all crashes, dropped that of those dropped for want of
+	// room.
+	evidence int
+	dropped  int
 }
 
 // crash is a crash with what all entries reported of it.
@@ -83,6 +85,7 @@
 
 // suspect is a part that was pending at crashes.
 type suspect struct {
+	part burdockid.PromptPart
 	// crashes are those since the last time at which the part was known to be harmless.
 	crashes []*crash
 	soundAt burdockclock.Millis // when an answer began on it that crashed nothing
@@ -121,51 +124,50 @@
 	t.starts.drop(reported.Process)
 	s := t.service(reported.Service)
 	c := s.addCrash(reported)
-	if c == nil {
-		return
-	}
 	s.reportedStarts = max(s.reportedStarts, reported.Starts)
 	for _, pending := range reported.Parts {
 		s.addSuspect(c, pending)
 	}
 }
 
-// addCrash returns the crash that is reported, a new one if it isn't known; nil if there are
-// too many.
+// addCrash returns the crash that is reported, a new one if it isn't known.
 func (s *service) addCrash(reported Crash) *crash {
-	c := s.crashes[reported.Process]
-	switch {
-	case c != nil:
+	if c := s.crashes[reported.Process]; c != nil {
 		c.at = min(c.at, reported.At)
 		c.members = max(c.members, reported.Members)
 		return c
-	case len(s.crashes) >= maxCrashes:
-		return nil
 	}
-	c = &crash{process: reported.Process, at: reported.At, members: reported.Members, parts: map[burdockid.PromptPart]bool{}}
+	s.makeRoomForCrash()
+	c := &crash{process: reported.Process, at: reported.At, members: reported.Members, parts: map[burdockid.PromptPart]bool{}}
 	s.crashes[reported.Process] = c
 	return c
 }
 
 func (s *service) addSuspect(c *crash, pending PartStarts) {
-	found := s.suspects[pending.Part]
-	if found == nil && len(s.suspects) >= maxSuspects {
-		return
-	}
-	if found == nil {
-		found = &suspect{}
-		s.suspects[pending.Part] = found
-	}
+	part, found := s.suspect(pending.Part)
 	found.reportedStarts = max(found.reportedStarts, pending.Starts)
-	if c.parts[pending.Part] {
+	if c.parts[part] {
 		return
 	}
-	c.parts[pending.Part] = true
+	c.parts[part] = true
+	s.evidence++
 	if c.at > found.soundAt {
 		found.crashes = append(found.crashes, c)
 	}
 }
 
+// suspect returns a suspect, a new one if the part isn't known. It returns the part as the
+// service keeps it: the caller's may hold on to the memory of a whole header.
+func (s *service) suspect(part burdockid.PromptPart) (burdockid.PromptPart, *suspect) {
+	if found := s.suspects[part]; found != nil {
+		return found.part, found
+	}
+	s.makeRoomForSuspect()
+	found := &suspect{part: part.Clone()}
+	s.suspects[found.part] = found
+	return found.part, found
+}
+
 // AddSound records that an answer began on a part at a time and crashed nothing, as another
 // entry reported it. It reports whether the part is no longer quarantined because of it.
 func (t *Tracker) AddSound(now burdockclock.Millis, key Key, at burdockclock.Millis) (freed bool) {
@@ -174,15 +176,7 @@
 	if now-at > suspicionTTL {
 		return false
 	}
-	s := t.service(key.Service)
-	found := s.suspects[key.Part]
-	if found == nil {
-		if len(s.suspects) >= maxSuspects {
-			return false
-		}
-		found = &suspect{}
-		s.suspects[key.Part] = found
-	}
+	_, found := t.service(key.Service).suspect(key.Part)
 	return t.clear(key, found, at)
 }
 
@@ -229,12 +223,13 @@
 				kept[c] = true
 			}
 		}
-		for process, c := range s.crashes {
+		for _, c := range s.crashes {
 			if !kept[c] && now-c.at > suspicionTTL {
-				delete(s.crashes, process)
+				s.forgetCrash(c)
 			}
 		}
 		if len(s.crashes)+len(s.suspects) == 0 {
+			t.droppedBefore += s.dropped
 			delete(t.services, name)
 		}
 	}
--- a/internal/proof/burdockhostedproof/fatalpart_test.go
+++ b/internal/proof/burdockhostedproof/fatalpart_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -29,6 +30,8 @@
 	// burst the number of requests in each.
 	fatalEvery, burst int
 	random            *rand.Rand
+	// turns is the number of parts that all prompts have before those that differ.
+	turns int
 
 	done    sync.WaitGroup
 	mu      sync.Mutex
@@ -71,13 +74,15 @@
 }
 
 func (l *partLoad) send(e *entry, n int, prompt string, sound bool) {
+	attemptID := prompt
+	prompt = conversation(l.turns) + prompt
 	req, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/my66/%x", e.callers, n), nil)
 	if err != nil {
 		panic(err) // unreachable: the addresses are those of listeners
 	}
 	req.Host = host
 	req.Header.Set("Authorization", "Bearer "+apiKey)
-	req.Header.Set("Burdockbend-Attempt-Id", prompt)
+	req.Header.Set("Burdockbend-Attempt-Id", attemptID)
 	req.Header.Set("Burdockbend-Prompt-Prefix", prompt)
 	req.Header.Set("Burdockbend-Time-Budget-Ms", "1500")
 	r := partReply{sentAt: time.Now()}
@@ -92,6 +97,15 @@
 	}
 }
 
+// conversation returns the parts of a prompt for a number of earlier turns.
+func conversation(turns int) string {
+	var parts strings.Builder
+	for i := range turns {
+		_, _ = fmt.Fprintf(&parts, "%x:20,", 0x1000+i)
+	}
+	return parts.String()
+}
+
 // soundShare returns the share of the sound requests sent between two times that were
 // answered with success, and their number.
 func (l *partLoad) soundShare(from, to time.Time) (share float64, n int) {
@@ -134,11 +148,13 @@
 		fatalEvery, burst int
 		parts             int
 		keepID            bool
+		turns             int
 	}{
 		{name: "one at a time", entries: 2, fatalEvery: 15, burst: 1, parts: 1},
 		{name: "six at once, twelve entries", entries: 12, fatalEvery: 90, burst: 6, parts: 1},
 		{name: "replicas keep their IDs", entries: 4, fatalEvery: 15, burst: 1, parts: 1, keepID: true},
 		{name: "two parts", entries: 4, fatalEvery: 15, burst: 2, parts: 2},
+		{name: "late in long prompts", entries: 4, fatalEvery: 15, burst: 1, parts: 1, turns: 1000},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var fatal []*burdockfakeplatform.FatalPart
@@ -146,7 +162,7 @@
 				fatal = append(fatal, &burdockfakeplatform.FatalPart{ID: fmt.Sprintf("bad%d", i)})
 			}
 			s := startFatalSite(t, c.entries, c.keepID, fatal...)
-			l := &partLoad{site: s, fatal: fatal, fatalEvery: c.fatalEvery, burst: c.burst, random: rand.New(rand.NewPCG(*seedFlag, 5))}
+			l := &partLoad{site: s, fatal: fatal, fatalEvery: c.fatalEvery, burst: c.burst, turns: c.turns, random: rand.New(rand.NewPCG(*seedFlag, 5))}
 			began := time.Now()
 			fatalFrom := began.Add(time.Second)
 			ctx, cancel := context.WithDeadline(context.Background(), began.Add(11*time.Second))
--- a/internal/serve/burdockdirect/examination.go
+++ b/internal/serve/burdockdirect/examination.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net"
-	"slices"
 	"syscall"
 	"time"
 
@@ -26,8 +25,6 @@
 	// examinationWait bounds how long a request waits for the examination of the upstream that
 	// broke its connection. One that refuses connections does so at once.
 	examinationWait = 100 * time.Millisecond
-	// maxReportedParts bounds the parts that an entry reports of one crash.
-	maxReportedParts = 256
 )
 
 // examination determines whether an upstream crashed, after its connections broke while it
@@ -39,9 +36,9 @@
 	// brokeAt is the same time by the clock of the parts' guard.
 	brokeAt  burdockclock.Millis
 	requests []burdockcrash.Digest
-	parts    []burdockid.PromptPart // of requests whose answers may have crashed the upstream
-	reported int                    // parts that were reported
-	broken   int                    // requests whose connections broke
+	parts    pendingParts // of requests whose answers may have crashed the upstream
+	reported int          // parts that were reported
+	broken   int          // requests whose connections broke
 	crashed  bool
 	// dialled is closed once it is known whether the upstream accepts connections.
 	dialled chan struct{}
@@ -90,11 +87,7 @@
 	if req.digest != nil {
 		x.requests = append(x.requests, *req.digest)
 	}
-	for _, part := range req.parts {
-		if len(x.parts) < maxReportedParts && !slices.Contains(x.parts, part) {
-			x.parts = append(x.parts, part)
-		}
-	}
+	x.parts.add(req.parts)
 	if x.crashed {
 		x.recordCrashes()
 	}
@@ -199,12 +192,12 @@
 // request can be the cause. The lock must be held.
 func (x *examination) recordCrashes() {
 	c := x.crashes
-	if len(x.parts) > x.reported {
-		x.reported = len(x.parts)
+	if len(x.parts.all) > x.reported {
+		x.reported = len(x.parts.all)
 		c.parts.crashed(burdockparts.Crash{
 			Process: processOf(x.upstream), Service: x.upstream.Service, At: x.brokeAt,
 			Members: len(c.site.Now().Members(x.upstream.Service)),
-		}, x.parts)
+		}, x.parts.lastFirst())
 	}
 	requests := x.requests
 	x.requests = nil
--- a/internal/serve/burdockdirect/log.go
+++ b/internal/serve/burdockdirect/log.go
@@ -110,9 +110,10 @@
 	o.entry.logEnd(o.req, "offer ended", fields...)
 }
 
-// sharedParts returns the log field that names the first parts of a prompt.
+// sharedParts returns the log field that names the last shared parts of a prompt: prompts of one
+// route begin alike.
 func sharedParts(parts []burdockid.PromptPart) zap.Field {
-	return zap.Strings("sharedParts", partNames(parts[:min(len(parts), maxLoggedParts)]))
+	return zap.Strings("sharedParts", partNames(parts[max(len(parts)-maxLoggedParts, 0):]))
 }
 
 func partNames(parts []burdockid.PromptPart) []string {
--- a/internal/serve/burdockdirect/partguard.go
+++ b/internal/serve/burdockdirect/partguard.go
@@ -37,6 +37,9 @@
 	// maxSettleDelay spreads over time what many entries find out from the same crash, so that
 	// most of them hear it before they would tell it.
 	maxSettleDelay = burdockclock.Second
+	// maxReportedParts bounds the parts that an entry reports of one crash: a record has to fit
+	// into the store, and all entries read it.
+	maxReportedParts = 1024
 	// minPartRetryAfter is the least Retry-After of a request with a quarantined part.
 	minPartRetryAfter = burdockclock.Second
 )
@@ -60,6 +63,10 @@
 	active   map[*partWatch]bool
 	trials   partTrials
 	settling bool // a timer for Settle runs
+	// unreported is the number of parts that were left out of reports of crashes, droppedLogged
+	// that of dropped evidence at the latest line about it.
+	unreported    int
+	droppedLogged int
 }
 
 func newPartGuard(deps Deps, m *meters) *partGuard {
@@ -72,9 +79,31 @@
 		g.news = noPartNews{}
 	}
 	m.set.NewGauge("burdock_direct_quarantined_parts", func() float64 { return float64(g.quarantinedParts()) })
+	m.set.NewGauge("burdock_direct_part_evidence_dropped", func() float64 { return float64(g.droppedEvidence()) })
 	return g
 }
 
+// droppedEvidence returns how much evidence was dropped because there was no room for it.
+func (g *partGuard) droppedEvidence() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.dropped()
+}
+
+// dropped is droppedEvidence with the lock held.
+func (g *partGuard) dropped() int { return g.unreported + g.tracker.Dropped() }
+
+// logDropped writes a line the first time that evidence was dropped, and each time that the
+// amount has doubled. The lock must be held.
+func (g *partGuard) logDropped() {
+	dropped := g.dropped()
+	if dropped == 0 || dropped < 2*g.droppedLogged {
+		return
+	}
+	g.droppedLogged = dropped
+	g.log.Warn("evidence on prompt parts dropped", zap.Int("dropped", dropped), zap.Int("unreported", g.unreported))
+}
+
 func (g *partGuard) now() burdockclock.Millis { return g.clock.Boot() + g.clockOffset }
 
 func (g *partGuard) quarantinedParts() int {
@@ -107,7 +136,9 @@
 func (g *partGuard) crashed(c burdockparts.Crash, parts []burdockid.PromptPart) {
 	g.mu.Lock()
 	g.settleNow()
-	c.Parts, c.Starts = g.tracker.Starts(c.Service, parts)
+	counted, starts := g.tracker.Starts(c.Service, parts)
+	c.Parts, c.Starts = burdockparts.Rarest(counted, maxReportedParts), starts
+	g.unreported += len(parts) - len(c.Parts)
 	g.mu.Unlock()
 	g.addCrashes([]burdockparts.Crash{c})
 	g.news.PublishPartCrash(c)
@@ -124,6 +155,7 @@
 	for _, c := range all {
 		g.tracker.AddCrash(g.now(), c)
 	}
+	g.logDropped()
 	g.decide()
 	time.AfterFunc(burdockparts.DecideAfter.Duration(), g.decideLater)
 	g.scheduleSettle()
