Count the crashes of a request by process, not by upstream ID

Cause: a crash of a known upstream ID was taken for a second report of the same crash. An ID outlives its process; ID and start time name a process, as the detection of prompt parts has it. Both use burdockid.Process now. Crashes without a start time, as entries of an earlier version report them, are one within a second and two otherwise.

Failing before: TestRequestThatCrashesTheOnlyUpstreamIsQuarantined, TestCrashesOfProcessesUnderOneIDCount (by construction: the field did not exist). The line on a crashing request names the start.

Also: a full list of requests took no new ones without a trace; the weakest make room now, counted and logged (TestNewCrashesCountBesideManyRequests).

--- a/internal/decide/burdockcrash/crash.go
+++ b/internal/decide/burdockcrash/crash.go
@@ -5,7 +5,9 @@
 package burdockcrash
 
 import (
+	"bytes"
 	"cmp"
+	"maps"
 	"slices"
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
@@ -14,9 +16,9 @@
 
 // Crash records that a request was running at an upstream when the upstream crashed.
 type Crash struct {
-	Request  Digest
-	Upstream burdockid.Upstream // a restarted upstream has another name
-	At       burdockclock.Millis
+	Request Digest
+	Process burdockid.Process
+	At      burdockclock.Millis
 }
 
 // Config holds the limits of a Tracker. A zero field takes its default.
@@ -39,17 +41,25 @@
 	// or after minCrashes crashes of any kind.
 	minIsolatedCrashes = 2
 	minCrashes         = 3
+	// sameCrashWindow is the time within which crashes of one upstream are the same one, if the
+	// start of its process isn't known: entries see a crash at the same time, and a restart
+	// takes longer.
+	sameCrashWindow burdockclock.Millis = 1000
 )
 
 // Tracker tracks recent crashes and the requests involved.
 type Tracker struct {
 	cfg     Config
 	crashes map[Digest][]Crash
-	// crashedAt is the earliest known time of each upstream's crash.
-	crashedAt    map[burdockid.Upstream]burdockclock.Millis
+	// crashedAt is the earliest known time of each process's crash.
+	crashedAt    map[burdockid.Process]burdockclock.Millis
 	nextExpiryAt burdockclock.Millis
+	dropped      int
 }
 
+// dropDivisor tells which part of the requests makes room for others at a time.
+const dropDivisor = 8
+
 // expiryInterval is the time between two removals of expired crashes.
 const expiryInterval = burdockclock.Second
 
@@ -58,7 +68,7 @@
 	cfg.TTL = cmp.Or(cfg.TTL, defaultTTL)
 	cfg.CorrelationWindow = cmp.Or(cfg.CorrelationWindow, defaultCorrelationWindow)
 	cfg.MaxRequests = cmp.Or(cfg.MaxRequests, defaultMaxRequests)
-	return &Tracker{cfg: cfg, crashes: map[Digest][]Crash{}, crashedAt: map[burdockid.Upstream]burdockclock.Millis{}}
+	return &Tracker{cfg: cfg, crashes: map[Digest][]Crash{}, crashedAt: map[burdockid.Process]burdockclock.Millis{}}
 }
 
 // Add records a crash and reports whether it is new. A time in the future counts as now.
@@ -69,17 +79,44 @@
 		return false
 	}
 	if len(t.crashes[c.Request]) == 0 && len(t.crashes) >= t.cfg.MaxRequests {
-		return false
+		t.dropWeakest()
 	}
 	t.crashes[c.Request] = append(t.crashes[c.Request], c)
-	if at, known := t.crashedAt[c.Upstream]; !known || c.At < at {
-		t.crashedAt[c.Upstream] = c.At
+	if at, known := t.crashedAt[c.Process]; !known || c.At < at {
+		t.crashedAt[c.Process] = c.At
 	}
 	return true
 }
 
+// dropWeakest forgets an eighth of the requests: those with the fewest crashes, and of these the
+// ones whose crashes are the oldest.
+func (t *Tracker) dropWeakest() {
+	ordered := slices.SortedFunc(maps.Keys(t.crashes), func(a, b Digest) int {
+		return cmp.Or(cmp.Compare(len(t.crashes[a]), len(t.crashes[b])), cmp.Compare(latest(t.crashes[a]), latest(t.crashes[b])), bytes.Compare(a[:], b[:]))
+	})
+	for _, d := range ordered[:max(len(ordered)/dropDivisor, 1)] {
+		t.dropped += len(t.crashes[d])
+		delete(t.crashes, d)
+	}
+}
+
+// Dropped returns how many crashes of requests were forgotten to make room for others.
+func (t *Tracker) Dropped() int { return t.dropped }
+
 func (t *Tracker) has(c Crash) bool {
-	return slices.ContainsFunc(t.crashes[c.Request], func(other Crash) bool { return other.Upstream == c.Upstream })
+	return slices.ContainsFunc(t.crashes[c.Request], func(other Crash) bool { return isSameCrash(other, c) })
+}
+
+// isSameCrash reports whether two entries may have seen the same process crash. A process crashes
+// once. One that comes back under the same ID is another one, with a start time of its own.
+func isSameCrash(a, b Crash) bool {
+	switch {
+	case a.Process.Upstream != b.Process.Upstream:
+		return false
+	case a.Process.StartedAt != 0 && b.Process.StartedAt != 0:
+		return a.Process.StartedAt == b.Process.StartedAt
+	}
+	return max(a.At-b.At, b.At-a.At) <= sameCrashWindow
 }
 
 // expire removes crashes that are older than the TTL.
@@ -93,9 +130,9 @@
 			delete(t.crashes, d)
 		}
 	}
-	for u, at := range t.crashedAt {
+	for p, at := range t.crashedAt {
 		if now-at > t.cfg.TTL {
-			delete(t.crashedAt, u)
+			delete(t.crashedAt, p)
 		}
 	}
 }
@@ -137,11 +174,12 @@
 }
 
 // isolated reports whether c has no common cause with crashes elsewhere: within the
-// correlation window, only upstreams that ran the same request crashed.
+// correlation window, only processes that ran the same request crashed.
 func (t *Tracker) isolated(c Crash, sameRequest []Crash) bool {
-	for u, at := range t.crashedAt {
+	for p, at := range t.crashedAt {
+		crash := Crash{Process: p, At: at}
 		correlated := max(at-c.At, c.At-at) <= t.cfg.CorrelationWindow
-		if correlated && !slices.ContainsFunc(sameRequest, func(other Crash) bool { return other.Upstream == u }) {
+		if correlated && !slices.ContainsFunc(sameRequest, func(other Crash) bool { return isSameCrash(other, crash) }) {
 			return false
 		}
 	}
@@ -166,7 +204,7 @@
 		request := CrashingRequest{Digest: d, DigestText: d.String(), QuarantineRemainingMillis: t.QuarantineRemaining(now, d)}
 		ordered := slices.SortedFunc(slices.Values(crashes), func(a, b Crash) int { return cmp.Compare(a.At, b.At) })
 		for _, c := range ordered {
-			request.CrashedUpstreams = append(request.CrashedUpstreams, c.Upstream)
+			request.CrashedUpstreams = append(request.CrashedUpstreams, c.Process.Upstream)
 		}
 		all = append(all, request)
 	}
--- a/internal/decide/burdockcrash/crash_test.go
+++ b/internal/decide/burdockcrash/crash_test.go
@@ -11,6 +11,10 @@
 
 func digest(n int) Digest { return DigestOf("POST", "/a", "acme", fmt.Append(nil, n)) }
 
+func crashOf(d Digest, u burdockid.Upstream, at burdockclock.Millis) Crash {
+	return Crash{Request: d, Process: burdockid.Process{Upstream: u}, At: at}
+}
+
 func wantQuarantine(t *testing.T, tracker *Tracker, what string, now burdockclock.Millis, d Digest, want burdockclock.Millis) {
 	t.Helper()
 	if got := tracker.QuarantineRemaining(now, d); got != want {
@@ -22,31 +26,77 @@
 // a healthy one.
 func TestCrashingRequestIsQuarantinedAfterTwoIsolatedCrashes(t *testing.T) {
 	tracker := New(Config{TTL: 10_000})
-	tracker.Add(1000, Crash{digest(1), "a", 1000})
-	tracker.Add(1000, Crash{digest(2), "a", 1000})
+	tracker.Add(1000, crashOf(digest(1), "a", 1000))
+	tracker.Add(1000, crashOf(digest(2), "a", 1000))
 	wantQuarantine(t, tracker, "after one crash", 1000, digest(1), 0)
-	tracker.Add(1050, Crash{digest(1), "b", 1050})
+	tracker.Add(1050, crashOf(digest(1), "b", 1050))
 	wantQuarantine(t, tracker, "after the second crash", 1050, digest(1), 10_000)
 	wantQuarantine(t, tracker, "other request at the first crash", 1050, digest(2), 0)
-	if tracker.Add(1060, Crash{digest(1), "b", 1055}) {
+	if tracker.Add(1060, crashOf(digest(1), "b", 1055)) {
 		t.Error("crash reported twice is new: got true, want false")
 	}
 	wantQuarantine(t, tracker, "before the TTL ends", 9050, digest(1), 2000)
 	wantQuarantine(t, tracker, "after the TTL", 11_050, digest(1), 0)
 }
 
+// Guards against a request that goes on crashing the only upstream of a service, which comes back
+// under its ID.
+func TestCrashesOfProcessesUnderOneIDCount(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		first, second  burdockclock.Millis // start times of the processes
+		after          burdockclock.Millis
+		wantQuarantine bool
+	}{
+		{"two processes", 100, 4000, 5000, true},
+		{"one process, seen late by another entry", 100, 100, 5000, false},
+		{"one process, seen by an entry that doesn't know its start", 100, 0, 300, false},
+		{"second process, seen by an entry that doesn't know its start", 100, 0, 5000, true},
+		{"starts unknown, at the same time", 0, 0, 300, false},
+		{"starts unknown, one after the other", 0, 0, 5000, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			tracker := New(Config{})
+			now := 1000 + c.after
+			tracker.Add(now, Crash{digest(1), burdockid.Process{Upstream: "a", StartedAt: c.first}, 1000})
+			tracker.Add(now, Crash{digest(1), burdockid.Process{Upstream: "a", StartedAt: c.second}, now})
+			if got := tracker.QuarantineRemaining(now, digest(1)) > 0; got != c.wantQuarantine {
+				t.Errorf("quarantined: got %v, want %v", got, c.wantQuarantine)
+			}
+		})
+	}
+}
+
+// Guards against a request that crashes upstreams unnoticed because others fill the tracker.
+func TestNewCrashesCountBesideManyRequests(t *testing.T) {
+	tracker := New(Config{MaxRequests: 100})
+	for i := range 1000 {
+		tracker.Add(10, crashOf(digest(i), "u", 10))
+	}
+	tracker.Add(2000, crashOf(digest(5000), "v", 2000))
+	for i := range 1000 {
+		tracker.Add(2500, crashOf(digest(10_000+i), "w", 2500))
+	}
+	tracker.Add(4000, crashOf(digest(5000), "x", 4000))
+	tracker.Add(4000, crashOf(digest(5000), "y", 4000))
+	wantQuarantine(t, tracker, "after new crashes", 4000, digest(5000), defaultTTL)
+	if got := tracker.Dropped(); got == 0 {
+		t.Error("dropped crashes: got 0, want some")
+	}
+}
+
 // Healthy requests that were running during two power cuts must not be quarantined.
 func TestCrashingRequestsExcludeThoseOfTwoPowerCuts(t *testing.T) {
 	tracker := New(Config{})
 	for i := range 10 {
 		u := burdockid.Upstream(fmt.Sprint("u", i))
-		tracker.Add(1000, Crash{digest(i), u, 1000})
-		tracker.Add(4000, Crash{digest(i), "again " + u, 4000})
+		tracker.Add(1000, crashOf(digest(i), u, 1000))
+		tracker.Add(4000, crashOf(digest(i), "again "+u, 4000))
 	}
 	for i := range 10 {
 		wantQuarantine(t, tracker, "after two power cuts", 4000, digest(i), 0)
 	}
-	tracker.Add(9000, Crash{digest(3), "c", 9000})
+	tracker.Add(9000, crashOf(digest(3), "c", 9000))
 	wantQuarantine(t, tracker, "after a third crash", 9000, digest(3), defaultTTL)
 }
 
@@ -54,12 +104,12 @@
 func TestTrackerIsBounded(t *testing.T) {
 	tracker := New(Config{MaxRequests: 100, TTL: 1000})
 	for i := range 1000 {
-		tracker.Add(10, Crash{digest(i), "u", 10})
+		tracker.Add(10, crashOf(digest(i), "u", 10))
 	}
 	if got, want := len(tracker.CrashingRequests(10)), 100; got != want {
 		t.Errorf("recorded requests: got %d, want %d", got, want)
 	}
-	tracker.Add(5000, Crash{digest(1), "v", 5000})
+	tracker.Add(5000, crashOf(digest(1), "v", 5000))
 	if got, want := len(tracker.CrashingRequests(5000)), 1; got != want {
 		t.Errorf("recorded requests after the TTL: got %d, want %d", got, want)
 	}
@@ -88,7 +138,7 @@
 			for i, at := range rnd.Perm(upstreams * slots) {
 				for _, u := range down {
 					if at%upstreams == u {
-						tracker.Add(now, Crash{requests[i], burdockid.Upstream(fmt.Sprint(u, " ", now)), now})
+						tracker.Add(now, crashOf(requests[i], burdockid.Upstream(fmt.Sprint(u, " ", now)), now))
 					}
 				}
 			}
--- a/internal/decide/burdockparts/days_test.go
+++ b/internal/decide/burdockparts/days_test.go
@@ -33,7 +33,7 @@
 }
 
 type simUpstream struct {
-	process Process
+	process burdockid.Process
 	downTil burdockclock.Millis
 	running map[*simRequest]bool
 }
@@ -42,7 +42,7 @@
 	entry   int
 	parts   []burdockid.PromptPart
 	fatal   *fatalPart
-	process Process
+	process burdockid.Process
 	began   burdockclock.Millis // 0 before
 }
 
--- a/internal/decide/burdockparts/starts.go
+++ b/internal/decide/burdockparts/starts.go
@@ -31,7 +31,7 @@
 // start is an answer that has begun.
 type start struct {
 	at      burdockclock.Millis
-	process Process
+	process burdockid.Process
 	service burdockid.Service
 	parts   []burdockid.PromptPart
 }
@@ -49,7 +49,7 @@
 
 // AddStart records that an answer has begun at a process. If that hasn't crashed SettleTime
 // later, none of the request's parts is a cause.
-func (t *Tracker) AddStart(now burdockclock.Millis, name burdockid.Service, process Process, parts []burdockid.PromptPart) {
+func (t *Tracker) AddStart(now burdockclock.Millis, name burdockid.Service, process burdockid.Process, parts []burdockid.PromptPart) {
 	switch {
 	case len(parts) == 0:
 	case len(t.starts.unsettled) >= maxUnsettled:
@@ -115,7 +115,7 @@
 }
 
 // drop removes the unsettled answers of a process that has crashed.
-func (s *starts) drop(process Process) {
+func (s *starts) drop(process burdockid.Process) {
 	kept := s.unsettled[:0]
 	for _, st := range s.unsettled {
 		if st.process != process {
--- a/internal/decide/burdockparts/tracker.go
+++ b/internal/decide/burdockparts/tracker.go
@@ -12,13 +12,6 @@
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 )
 
-// Process is one process of an upstream. The one that is started after a crash is another
-// one, also under the same ID.
-type Process struct {
-	Upstream  burdockid.Upstream
-	StartedAt burdockclock.Millis // wall clock; 0 if unknown
-}
-
 // Key names a part of prompts for a service. What crashes one service's upstreams may be
 // harmless at another's.
 type Key struct {
@@ -28,7 +21,7 @@
 
 // Crash is the crash of a process as one entry saw it.
 type Crash struct {
-	Process Process
+	Process burdockid.Process
 	Service burdockid.Service
 	At      burdockclock.Millis // wall clock
 	// Members is the number of the service's upstreams.
@@ -65,7 +58,7 @@
 
 // service is what is known of the upstreams of one service.
 type service struct {
-	crashes  map[Process]*crash
+	crashes  map[burdockid.Process]*crash
 	suspects map[burdockid.PromptPart]*suspect
 	// reportedStarts is the most answers that another entry reported for the service.
 	reportedStarts int
@@ -77,7 +70,7 @@
 
 // crash is a crash with what all entries reported of it.
 type crash struct {
-	process Process
+	process burdockid.Process
 	at      burdockclock.Millis
 	members int
 	parts   map[burdockid.PromptPart]bool
@@ -106,7 +99,7 @@
 func (t *Tracker) service(name burdockid.Service) *service {
 	s := t.services[name]
 	if s == nil {
-		s = &service{crashes: map[Process]*crash{}, suspects: map[burdockid.PromptPart]*suspect{}}
+		s = &service{crashes: map[burdockid.Process]*crash{}, suspects: map[burdockid.PromptPart]*suspect{}}
 		t.services[name] = s
 	}
 	return s
--- a/internal/decide/burdockparts/tracker_test.go
+++ b/internal/decide/burdockparts/tracker_test.go
@@ -10,7 +10,9 @@
 
 const testMembers = 16
 
-func process(n int) Process { return Process{Upstream: burdockid.Upstream(fmt.Sprint("u", n))} }
+func process(n int) burdockid.Process {
+	return burdockid.Process{Upstream: burdockid.Upstream(fmt.Sprint("u", n))}
+}
 
 func crashOf(n int, at burdockclock.Millis, parts ...burdockid.PromptPart) Crash {
 	c := Crash{Process: process(n), Service: "s", At: at, Members: testMembers}
--- a/internal/serve/burdockdirect/crashes.go
+++ b/internal/serve/burdockdirect/crashes.go
@@ -7,7 +7,6 @@
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/decide/burdockcrash"
-	"burdockbend.example/burdockbend/internal/decide/burdockparts"
 	"burdockbend.example/burdockbend/internal/state/burdocksite"
 	"go.uber.org/zap"
 )
@@ -37,18 +36,28 @@
 
 	mu           sync.Mutex
 	tracker      *burdockcrash.Tracker
-	examinations map[burdockparts.Process]*examination
-	// crashedAt holds when upstreams crashed recently.
-	crashedAt map[burdockid.Upstream]burdockclock.Millis
+	examinations map[burdockid.Process]*examination
+	// crashedAt holds when processes crashed recently.
+	crashedAt map[burdockid.Process]burdockclock.Millis
+	// droppedLogged is the number of dropped crashes at the latest line about them.
+	droppedLogged int
 }
 
 func newCrashDetector(deps Deps, ttl burdockclock.Millis, parts *partGuard) *crashDetector {
-	return &crashDetector{
+	c := &crashDetector{
 		parts: parts,
 		clock: deps.Clock, site: deps.Site, log: deps.Log, publish: deps.PublishCrashes,
 		tracker:      burdockcrash.New(burdockcrash.Config{TTL: ttl}),
-		examinations: map[burdockparts.Process]*examination{}, crashedAt: map[burdockid.Upstream]burdockclock.Millis{},
+		examinations: map[burdockid.Process]*examination{}, crashedAt: map[burdockid.Process]burdockclock.Millis{},
 	}
+	deps.Metrics.NewGauge("burdock_direct_crash_evidence_dropped", func() float64 { return float64(c.droppedEvidence()) })
+	return c
+}
+
+func (c *crashDetector) droppedEvidence() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tracker.Dropped()
 }
 
 // digest identifies a request by its content, whatever its ID.
@@ -89,13 +98,25 @@
 	if !c.tracker.Add(now, crash) {
 		return false
 	}
+	c.logDropped()
 	if left := c.tracker.QuarantineRemaining(now, crash.Request); left > 0 {
 		c.log.Warn("request crashes upstreams", zap.Stringer("request", crash.Request),
-			zap.String("upstream", string(crash.Upstream)), zap.Int64("keptMillis", int64(left)))
+			zap.String("upstream", string(crash.Process.Upstream)), zap.Int64("startedAtMillis", int64(crash.Process.StartedAt)), zap.Int64("keptMillis", int64(left)))
 	}
 	return true
 }
 
+// logDropped writes a line the first time that crashes were forgotten for want of room, and each
+// time that their number has doubled. The lock must be held.
+func (c *crashDetector) logDropped() {
+	dropped := c.tracker.Dropped()
+	if dropped == 0 || dropped < 2*c.droppedLogged {
+		return
+	}
+	c.droppedLogged = dropped
+	c.log.Warn("crashes of requests dropped", zap.Int("dropped", dropped))
+}
+
 // isMassCrash reports whether a large part of a service's upstreams crashed at the same
 // time.
 func (c *crashDetector) isMassCrash(service burdockid.Service, at burdockclock.Millis) bool {
@@ -110,7 +131,7 @@
 
 // expireCrashes forgets when upstreams crashed that no longer counts. The lock must be held.
 func (c *crashDetector) expireCrashes(now burdockclock.Millis) {
-	maps.DeleteFunc(c.crashedAt, func(_ burdockid.Upstream, at burdockclock.Millis) bool { return now-at > stallUntil })
+	maps.DeleteFunc(c.crashedAt, func(_ burdockid.Process, at burdockclock.Millis) bool { return now-at > stallUntil })
 }
 
 // mayBeStall reports whether a stream that broke off after a long silence may have done so
--- a/internal/serve/burdockdirect/crashes_test.go
+++ b/internal/serve/burdockdirect/crashes_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/decide/burdockcrash"
 )
 
@@ -35,6 +36,8 @@
 	fixtures []*fixture
 	mu       sync.Mutex
 	crashes  int // of upstreams
+	starts   int
+	keepID   bool // a new upstream has the ID of the one before
 }
 
 func newCrashFleet(t *testing.T, entries, upstreams int) *crashFleet {
@@ -71,8 +74,12 @@
 		kill()
 		panic(http.ErrAbortHandler)
 	})
+	f.starts++
 	for _, fixture := range f.fixtures {
-		fixture.put(u)
+		if f.keepID {
+			fixture.upstreams = 0
+		}
+		fixture.putStarted(u, burdockclock.Millis(f.starts))
 	}
 }
 
@@ -110,6 +117,26 @@
 	}
 }
 
+// Guards against a request that goes on crashing the only upstream of a service, which comes back
+// under its ID.
+func TestRequestThatCrashesTheOnlyUpstreamIsQuarantined(t *testing.T) {
+	f := newCrashFleet(t, 2, 0)
+	f.keepID = true
+	for i := range 8 {
+		f.startUpstream(t)
+		f.fixtures[i%2].send(t, context.Background(), "/again/crash", nil)
+		time.Sleep(examinationWait)
+	}
+	if got, limit := f.crashed(), 3; got > limit {
+		t.Errorf("crashes: got %d, want at most %d", got, limit)
+	}
+	for i, fixture := range f.fixtures {
+		if got := fixture.send(t, context.Background(), "/again/sound", nil); got.status != http.StatusOK {
+			t.Errorf("a harmless request at entry %d: got status %d, want 200", i, got.status)
+		}
+	}
+}
+
 // Guards against quarantining harmless requests whose connections break while the
 // upstreams stay alive.
 func TestBrokenConnectionAloneIsNoCrash(t *testing.T) {
--- a/internal/serve/burdockdirect/examination.go
+++ b/internal/serve/burdockdirect/examination.go
@@ -183,7 +183,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	x.crashed = true
-	c.crashedAt[x.upstream.ID] = x.startedAt
+	c.crashedAt[processOf(x.upstream)] = x.startedAt
 	x.recordCrashes()
 }
 
@@ -206,7 +206,7 @@
 	}
 	var added []burdockcrash.Crash
 	for _, d := range requests {
-		crash := burdockcrash.Crash{Request: d, Upstream: x.upstream.ID, At: x.startedAt}
+		crash := burdockcrash.Crash{Request: d, Process: processOf(x.upstream), At: x.startedAt}
 		if c.add(c.clock.Now(), crash) {
 			added = append(added, crash)
 		}
--- a/internal/serve/burdockdirect/fixture_test.go
+++ b/internal/serve/burdockdirect/fixture_test.go
@@ -161,11 +161,15 @@
 }
 
 // put adds an upstream; the first is named u0.
-func (f *fixture) put(u *upstream) {
+func (f *fixture) put(u *upstream) { f.putStarted(u, 0) }
+
+// putStarted is put for an upstream whose start time is known.
+func (f *fixture) putStarted(u *upstream, startedAt burdockclock.Millis) {
 	name := fmt.Sprint("u", f.upstreams)
 	f.upstreams++
 	f.site.PutUpstream(burdocksite.Upstream{
 		ID: burdockid.Upstream(name), Service: "s", Address: strings.TrimPrefix(u.server.URL, "http://"), DataCentre: "a", Slots: 4,
+		StartedAt: startedAt,
 	})
 }
 
--- a/internal/serve/burdockdirect/partguard.go
+++ b/internal/serve/burdockdirect/partguard.go
@@ -261,8 +261,8 @@
 }
 
 // processOf returns the process that a record is of.
-func processOf(u burdocksite.Upstream) burdockparts.Process {
-	return burdockparts.Process{Upstream: u.ID, StartedAt: u.StartedAt}
+func processOf(u burdocksite.Upstream) burdockid.Process {
+	return burdockid.Process{Upstream: u.ID, StartedAt: u.StartedAt}
 }
 
 // AddPartCrashes adds the crashes that other entries reported.
--- a/internal/serve/burdockdirect/partguard_test.go
+++ b/internal/serve/burdockdirect/partguard_test.go
@@ -26,7 +26,7 @@
 	var all []burdockparts.Crash
 	for i := range n {
 		all = append(all, burdockparts.Crash{
-			Process: burdockparts.Process{Upstream: burdockid.Upstream(fmt.Sprint("gone", i))}, Service: "s",
+			Process: burdockid.Process{Upstream: burdockid.Upstream(fmt.Sprint("gone", i))}, Service: "s",
 			At: e.parts.now() - burdockclock.Millis(n-i)*burdockclock.Second, Members: 16,
 			Parts: []burdockparts.PartStarts{{Part: part}, {Part: "c0", Starts: 100}}, Starts: 100,
 		})
@@ -180,7 +180,7 @@
 	var all []burdockparts.Crash
 	for i := range 6 {
 		all = append(all, burdockparts.Crash{
-			Process: burdockparts.Process{Upstream: burdockid.Upstream(fmt.Sprint("gone", i))}, Service: "s",
+			Process: burdockid.Process{Upstream: burdockid.Upstream(fmt.Sprint("gone", i))}, Service: "s",
 			At: f.entry.parts.now(), Members: 16, Parts: []burdockparts.PartStarts{{Part: "bad"}}, Starts: 100,
 		})
 	}
--- a/internal/serve/burdockhosted/crash.go
+++ b/internal/serve/burdockhosted/crash.go
@@ -1,7 +1,9 @@
 package burdockhosted
 
 import (
+	"cmp"
 	"encoding/json"
+	"fmt"
 	"strings"
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
@@ -12,25 +14,29 @@
 )
 
 // prefixCrash is the prefix of the keys that report which requests were running at an
-// upstream when it crashed. Each key consists of the prefix, the request's digest, "/"
-// and the upstream's id.
+// upstream when it crashed. Each key consists of the prefix, the request's digest, "/", the
+// upstream's id, "@" and the start time of its process.
 const prefixCrash = prefixNotifications + "crash/"
 
 // crashRecord is the value of a key under prefixCrash.
 type crashRecord struct {
 	AtMillis burdockclock.Millis `json:"atMillis"` // wall clock
+	// Upstream is empty in the records of older entries, whose keys end with it.
+	Upstream        burdockid.Upstream  `json:"upstream"`
+	StartedAtMillis burdockclock.Millis `json:"startedAtMillis"` // wall clock; 0 if unknown
 }
 
 // publishCrashes reports crashes to the other entries.
 func (e *entry) publishCrashes(all []burdockcrash.Crash) {
 	var puts []burdockkv.Put
 	for _, c := range all {
-		value, err := json.Marshal(crashRecord{AtMillis: c.At})
+		value, err := json.Marshal(crashRecord{AtMillis: c.At, Upstream: c.Process.Upstream, StartedAtMillis: c.Process.StartedAt})
 		if err != nil {
 			e.log.Error("failed to encode a crash", zap.Error(err))
 			continue
 		}
-		puts = append(puts, burdockkv.Put{Key: prefixCrash + c.Request.String() + "/" + string(c.Upstream), Value: value})
+		key := fmt.Sprintf("%s%s/%s@%d", prefixCrash, c.Request, c.Process.Upstream, c.Process.StartedAt)
+		puts = append(puts, burdockkv.Put{Key: key, Value: value})
 	}
 	e.crashPublisher.publish(puts)
 }
@@ -60,5 +66,6 @@
 	if err := json.Unmarshal(item.Value, &rec); err != nil {
 		return burdockcrash.Crash{}, err
 	}
-	return burdockcrash.Crash{Request: digest, Upstream: burdockid.Upstream(upstream), At: rec.AtMillis}, nil
+	process := burdockid.Process{Upstream: cmp.Or(rec.Upstream, burdockid.Upstream(upstream)), StartedAt: rec.StartedAtMillis}
+	return burdockcrash.Crash{Request: digest, Process: process, At: rec.AtMillis}, nil
 }
--- a/internal/serve/burdockhosted/notifications_test.go
+++ b/internal/serve/burdockhosted/notifications_test.go
@@ -60,7 +60,7 @@
 func TestPublishedCrashIsReadBack(t *testing.T) {
 	store := newFakeKV()
 	e := &entry{log: zap.NewNop(), crashPublisher: newTestPublisher(store)}
-	want := burdockcrash.Crash{Request: burdockcrash.DigestOf("POST", "/a", "acme", []byte("x")), Upstream: "u", At: 7}
+	want := burdockcrash.Crash{Request: burdockcrash.DigestOf("POST", "/a", "acme", []byte("x")), Process: burdockid.Process{Upstream: "u@x", StartedAt: 5}, At: 7}
 	e.publishCrashes([]burdockcrash.Crash{want})
 	e.crashPublisher.writeAll()
 	items, _, _ := store.List(context.Background(), prefixCrash, burdockkv.ReadLatest)
@@ -72,6 +72,17 @@
 	}
 }
 
+// Guards against crashes that don't count because an older entry, which names no start time,
+// reports them.
+func TestCrashRecordOfAnOlderEntryIsRead(t *testing.T) {
+	digest := burdockcrash.DigestOf("POST", "/a", "acme", []byte("x"))
+	got := readCrashes([]burdockkv.Item{{Key: prefixCrash + digest.String() + "/u", Value: []byte(`{"atMillis":7}`)}}, zap.NewNop())
+	want := []burdockcrash.Crash{{Request: digest, Process: burdockid.Process{Upstream: "u"}, At: 7}}
+	if !slices.Equal(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
+
 // A suspected upstream must not be reported again whenever another key under the prefix
 // changes.
 func TestSuspectedUpstreamIsReportedOncePerWrite(t *testing.T) {
--- a/internal/serve/burdockhosted/partnews.go
+++ b/internal/serve/burdockhosted/partnews.go
@@ -135,7 +135,7 @@
 	var crashes []burdockparts.Crash
 	for _, rec := range decodeFresh[partCrashRecord](&r.crashes, byPrefix[prefixPartCrash], r.log) {
 		crashes = append(crashes, burdockparts.Crash{
-			Process: burdockparts.Process{Upstream: rec.Upstream, StartedAt: rec.StartedAtMillis}, Service: rec.Service,
+			Process: burdockid.Process{Upstream: rec.Upstream, StartedAt: rec.StartedAtMillis}, Service: rec.Service,
 			At: rec.AtMillis, Members: rec.Members, Parts: rec.Parts, Starts: rec.Starts,
 		})
 	}
--- a/internal/serve/burdockhosted/partnews_test.go
+++ b/internal/serve/burdockhosted/partnews_test.go
@@ -47,7 +47,7 @@
 	now := burdockclock.System().Now()
 	for i, u := range upstreams {
 		n.news.PublishPartCrash(burdockparts.Crash{
-			Process: burdockparts.Process{Upstream: u, StartedAt: 5}, Service: "s",
+			Process: burdockid.Process{Upstream: u, StartedAt: 5}, Service: "s",
 			At: now - burdockclock.Millis(len(upstreams)-i)*burdockclock.Second, Members: 16,
 			Parts: []burdockparts.PartStarts{{Part: "bad"}}, Starts: 100,
 		})
