Offers of a request that may run only once share no connection

Cause: a response was taken for that to the latest offer if it named the request. Two offers of a request bear the same ID, so a late second copy of a refusal was taken for the response to the next offer on the same connection, which had begun to run; the request was offered once more.

"offer ended" tells now whether the connection was a kept one.

Fix: a copy comes on the connection of its original, so further offers of such a request open one of their own, and so does any offer of a request without an ID. A refusal that names no request is not believed on a kept connection for a request that may run once.

--- a/internal/serve/burdockdirect/attempt.go
+++ b/internal/serve/burdockdirect/attempt.go
@@ -25,6 +25,10 @@
 	gotFirstEvent bool // a stream had its first event
 	status        int  // of the response; 0 if there was none
 	fromUpstream  bool // the upstream itself created the response
+	// earlier is the number of offers of the request before this one.
+	earlier int
+	// reused reports that the connection has carried another offer before.
+	reused atomic.Bool
 }
 
 // bufferedAnswer is an answer that has been read to its end.
@@ -39,6 +43,7 @@
 	var sent atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		sent.Store(true)
+		a.reused.Store(info.Reused)
 		if !info.Reused {
 			a.offers.entry.meters.connections.Inc()
 		}
@@ -54,7 +59,7 @@
 		defer close(w.done)
 		go w.run()
 	}
-	res, err := a.offers.entry.client.Do(a.upstreamRequest().WithContext(ctx))
+	res, err := a.offers.entry.upstreams.forOffer(a.offers.req, a.earlier).Do(a.upstreamRequest().WithContext(ctx))
 	switch {
 	case err == nil:
 		return a.handleResponse(ctx, cancel, res)
@@ -133,9 +138,8 @@
 	defer func() { _ = res.Body.Close() }()
 	head := a.offers.entry.deps.Dialect.ParseResponse(res.StatusCode, res.Header)
 	a.status, a.fromUpstream = res.StatusCode, head.FromUpstream
-	if head.RequestID != a.offers.req.ID && (head.RequestID != "" || !head.NotRun) {
-		// The connection carries the response to another request. With the body
-		// unread, it is closed and not used again.
+	if !a.isOwnResponse(head) {
+		// With the body unread, the connection is closed and not used again.
 		return unknown{reason: "the answer is for another request"}
 	}
 	a.recordStated(head)
@@ -161,6 +165,16 @@
 	return a.bufferAnswer(ctx, res)
 }
 
+// isOwnResponse reports whether a response is the one to this offer, as far as can be told. A
+// refusal without an ID may be a late copy of one that the connection has carried before; a
+// request that may run only once needs to know.
+func (a *attempt) isOwnResponse(head ResponseHeaders) bool {
+	if head.RequestID == a.offers.req.ID {
+		return true
+	}
+	return head.RequestID == "" && head.NotRun && (a.offers.req.route.Repeatable() || !a.reused.Load())
+}
+
 // handleRefusal evaluates a refusal.
 //
 // An engine that refuses although it has free slots is not idle: its group is closed. If
--- a/internal/serve/burdockdirect/entry.go
+++ b/internal/serve/burdockdirect/entry.go
@@ -8,11 +8,8 @@
 
 import (
 	"context"
-	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
@@ -20,7 +17,6 @@
 	"burdockbend.example/burdockbend/internal/decide/burdocksharedrate"
 	"burdockbend.example/burdockbend/internal/decide/burdockspeed"
 	"burdockbend.example/burdockbend/internal/state/burdocksite"
-	"burdockbend.example/burdockbend/internal/wire/burdocktransport"
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 )
@@ -66,10 +62,10 @@
 
 // Entry is the http.Handler that serves callers.
 type Entry struct {
-	cfg    Config
-	deps   Deps
-	client *http.Client
-	meters *meters
+	cfg       Config
+	deps      Deps
+	upstreams upstreamClients
+	meters    *meters
 	// crashes detects the requests that crash upstreams.
 	crashes *crashDetector
 	// parts keeps requests with a part that crashes upstreams from those.
@@ -94,60 +90,18 @@
 	entries burdocksharedrate.Entries
 }
 
-const (
-	// upstreamDialTimeout bounds the opening of a connection, at some two hundred times
-	// the latency between data centres. An upstream that takes longer is unreachable, and
-	// since nothing was sent, another one can still answer in time.
-	upstreamDialTimeout = 400 * time.Millisecond
-	// upstreamIdleTimeout is how long an unused connection is kept. Upstreams close theirs
-	// after seconds, and if that happens while a request is on its way, the request's
-	// outcome is unknown.
-	upstreamIdleTimeout = 3 * time.Second
-	// maxIdlePerUpstream is the number of idle connections kept for one upstream: as many
-	// as one entry uses there at a time during a burst.
-	maxIdlePerUpstream = 16
-)
-
 // New returns an entry that has no pools yet.
 func New(cfg Config, deps Deps) *Entry {
 	e := &Entry{cfg: cfg, deps: deps, complete: make(chan struct{}), pools: map[burdockid.Service]*pool{}, meters: newMeters(deps.Metrics)}
 	e.ending, e.endRequests = context.WithCancel(context.Background())
 	e.parts = newPartGuard(deps, e.meters)
 	e.crashes = newCrashDetector(deps, cfg.QuarantineMillis, e.parts)
-	e.client = &http.Client{
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-		Transport: burdocktransport.NewOnce(&http.Transport{
-			DialContext:         dialUpstream,
-			MaxIdleConnsPerHost: maxIdlePerUpstream,
-			IdleConnTimeout:     upstreamIdleTimeout,
-			DisableCompression:  true,
-		}),
-	}
+	e.upstreams = newUpstreamClients()
 	e.entries.ClockOffset = deps.Clock.Now() - deps.Clock.Boot()
 	e.noteComplete(deps.Site.Now())
 	return e
 }
 
-// dialUpstream connects to an upstream so that closing the connection discards what has
-// not arrived.
-//
-// If a caller leaves while its request waits in the buffers of a frozen VM, the upstream
-// would otherwise get the request when the VM wakes, seconds after anybody wanted the
-// answer. Answers are read to their end before a connection is closed in order, so nothing
-// that is wanted is lost.
-func dialUpstream(ctx context.Context, network, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: upstreamDialTimeout}
-	conn, err := dialer.DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
-	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
-		// Without it, the connection is merely closed later.
-		_ = tcp.SetLinger(0)
-	}
-	return conn, nil
-}
-
 // Ready returns why the entry should get no new connections; "" if it should.
 func (e *Entry) Ready() string {
 	switch {
--- a/internal/serve/burdockdirect/log.go
+++ b/internal/serve/burdockdirect/log.go
@@ -100,6 +100,7 @@
 	fields := []zap.Field{zap.String("outcome", string(outcome)), zap.String("cause", cause),
 		zap.Int("status", att.status), zap.Bool("fromUpstream", att.fromUpstream),
 		zap.String("upstream", string(att.target.ID)), zap.String("placed", string(reason)), zap.Int("offers", o.sent+o.unreached+1),
+		zap.Bool("keptConnection", att.reused.Load()),
 		zap.Int64("waitMillis", int64(o.admittedAt-o.req.arrived)), zap.Int64("firstEventMillis", int64(o.firstEventTime)),
 		zap.Int64("offerMillis", int64(took)), zap.Int("events", o.eventCount), zap.Int64("longestPauseMillis", int64(o.maxEventGap)),
 		zap.Int("running", load.Running), zap.Int("waiting", load.Queued), zap.Int("limit", load.Slots),
--- a/internal/serve/burdockdirect/offers.go
+++ b/internal/serve/burdockdirect/offers.go
@@ -21,6 +21,7 @@
 	pool      *pool
 	req       *request
 	caller    *caller
+	offered   int // offers so far, whatever became of them
 	sent      int // offers that an upstream may have received
 	unreached int
 	excluded  map[burdockid.Upstream]bool
@@ -134,7 +135,8 @@
 			return false
 		}
 		began := o.entry.now()
-		att := &attempt{offers: o, target: target, startedAt: began}
+		att := &attempt{offers: o, target: target, startedAt: began, earlier: o.offered}
+		o.offered++
 		res := att.run(ctx)
 		o.pool.offerEnded(o.entry.now(), target.ID, o.req.cost)
 		o.observe(target, res, began)
--- /dev/null
+++ b/internal/serve/burdockdirect/upstreamclients.go
@@ -0,0 +1,80 @@
+package burdockdirect
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"burdockbend.example/burdockbend/internal/wire/burdocktransport"
+)
+
+const (
+	// upstreamDialTimeout bounds the opening of a connection, at some two hundred times
+	// the latency between data centres. An upstream that takes longer is unreachable, and
+	// since nothing was sent, another one can still answer in time.
+	upstreamDialTimeout = 400 * time.Millisecond
+	// upstreamIdleTimeout is how long an unused connection is kept. Upstreams close theirs
+	// after seconds, and if that happens while a request is on its way, the request's
+	// outcome is unknown.
+	upstreamIdleTimeout = 3 * time.Second
+	// maxIdlePerUpstream is the number of idle connections kept for one upstream: as many
+	// as one entry uses there at a time during a burst.
+	maxIdlePerUpstream = 16
+)
+
+// upstreamClients are the HTTP clients by which offers reach upstreams.
+type upstreamClients struct {
+	// kept keeps connections and uses them again, fresh opens one for each offer.
+	kept, fresh *http.Client
+}
+
+func newUpstreamClients() upstreamClients {
+	return upstreamClients{kept: newUpstreamClient(false), fresh: newUpstreamClient(true)}
+}
+
+func newUpstreamClient(fresh bool) *http.Client {
+	return &http.Client{
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		Transport: burdocktransport.NewOnce(&http.Transport{
+			DialContext:         dialUpstream,
+			MaxIdleConnsPerHost: maxIdlePerUpstream,
+			IdleConnTimeout:     upstreamIdleTimeout,
+			DisableKeepAlives:   fresh,
+			DisableCompression:  true,
+		}),
+	}
+}
+
+// forOffer returns the client for an offer of a request, of which earlier ones were made.
+//
+// A response names its request and not its offer. On a connection that has carried an offer of the
+// request, a late second copy of its refusal would be taken for the response to the next one,
+// which runs; the request would then run twice. A request without an ID can't be told from any
+// other one.
+func (c upstreamClients) forOffer(req *request, earlier int) *http.Client {
+	if req.ID == "" || earlier > 0 && !req.route.Repeatable() {
+		return c.fresh
+	}
+	return c.kept
+}
+
+// dialUpstream connects to an upstream so that closing the connection discards what has
+// not arrived.
+//
+// If a caller leaves while its request waits in the buffers of a frozen VM, the upstream
+// would otherwise get the request when the VM wakes, seconds after anybody wanted the
+// answer. Answers are read to their end before a connection is closed in order, so nothing
+// that is wanted is lost.
+func dialUpstream(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: upstreamDialTimeout}
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		// Without it, the connection is merely closed later.
+		_ = tcp.SetLinger(0)
+	}
+	return conn, nil
+}
