Bound what an entry holds of upstreams' answers, all together

Callers would see: an entry that runs out of memory, or requests that wait for an upstream which sends without end until their deadline, though others could serve them.

Cause: a bound of 16 MiB for each answer and net/http's of 10 MiB for each head, for each request by itself: the number of requests multiplies them. A refusal's body was read to its end while its request waited.

Fix: one budget for all answers and incomplete events, a fifth of the process's memory; the first 64 KiB of each are free. Heads, interim ones included, are bounded to 64 KiB at every client. The body of a refusal has 50 ms. An event that is too long breaks the stream off, which may be resumed, instead of ending it.

--- a/internal/external/burdockengine/grouphttp.go
+++ b/internal/external/burdockengine/grouphttp.go
@@ -99,8 +99,9 @@
 		client: &http.Client{
 			Timeout: groupTimeout,
 			Transport: burdocktransport.NewOnce(&http.Transport{
-				DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
-				IdleConnTimeout: idleTimeout,
+				MaxResponseHeaderBytes: burdocktransport.MaxResponseHeader,
+				DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+				IdleConnTimeout:        idleTimeout,
 			}),
 		},
 	}
--- a/internal/external/burdockengine/http.go
+++ b/internal/external/burdockengine/http.go
@@ -34,10 +34,11 @@
 		address: address,
 		base:    "http://" + address,
 		transport: burdocktransport.NewOnce(&http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			MaxIdleConnsPerHost: maxIdleConns,
-			IdleConnTimeout:     idleTimeout,
-			DisableCompression:  true, // bodies pass through unchanged
+			MaxResponseHeaderBytes: burdocktransport.MaxResponseHeader,
+			DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			MaxIdleConnsPerHost:    maxIdleConns,
+			IdleConnTimeout:        idleTimeout,
+			DisableCompression:     true, // bodies pass through unchanged
 		}),
 	}
 }
--- a/internal/external/burdockstore/http.go
+++ b/internal/external/burdockstore/http.go
@@ -40,9 +40,10 @@
 // the first time would be reported as a conflict with itself.
 func NewHTTP(addresses []string) Store {
 	client := &http.Client{Transport: burdocktransport.NewOnce(&http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		IdleConnTimeout:     idleTimeout,
-		MaxIdleConnsPerHost: 2,
+		MaxResponseHeaderBytes: burdocktransport.MaxResponseHeader,
+		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		IdleConnTimeout:        idleTimeout,
+		MaxIdleConnsPerHost:    2,
 	})}
 	return &httpStore{client: client, addresses: addresses}
 }
--- a/internal/serve/burdockdirect/attempt.go
+++ b/internal/serve/burdockdirect/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"mime"
 	"net/http"
@@ -12,11 +13,9 @@
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/state/burdocksite"
+	"github.com/joomcode/errorx"
 )
 
-// maxBufferedAnswer bounds an answer that is read completely before it is passed on.
-const maxBufferedAnswer = 16 << 20
-
 // attempt is one offer to one upstream.
 type attempt struct {
 	offers        *offers
@@ -35,7 +34,7 @@
 type bufferedAnswer struct {
 	status int
 	header http.Header
-	body   []byte
+	body   answerBody
 }
 
 // run makes the offer and passes the answer on.
@@ -144,7 +143,7 @@
 	}
 	a.recordStated(head)
 	if head.NotRun {
-		_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, maxRefusalBody))
+		discardRefusal(res.Body, cancel)
 		return a.handleRefusal(res.StatusCode, head)
 	}
 	a.offers.pool.reportLoad(a.offers.entry.now(), a.target.ID, head.Load)
@@ -193,9 +192,23 @@
 	return refusal
 }
 
-// maxRefusalBody bounds how much of a refusal's body is read so that its connection can be
-// reused.
-const maxRefusalBody = 64 << 10
+const (
+	// maxRefusalBody and refusalBodyTimeout bound how much of a refusal's body is read, and for
+	// how long, so that its connection can be used again.
+	maxRefusalBody     = 64 << 10
+	refusalBodyTimeout = 50 * time.Millisecond
+)
+
+// errRefusalTrickles is the cancel cause of an offer whose refusal has a body that doesn't end.
+var errRefusalTrickles = errors.New("the body of the refusal doesn't end")
+
+// discardRefusal reads the body of a refusal. The request waits for that, so a body that doesn't
+// end is given up, and its connection closed.
+func discardRefusal(body io.Reader, cancel context.CancelCauseFunc) {
+	timer := time.AfterFunc(refusalBodyTimeout, func() { cancel(errRefusalTrickles) })
+	defer timer.Stop()
+	_, _ = io.Copy(io.Discard, io.LimitReader(body, maxRefusalBody))
+}
 
 // claimsNotRun reports whether a status tells callers that the request has not run.
 func claimsNotRun(status int) bool {
@@ -214,21 +227,25 @@
 // bufferAnswer reads an answer to its end before any of it is passed on, so that the
 // request can be offered again if the answer breaks off.
 func (a *attempt) bufferAnswer(ctx context.Context, res *http.Response) result {
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxBufferedAnswer+1))
+	ans := &bufferedAnswer{status: res.StatusCode, header: res.Header, body: answerBody{held: heldBytes{budget: a.offers.entry.answers}}}
+	err := ans.body.read(res.Body, res.ContentLength)
+	if err != nil {
+		ans.body.held.release()
+	}
 	switch {
+	case errorx.IsOfType(err, errTooLong):
+		return unknown{reason: "the answer is too long: " + err.Error()}
 	case err != nil && cancelledLocally(ctx):
 		return unknown{reason: context.Cause(ctx).Error()}
 	case err != nil && ctx.Err() != nil:
 		return ended{}
 	case err != nil:
 		return unknown{reason: "the answer broke off: " + err.Error(), connectionBroke: true}
-	case len(body) > maxBufferedAnswer:
-		return unknown{reason: "the answer is too long"}
 	}
-	ans := &bufferedAnswer{status: res.StatusCode, header: res.Header, body: body}
 	if res.StatusCode >= http.StatusInternalServerError && a.offers.req.route.Repeatable() {
 		return unknown{reason: http.StatusText(res.StatusCode), errorAnswer: ans}
 	}
+	defer ans.body.held.release()
 	a.offers.watch.answerBegan(a.target)
 	a.offers.caller.writeBuffered(ans)
 	return answered{}
@@ -236,7 +253,7 @@
 
 // writeBuffered writes an answer that was read to its end.
 func (c *caller) writeBuffered(ans *bufferedAnswer) {
-	c.writeHead(ans.status, ans.header, int64(len(ans.body)))
+	c.writeHead(ans.status, ans.header, ans.body.length())
 	// The request has run, whether or not its caller is still there.
-	_, _ = c.w.Write(ans.body)
+	_ = ans.body.writeTo(c.w)
 }
--- a/internal/serve/burdockdirect/entry.go
+++ b/internal/serve/burdockdirect/entry.go
@@ -33,6 +33,9 @@
 	// BodyTimeoutMillis is how long the body of a request may take to arrive; 0 selects
 	// the default.
 	BodyTimeoutMillis burdockclock.Millis
+	// AnswerBytes bounds the answers of upstreams that are held at a time; 0 selects the
+	// default.
+	AnswerBytes int64
 	// SharedAdmission selects the services with shared admission; "" selects
 	// SharedAdmissionAuto.
 	SharedAdmission SharedAdmission
@@ -65,6 +68,7 @@
 	cfg       Config
 	deps      Deps
 	upstreams upstreamClients
+	answers   *byteBudget // bounds the answers that are held
 	meters    *meters
 	// crashes detects the requests that crash upstreams.
 	crashes *crashDetector
@@ -97,6 +101,8 @@
 	e.parts = newPartGuard(deps, e.meters)
 	e.crashes = newCrashDetector(deps, cfg.QuarantineMillis, e.parts)
 	e.upstreams = newUpstreamClients()
+	e.answers = newByteBudget(cfg.AnswerBytes)
+	deps.Metrics.NewGauge("burdock_direct_answer_bytes", func() float64 { return float64(e.answers.used.Load()) })
 	e.entries.ClockOffset = deps.Clock.Now() - deps.Clock.Boot()
 	e.noteComplete(deps.Site.Now())
 	return e
--- a/internal/serve/burdockdirect/fixture_test.go
+++ b/internal/serve/burdockdirect/fixture_test.go
@@ -73,9 +73,11 @@
 // upstream is a fake upstream. It records the requests that it received.
 type upstream struct {
 	server *httptest.Server
-	mu     sync.Mutex
-	runs   []*http.Request
-	bodies []string
+	// address is used in place of that of a server.
+	address string
+	mu      sync.Mutex
+	runs    []*http.Request
+	bodies  []string
 }
 
 func (u *upstream) seen() int {
@@ -167,8 +169,12 @@
 func (f *fixture) putStarted(u *upstream, startedAt burdockclock.Millis) {
 	name := fmt.Sprint("u", f.upstreams)
 	f.upstreams++
+	address := u.address
+	if u.server != nil {
+		address = strings.TrimPrefix(u.server.URL, "http://")
+	}
 	f.site.PutUpstream(burdocksite.Upstream{
-		ID: burdockid.Upstream(name), Service: "s", Address: strings.TrimPrefix(u.server.URL, "http://"), DataCentre: "a", Slots: 4,
+		ID: burdockid.Upstream(name), Service: "s", Address: address, DataCentre: "a", Slots: 4,
 		StartedAt: startedAt,
 	})
 }
--- a/internal/serve/burdockdirect/noanswer_test.go
+++ b/internal/serve/burdockdirect/noanswer_test.go
@@ -13,7 +13,7 @@
 // Guards against an empty success, which net/http sends for a handler that returns without
 // an answer: the time is over while the request waits to be tried again.
 func TestTimeOverBeforeRetryIsAnswered(t *testing.T) {
-	own := &bufferedAnswer{status: http.StatusInternalServerError, header: http.Header{"X-Signed": {"1"}}, body: []byte("failed")}
+	own := &bufferedAnswer{status: http.StatusInternalServerError, header: http.Header{"X-Signed": {"1"}}, body: answerBody{pieces: [][]byte{[]byte("failed")}}}
 	for _, c := range []struct {
 		name    string
 		paid    bool
--- a/internal/serve/burdockdirect/offers.go
+++ b/internal/serve/burdockdirect/offers.go
@@ -86,6 +86,7 @@
 	o := &offers{admittedAt: e.now(), entry: e, pool: p, req: req, caller: c, excluded: map[burdockid.Upstream]bool{}, lastEventID: req.LastEventID, watch: watch}
 	served := burdockid.Tokens(0)
 	defer func() { p.gate.finish(id, served) }()
+	defer o.dropErrorAnswer()
 	if o.run(r.Context(), ctx) {
 		served = o.servedCost()
 		p.gate.observeStream(e.now() - o.admittedAt)
@@ -225,6 +226,7 @@
 		return o.retryOrGiveUp(caller, ctx, burdockretry.ConnectFailed{})
 	case unknown:
 		o.sent++
+		o.dropErrorAnswer()
 		o.lastUnknown = &res
 		return o.retryOrGiveUp(caller, ctx, burdockretry.Failed{})
 	case broken:
@@ -237,6 +239,13 @@
 	return true
 }
 
+// dropErrorAnswer gives back the memory of an error answer that is kept.
+func (o *offers) dropErrorAnswer() {
+	if o.lastUnknown != nil && o.lastUnknown.errorAnswer != nil {
+		o.lastUnknown.errorAnswer.body.held.release()
+	}
+}
+
 // examine has the upstream examined if its connection broke, and waits for a moment: the
 // request must not go to the next upstream while it may be what crashed this one.
 func (o *offers) examine(ctx context.Context, att *attempt, res result) {
--- a/internal/serve/burdockdirect/stream.go
+++ b/internal/serve/burdockdirect/stream.go
@@ -10,13 +10,15 @@
 	"time"
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"github.com/joomcode/errorx"
 )
 
 const (
 	// streamBuffer is the size of the read buffer: it holds several events.
 	streamBuffer = 8 << 10
 	// maxEvent bounds the size of one event.
-	maxEvent = 1 << 20
+	maxEvent     = 1 << 20
+	eventTooLong = "an event is too long"
 	// silenceCheckInterval is how often a stream is checked for silence.
 	silenceCheckInterval = 250 * time.Millisecond
 	// silenceTimeout is how long a stream may have no event while others of the same
@@ -38,6 +40,7 @@
 	res            *http.Response
 	cancel         context.CancelCauseFunc
 	partial        []byte       // of an event that is not complete yet
+	held           heldBytes    // of partial
 	lastEventAt    atomic.Int64 // boot time of the last event, or of the start
 	eventForwarded atomic.Bool  // whether any event was passed on
 	done           chan struct{}
@@ -48,12 +51,19 @@
 	s.lastEventAt.Store(int64(s.attempt.offers.entry.now()))
 	s.done = make(chan struct{})
 	defer close(s.done)
+	s.held.budget = s.attempt.offers.entry.answers
+	defer s.held.release()
 	go s.watchSilence()
 	buf := make([]byte, streamBuffer)
 	for {
 		n, err := s.res.Body.Read(buf)
-		if n > 0 && !s.forwardEvents(buf[:n]) {
-			return ended{}
+		if n > 0 {
+			switch err := s.forwardEvents(buf[:n]); {
+			case errorx.IsOfType(err, errTooLong):
+				return s.brokenResult(eventTooLong, false)
+			case err != nil:
+				return ended{}
+			}
 		}
 		if err == io.EOF {
 			return s.finish()
@@ -64,13 +74,16 @@
 	}
 }
 
-// forwardEvents passes on the events that are complete now. It reports false if the caller
-// can't be written to or an event is too large.
-func (s *stream) forwardEvents(b []byte) bool {
+// forwardEvents passes on the events that are complete now. It fails if the caller can't be
+// written to, or an event is too long.
+func (s *stream) forwardEvents(b []byte) error {
 	s.partial = append(s.partial, b...)
 	end := endOfEvents(s.partial)
 	if end == 0 {
-		return len(s.partial) < maxEvent
+		if len(s.partial) >= maxEvent || !s.held.grow(len(b)) {
+			return errTooLong.New("an event of more than %d bytes", len(s.partial))
+		}
+		return nil
 	}
 	events := s.partial[:end]
 	s.recordEvents(events)
@@ -78,11 +91,22 @@
 	if !o.caller.headWritten {
 		o.caller.writeHead(s.res.StatusCode, s.res.Header, -1)
 	}
-	if o.caller.write(events) != nil {
-		return false
+	if err := o.caller.write(events); err != nil {
+		return err
+	}
+	s.keepRest(end)
+	return nil
+}
+
+// keepRest drops the complete events from the buffer, and the buffer if it has become large.
+func (s *stream) keepRest(end int) {
+	rest := s.partial[end:]
+	if cap(s.partial) > freeBytes {
+		s.partial = nil
 	}
-	s.partial = append(s.partial[:0], s.partial[end:]...)
-	return true
+	s.partial = append(s.partial[:0], rest...)
+	s.held.release()
+	s.held.grow(len(s.partial)) // at most one read, which always fits
 }
 
 // endOfEvents returns the length of the complete events that a text begins with.
--- a/internal/serve/burdockdirect/upstreamclients.go
+++ b/internal/serve/burdockdirect/upstreamclients.go
@@ -42,6 +42,8 @@
 			IdleConnTimeout:     upstreamIdleTimeout,
 			DisableKeepAlives:   fresh,
 			DisableCompression:  true,
+
+			MaxResponseHeaderBytes: burdocktransport.MaxResponseHeader,
 		}),
 	}
 }
--- a/internal/serve/burdockhosted/entry.go
+++ b/internal/serve/burdockhosted/entry.go
@@ -62,6 +62,9 @@
 	endTime        burdockclock.Millis = 250
 )
 
+// answerMemoryPercent is the part of a process's memory for the answers that it holds.
+const answerMemoryPercent = 20
+
 type entry struct {
 	settings burdocksettings.Hosted
 	clock    burdockclock.Clock
@@ -91,7 +94,8 @@
 	sharesRates := func() bool { return hasColdRate(site.Now()) || e.entry.RateLimited() }
 	e.presence = newPresence(p.Store, settings.VM, sharesRates, clock, log)
 	e.entry = burdockdirect.New(
-		burdockdirect.Config{DataCentre: settings.DataCentre, GraceMillis: settings.GraceMillis - shutdownMargin, QuarantineMillis: settings.QuarantineMillis, SharedAdmission: burdockdirect.SharedAdmission(settings.SharedAdmission)},
+		burdockdirect.Config{DataCentre: settings.DataCentre, GraceMillis: settings.GraceMillis - shutdownMargin, QuarantineMillis: settings.QuarantineMillis, SharedAdmission: burdockdirect.SharedAdmission(settings.SharedAdmission),
+			AnswerBytes: int64(settings.MemoryMB) << 20 * answerMemoryPercent / 100},
 		burdockdirect.Deps{
 			Clock: clock, Site: site, Dialect: p.Dialect, Log: log, Metrics: set, Seed: rand.Uint64(),
 			PublishCrashes: e.publishCrashes, PublishSuspected: e.publishSuspected,
--- a/internal/wire/burdocktransport/options.go
+++ b/internal/wire/burdocktransport/options.go
@@ -15,6 +15,11 @@
 	maxAnswerBytes = 64 << 20
 )
 
+// MaxResponseHeader bounds the head of a response in bytes, interim ones included. It is several
+// times the size that the platform allows callers to send; without a bound of ours, net/http takes
+// 10 MiB for each request.
+const MaxResponseHeader = 64 << 10
+
 // ClientOptions returns the options of all RPC clients for entries and agents.
 //
 // They disable compression. Streams send one message per token, and by default the library
--- a/internal/wire/burdocktransport/peers.go
+++ b/internal/wire/burdocktransport/peers.go
@@ -32,12 +32,13 @@
 	return &Peers{
 		scheme: scheme,
 		Client: &http.Client{Transport: NewOnce(&http.Transport{
-			DialContext:         (&net.Dialer{Timeout: peerDialTimeout}).DialContext,
-			TLSClientConfig:     cfg,
-			TLSHandshakeTimeout: peerDialTimeout,
-			MaxIdleConnsPerHost: peerMaxIdleConns,
-			IdleConnTimeout:     peerIdleTimeout,
-			DisableCompression:  true,
+			MaxResponseHeaderBytes: MaxResponseHeader,
+			DialContext:            (&net.Dialer{Timeout: peerDialTimeout}).DialContext,
+			TLSClientConfig:        cfg,
+			TLSHandshakeTimeout:    peerDialTimeout,
+			MaxIdleConnsPerHost:    peerMaxIdleConns,
+			IdleConnTimeout:        peerIdleTimeout,
+			DisableCompression:     true,
 		})},
 	}
 }
