A stream's watch learns of a slow engine from the offer on

Callers saw: a stream that stayed at an engine which had turned slow until its deadline, and was cut off there (flaky TestStreamsLeaveAnEngineThatTurnsSlow: status 200, unexpected EOF after event 3).

Cause: the goroutine that watches an offer asked for the migration signal when it first ran. An engine that turned slow before that told the streams that it knew of, not this one.

Ruled out: a silent engine (no other stream runs in the test), the retry budget (it has its minimum). TestStreamLeavesAnEngineThatTurnsSlowBeforeItsWatchRuns shows the order without load.

Fix: the signal is taken before the request is sent.

--- a/internal/serve/burdockdirect/attempt.go
+++ b/internal/serve/burdockdirect/attempt.go
@@ -54,7 +54,7 @@
 		defer func() { a.offers.pool.gate.streamEnded(a.target.ID, a.gotFirstEvent) }()
 	}
 	if a.offers.req.route.Stream && a.offers.req.route.Repeatable() {
-		w := &offerWatch{attempt: a, cancel: cancel, mayMigrate: a.offers.mayMigrate(), done: make(chan struct{})}
+		w := newOfferWatch(a, cancel)
 		defer close(w.done)
 		go w.run()
 	}
@@ -78,14 +78,23 @@
 	attempt    *attempt
 	cancel     context.CancelCauseFunc
 	mayMigrate bool
+	leaving    <-chan struct{} // closed when the stream should migrate
 	done       chan struct{}
 }
 
+// newOfferWatch returns a watch that learns of each migration from now on, however late it runs.
+func newOfferWatch(a *attempt, cancel context.CancelCauseFunc) *offerWatch {
+	return &offerWatch{
+		attempt: a, cancel: cancel, mayMigrate: a.offers.mayMigrate(),
+		leaving: a.offers.pool.migrationSignal(a.target.ID), done: make(chan struct{}),
+	}
+}
+
 func (w *offerWatch) run() {
 	ticker := time.NewTicker(silenceCheckInterval)
 	defer ticker.Stop()
 	o := w.attempt.offers
-	leaving := o.pool.migrationSignal(w.attempt.target.ID)
+	leaving := w.leaving
 	for {
 		select {
 		case <-w.done:
--- a/internal/serve/burdockdirect/speed_test.go
+++ b/internal/serve/burdockdirect/speed_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/decide/burdockspeed"
@@ -113,6 +114,30 @@
 	}
 }
 
+// Guards against streams that stay at a slow engine until their deadline because their watch had
+// not run yet when the engine turned slow.
+func TestStreamLeavesAnEngineThatTurnsSlowBeforeItsWatchRuns(t *testing.T) {
+	f := newEngines(t, newUpstream(t, serveStream), newUpstream(t, serveStream))
+	p := f.entry.pool("s")
+	route, _ := f.site.Now().Config.Match("127.0.0.1", "/stream/")
+	o := &offers{entry: f.entry, pool: p, req: &request{route: route, service: "s"}}
+	cancelled := make(chan error, 1)
+	w := newOfferWatch(&attempt{offers: o, target: p.members["u0"]}, func(cause error) { cancelled <- cause })
+	defer close(w.done)
+	p.mu.Lock()
+	p.migrations.migrate("u0")
+	p.mu.Unlock()
+	go w.run()
+	select {
+	case cause := <-cancelled:
+		if cause != errEngineSlow {
+			t.Errorf("cause: got %v, want %v", cause, errEngineSlow)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("the stream stays at the slow engine")
+	}
+}
+
 // A request that may run only once has been offered to an engine that becomes slow. It
 // can't be offered again, so it stays and its caller gets the answer late.
 func TestRequestsThatRunOnceStayAtASlowEngine(t *testing.T) {
