Leave a silent stream that can't be resumed to its engine

Cause: a second without an event was taken for a lost connection. A preempted stream looks the same. Cutting one that can be resumed costs a pause; cutting another one loses it.

Evidence: TestPausedStreamThatCannotBeResumedGoesOn, failing before (unexpected EOF after event 2 of 4).

--- a/internal/serve/burdockdirect/stream.go
+++ b/internal/serve/burdockdirect/stream.go
@@ -53,7 +53,9 @@
 	defer close(s.done)
 	s.held.budget = s.attempt.offers.entry.answers
 	defer s.held.release()
-	go s.watchSilence()
+	if s.attempt.offers.req.route.Repeatable() {
+		go s.watchSilence()
+	}
 	buf := make([]byte, streamBuffer)
 	for {
 		n, err := s.res.Body.Read(buf)
@@ -151,8 +153,9 @@
 // Something between the two ends may have lost track of a connection that stays open:
 // there is no event and no error, and the caller gives up. Engines in lock-step emit
 // events for all streams at the same time, so if other streams of the service have had
-// events for a while and this one has not, its connection is at fault. The stream resumes
-// at another upstream if it may.
+// events for a while and this one has not, its connection is likely to be at fault, and it
+// resumes at another upstream. An engine may also have preempted it. A stream that can't be
+// resumed is therefore left alone: if its engine goes on, its caller gets the rest.
 func (s *stream) watchSilence() {
 	ticker := time.NewTicker(silenceCheckInterval)
 	defer ticker.Stop()
