Queue decisions are the same on all processors

TestCases/displaced failed on arm64, on the code before as well: an expected wait of 10,197 ms where 10,198 are recorded. The compiler fuses a product and a sum there, which rounds once instead of twice. The products are rounded first now; nothing changes on amd64, which fuses nothing.

--- a/internal/decide/burdockqueue/rate.go
+++ b/internal/decide/burdockqueue/rate.go
@@ -13,6 +13,9 @@
 // slow is noticed in time.
 const rateTimeConstant = 10 * burdockclock.Second
 
+// Sums round their products first, by float64: some processors would fuse both into one operation,
+// and decisions would differ between them.
+
 // decay returns the remaining weight of an observation after the elapsed time.
 func decay(elapsed burdockclock.Millis) float64 {
 	return math.Exp(-float64(max(elapsed, 0)) / float64(rateTimeConstant))
@@ -29,7 +32,7 @@
 	if m.firstAt == 0 {
 		m.firstAt, m.updatedAt = now, now
 	}
-	m.sum = m.sum*decay(now-m.updatedAt) + tokens
+	m.sum = float64(m.sum*decay(now-m.updatedAt)) + tokens
 	m.updatedAt = now
 }
 
@@ -79,8 +82,8 @@
 
 func (s *serviceEstimator) observe(now burdockclock.Millis, cost burdockid.Tokens, elapsed burdockclock.Millis) {
 	factor := decay(now - s.updatedAt)
-	s.finishedCost = s.finishedCost*factor + float64(chargedCost(cost))
-	s.finishedTime = s.finishedTime*factor + float64(max(elapsed, 1))
+	s.finishedCost = float64(s.finishedCost*factor) + float64(chargedCost(cost))
+	s.finishedTime = float64(s.finishedTime*factor) + float64(max(elapsed, 1))
 	s.updatedAt = now
 }
 
@@ -92,7 +95,7 @@
 	factor := decay(now - s.updatedAt)
 	elapsed := float64(now*burdockclock.Millis(s.running) - s.startSum)
 	progress := min(float64(s.runningCost), elapsed*s.finishedCost/s.finishedTime)
-	return (s.finishedCost*factor + progress) / (s.finishedTime*factor + elapsed)
+	return (float64(s.finishedCost*factor) + progress) / (float64(s.finishedTime*factor) + elapsed)
 }
 
 // millis returns the expected time in milliseconds for a cost; 0 means unknown.
