Crashes are told to other entries apart from harmless parts

Cause: each part that turns out to be harmless is told by a record of its own. The shared parts of a long prompt filled the queue of records, and reports of crashes were dropped.

Fix: crashes have a queue of their own; of the harmless parts, 64 are told at a time, those that were quarantined and those with the most crashes first.

--- a/internal/decide/burdockparts/bounds.go
+++ b/internal/decide/burdockparts/bounds.go
@@ -30,6 +30,24 @@
 	return counted[:n]
 }
 
+// Weightiest returns at most n of the parts that have turned out to be harmless: those that were
+// quarantined, and those with the most crashes. It reorders all.
+func Weightiest(all []Sound, n int) []Sound {
+	if len(all) <= n {
+		return all
+	}
+	slices.SortStableFunc(all, func(a, b Sound) int { return cmp.Compare(b.weight(), a.weight()) })
+	return all[:n]
+}
+
+// weight is the number of crashes that a part had, more than any such number if it was quarantined.
+func (s Sound) weight() int {
+	if s.Freed {
+		return maxCrashes + s.Crashes
+	}
+	return s.Crashes
+}
+
 // Dropped returns how many pieces of evidence, crashes with a part or suspects, were dropped
 // because there was no room for them.
 func (t *Tracker) Dropped() int {
--- a/internal/decide/burdockparts/bounds_test.go
+++ b/internal/decide/burdockparts/bounds_test.go
@@ -77,3 +77,15 @@
 		t.Errorf("got %v, want %v", got, want)
 	}
 }
+
+// Guards against parts that other entries keep in quarantine because many others are reported.
+func TestFreedAndMostSuspectedPartsAreReported(t *testing.T) {
+	sound := func(part burdockid.PromptPart, crashes int, freed bool) Sound {
+		return Sound{Key: Key{"s", part}, Crashes: crashes, Freed: freed}
+	}
+	got := Weightiest([]Sound{sound("a", 1, false), sound("b", 2, false), sound("c", 1, true), sound("d", 1, false)}, 2)
+	want := []Sound{sound("c", 1, true), sound("b", 2, false)}
+	if !slices.Equal(got, want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
--- a/internal/decide/burdockparts/starts.go
+++ b/internal/decide/burdockparts/starts.go
@@ -65,6 +65,8 @@
 	At burdockclock.Millis
 	// Freed reports that the part was quarantined and no longer is.
 	Freed bool
+	// Crashes is the number of crashes that no longer count against the part.
+	Crashes int
 }
 
 // Settle evaluates the answers that have begun SettleTime ago and earlier. It returns the
@@ -87,6 +89,7 @@
 			}
 			if i, known := cleared[key]; known {
 				all[i].At, all[i].Freed = sound.At, all[i].Freed || sound.Freed
+				all[i].Crashes += sound.Crashes
 				continue
 			}
 			cleared[key] = len(all)
@@ -111,7 +114,8 @@
 	}
 	before := len(found.crashes)
 	freed := t.clear(key, found, at)
-	return Sound{Key: key, At: at, Freed: freed}, len(found.crashes) < before
+	cleared := before - len(found.crashes)
+	return Sound{Key: key, At: at, Freed: freed, Crashes: cleared}, cleared > 0
 }
 
 // drop removes the unsettled answers of a process that has crashed.
--- a/internal/serve/burdockdirect/partguard.go
+++ b/internal/serve/burdockdirect/partguard.go
@@ -40,6 +40,9 @@
 	// maxReportedParts bounds the parts that an entry reports of one crash: a record has to fit
 	// into the store, and all entries read it.
 	maxReportedParts = 1024
+	// maxReportedSounds bounds the parts that an entry reports as harmless at a time. A long
+	// prompt has many, and other entries know most of them by their own answers.
+	maxReportedSounds = 64
 	// minPartRetryAfter is the least Retry-After of a request with a quarantined part.
 	minPartRetryAfter = burdockclock.Second
 )
@@ -240,7 +243,10 @@
 
 // settleNow publishes the parts that have turned out to be harmless. The lock must be held.
 func (g *partGuard) settleNow() {
-	for _, sound := range g.tracker.Settle(g.now()) {
+	settled := g.tracker.Settle(g.now())
+	told := burdockparts.Weightiest(settled, maxReportedSounds)
+	g.unreported += len(settled) - len(told)
+	for _, sound := range told {
 		if sound.Freed {
 			g.logSuspect("prompt part freed", sound.Key)
 		}
--- a/internal/serve/burdockhosted/entry.go
+++ b/internal/serve/burdockhosted/entry.go
@@ -115,7 +115,7 @@
 		return nil, err
 	}
 	e.crashPublisher.start()
-	e.partNews.publisher.start()
+	e.partNews.start()
 	e.suspectedPublisher.start()
 	e.presence.start()
 	e.follower.Start()
@@ -197,7 +197,7 @@
 	e.presence.close()
 	e.follower.Close()
 	e.crashPublisher.close()
-	e.partNews.publisher.close()
+	e.partNews.close()
 	e.suspectedPublisher.close()
 	e.log.Info("stopped", zap.Bool("idle", idle), zap.Int64("tookMillis", int64(e.clock.Boot()-start)))
 }
--- a/internal/serve/burdockhosted/partnews.go
+++ b/internal/serve/burdockhosted/partnews.go
@@ -60,29 +60,44 @@
 
 // partNews implements burdockdirect.PartNews by keys in the store.
 type partNews struct {
-	store     burdockkv.Store
-	vm        burdockid.VM
-	publisher *publisher
-	log       *zap.Logger
+	store burdockkv.Store
+	vm    burdockid.VM
+	// crashes and sounds are apart so that no crash is dropped because of many harmless parts.
+	crashes *publisher
+	sounds  *publisher
+	log     *zap.Logger
 }
 
 func newPartNews(store burdockkv.Store, vm burdockid.VM, log *zap.Logger) *partNews {
-	return &partNews{store: store, vm: vm, publisher: newPublisher(store, partNewsTTL, true, log), log: log}
+	return &partNews{
+		store: store, vm: vm, log: log,
+		crashes: newPublisher(store, partNewsTTL, true, log), sounds: newPublisher(store, partNewsTTL, true, log),
+	}
+}
+
+func (n *partNews) start() {
+	n.crashes.start()
+	n.sounds.start()
+}
+
+func (n *partNews) close() {
+	n.crashes.close()
+	n.sounds.close()
 }
 
-func (n *partNews) publish(key string, record any) {
+func (n *partNews) publish(p *publisher, key string, record any) {
 	value, err := json.Marshal(record)
 	if err != nil {
 		n.log.Error("failed to encode a record", zap.String("key", key), zap.Error(err))
 		return
 	}
-	n.publisher.publish([]burdockkv.Put{{Key: key, Value: value}})
+	p.publish([]burdockkv.Put{{Key: key, Value: value}})
 }
 
 // PublishPartCrash implements burdockdirect.PartNews.
 func (n *partNews) PublishPartCrash(c burdockparts.Crash) {
 	key := fmt.Sprintf("%s%s@%d/%s", prefixPartCrash, c.Process.Upstream, c.Process.StartedAt, n.vm)
-	n.publish(key, partCrashRecord{
+	n.publish(n.crashes, key, partCrashRecord{
 		Upstream: c.Process.Upstream, StartedAtMillis: c.Process.StartedAt, Service: c.Service,
 		AtMillis: c.At, Members: c.Members, Parts: c.Parts, Starts: c.Starts,
 	})
@@ -90,13 +105,13 @@
 
 // PublishPartSound implements burdockdirect.PartNews.
 func (n *partNews) PublishPartSound(s burdockparts.Sound) {
-	n.publish(prefixPartSound+partKey(s.Key), partSoundRecord{Service: s.Service, Part: s.Part, AtMillis: s.At})
+	n.publish(n.sounds, prefixPartSound+partKey(s.Key), partSoundRecord{Service: s.Service, Part: s.Part, AtMillis: s.At})
 }
 
 // ClaimPartTrial implements burdockdirect.PartNews. The key of a trial is written once, so one
 // entry has it. While the store is out of reach, none has.
 func (n *partNews) ClaimPartTrial(trial burdockparts.Trial, done func(claimed bool)) {
-	ctx, cancel := context.WithTimeout(n.publisher.ctx, claimTimeout.Duration())
+	ctx, cancel := context.WithTimeout(n.crashes.ctx, claimTimeout.Duration())
 	defer cancel()
 	err := n.claim(ctx, trial)
 	if err != nil && !errorx.IsOfType(err, burdockkv.ErrConflict) {
--- a/internal/serve/burdockhosted/partnews_test.go
+++ b/internal/serve/burdockhosted/partnews_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"reflect"
 	"testing"
 
@@ -52,7 +53,8 @@
 			Parts: []burdockparts.PartStarts{{Part: "bad"}}, Starts: 100,
 		})
 	}
-	n.news.publisher.writeAll()
+	n.news.crashes.writeAll()
+	n.news.sounds.writeAll()
 }
 
 func quarantined(n *newsEntry) bool {
@@ -76,7 +78,8 @@
 		t.Errorf("crashed upstreams: got %v, want %v in any order", got, want)
 	}
 	a.news.PublishPartSound(burdockparts.Sound{Key: badPart, At: burdockclock.System().Now()})
-	a.news.publisher.writeAll()
+	a.news.crashes.writeAll()
+	a.news.sounds.writeAll()
 	c.read()
 	if quarantined(c) {
 		t.Error("part that another entry found harmless: got it quarantined, want it free")
@@ -95,3 +98,19 @@
 		t.Errorf("claims: got %v, want %v", claims, want)
 	}
 }
+
+// Guards against crashes that other entries don't hear of because a long prompt has many parts
+// that turn out to be harmless.
+func TestCrashIsToldBesideManyHarmlessParts(t *testing.T) {
+	store := newFakeKV()
+	news := newPartNews(store, "vm", zap.NewNop())
+	for i := range 4 * maxPending {
+		news.PublishPartSound(burdockparts.Sound{Key: burdockparts.Key{Service: "s", Part: burdockid.PromptPart(fmt.Sprint(i))}, At: 1})
+	}
+	news.PublishPartCrash(burdockparts.Crash{Process: burdockid.Process{Upstream: "u", StartedAt: 5}, Service: "s", At: 7})
+	news.crashes.writeAll()
+	items, _, _ := store.List(context.Background(), prefixPartCrash, burdockkv.ReadLatest)
+	if got, want := len(items), 1; got != want {
+		t.Errorf("crashes in the store: got %d, want %d", got, want)
+	}
+}
