Search only new bytes for the end of an event; test bounds without times

Cause: for each read, the whole incomplete event was searched for its end, so the time grew with the square of its length.

Fix: only the new bytes are searched. The test asserted times, which no test here may. It asserts now that no request gets 504, the answer at its deadline, and that of a refusal whose body trickles is a refusal; both hold a request to the same failure.

--- a/internal/serve/burdockdirect/endless_test.go
+++ b/internal/serve/burdockdirect/endless_test.go
@@ -104,15 +104,14 @@
 			f := newFixture(t, 20_000, newUpstream(t, answerOrStream))
 			f.entry.answers.limit = 4 << 20
 			f.putAddress(u.listener.Addr().String())
-			began := time.Now()
 			const requests = 24
 			var served atomic.Int64
 			var wg sync.WaitGroup
 			for i := range requests {
 				wg.Go(func() {
 					got := f.send(t, context.Background(), c.path, map[string]string{"X-Id": fmt.Sprint("id-", i)})
-					if got.err != nil {
-						t.Errorf("request %d: got error %v, want an answer", i, got.err)
+					if got.err != nil || got.status == http.StatusGatewayTimeout {
+						t.Errorf("request %d: got status %d error %v, want an answer before its deadline", i, got.status, got.err)
 					}
 					if got.status == http.StatusOK {
 						served.Add(1)
@@ -120,9 +119,6 @@
 				})
 			}
 			wg.Wait()
-			if got, most := time.Since(began), 10*time.Second; got > most {
-				t.Errorf("all requests took %v, want at most %v", got, most)
-			}
 			// The budget of retries doesn't cover all requests.
 			if got, least := served.Load(), int64(requests/2); got < least {
 				t.Errorf("served by the sound upstream: got %d, want at least %d", got, least)
@@ -160,10 +156,8 @@
 		Shares: []burdocksite.Share{{Service: "s", Weight: 1}},
 	})
 	f.putAddress(u.listener.Addr().String())
-	began := time.Now()
-	f.send(t, context.Background(), "/once/", nil)
-	if got, most := time.Since(began), 2*time.Second; got > most {
-		t.Errorf("refused after %v, want at most %v", got, most)
+	if got, want := f.send(t, context.Background(), "/once/", nil).status, http.StatusServiceUnavailable; got != want {
+		t.Errorf("got status %d, want %d: refused, and not at the deadline", got, want)
 	}
 }
 
--- a/internal/serve/burdockdirect/stream.go
+++ b/internal/serve/burdockdirect/stream.go
@@ -19,6 +19,8 @@
 	// maxEvent bounds the size of one event.
 	maxEvent     = 1 << 20
 	eventTooLong = "an event is too long"
+	// maxEventEnd is the length of the longest of eventEnds.
+	maxEventEnd = 3
 	// silenceCheckInterval is how often a stream is checked for silence.
 	silenceCheckInterval = 250 * time.Millisecond
 	// silenceTimeout is how long a stream may have no event while others of the same
@@ -79,8 +81,10 @@
 // forwardEvents passes on the events that are complete now. It fails if the caller can't be
 // written to, or an event is too long.
 func (s *stream) forwardEvents(b []byte) error {
+	// The end of an event may have begun in the bytes before.
+	from := max(len(s.partial)-maxEventEnd, 0)
 	s.partial = append(s.partial, b...)
-	end := endOfEvents(s.partial)
+	end := endOfEvents(s.partial, from)
 	if end == 0 {
 		if len(s.partial) >= maxEvent || !s.held.grow(len(b)) {
 			return errTooLong.New("an event of more than %d bytes", len(s.partial))
@@ -111,12 +115,13 @@
 	s.held.grow(len(s.partial)) // at most one read, which always fits
 }
 
-// endOfEvents returns the length of the complete events that a text begins with.
-func endOfEvents(b []byte) int {
+// endOfEvents returns the length of the complete events that a text begins with; 0 if none ends
+// at or after from.
+func endOfEvents(b []byte, from int) int {
 	end := 0
 	for _, sep := range eventEnds {
-		if at := bytes.LastIndex(b, sep); at >= 0 {
-			end = max(end, at+len(sep))
+		if at := bytes.LastIndex(b[from:], sep); at >= 0 {
+			end = max(end, from+at+len(sep))
 		}
 	}
 	return end
