Log what is known of a request that is kept from upstreams

Callers of requests with frequent content get 503, "it has crashed the upstreams that ran it", beside a prompt part that crashes upstreams. The line of the quarantine didn't tell whether two isolated crashes or any three led to it, nor whether equal requests were answered meanwhile.

It now has the number of crashes, of isolated ones, and of successful answers since the first crash; a counter tells how many requests are refused so.

--- a/internal/decide/burdockcrash/crash.go
+++ b/internal/decide/burdockcrash/crash.go
@@ -52,7 +52,9 @@
 	cfg     Config
 	crashes map[Digest][]Crash
 	// crashedAt is the earliest known time of each process's crash.
-	crashedAt    map[burdockid.Process]burdockclock.Millis
+	crashedAt map[burdockid.Process]burdockclock.Millis
+	// answers counts the successful answers to each recorded request since its first crash.
+	answers      map[Digest]int
 	nextExpiryAt burdockclock.Millis
 	dropped      int
 }
@@ -68,7 +70,7 @@
 	cfg.TTL = cmp.Or(cfg.TTL, defaultTTL)
 	cfg.CorrelationWindow = cmp.Or(cfg.CorrelationWindow, defaultCorrelationWindow)
 	cfg.MaxRequests = cmp.Or(cfg.MaxRequests, defaultMaxRequests)
-	return &Tracker{cfg: cfg, crashes: map[Digest][]Crash{}, crashedAt: map[burdockid.Process]burdockclock.Millis{}}
+	return &Tracker{cfg: cfg, crashes: map[Digest][]Crash{}, crashedAt: map[burdockid.Process]burdockclock.Millis{}, answers: map[Digest]int{}}
 }
 
 // Add records a crash and reports whether it is new. A time in the future counts as now.
@@ -97,6 +99,7 @@
 	for _, d := range ordered[:max(len(ordered)/dropDivisor, 1)] {
 		t.dropped += len(t.crashes[d])
 		delete(t.crashes, d)
+		delete(t.answers, d)
 	}
 }
 
@@ -128,6 +131,7 @@
 	for d, crashes := range t.crashes {
 		if now-latest(crashes) > t.cfg.TTL {
 			delete(t.crashes, d)
+			delete(t.answers, d)
 		}
 	}
 	for p, at := range t.crashedAt {
@@ -145,6 +149,33 @@
 	return at
 }
 
+// AddAnswer records that a request was answered with success, if it ran at an upstream that
+// crashed.
+func (t *Tracker) AddAnswer(d Digest) {
+	if len(t.crashes[d]) > 0 {
+		t.answers[d]++
+	}
+}
+
+// Evidence is what is known of a request that ran at upstreams that crashed.
+type Evidence struct {
+	Crashes  int
+	Isolated int // crashes without a common cause
+	Answers  int // successful ones since the first crash
+}
+
+// EvidenceOn returns what is known of a request.
+func (t *Tracker) EvidenceOn(d Digest) Evidence {
+	crashes := t.crashes[d]
+	found := Evidence{Crashes: len(crashes), Answers: t.answers[d]}
+	for _, c := range crashes {
+		if t.isolated(c, crashes) {
+			found.Isolated++
+		}
+	}
+	return found
+}
+
 // Empty reports whether no crash is recorded, so callers need not compute a digest.
 func (t *Tracker) Empty() bool { return len(t.crashes) == 0 }
 
@@ -160,17 +191,11 @@
 // two. When several upstreams crash together, for instance because of a fault of their
 // own, a healthy request may meet two crashes, so a third is needed.
 func (t *Tracker) QuarantineRemaining(now burdockclock.Millis, d Digest) burdockclock.Millis {
-	crashes := t.crashes[d]
-	isolated := 0
-	for _, c := range crashes {
-		if t.isolated(c, crashes) {
-			isolated++
-		}
-	}
-	if isolated < minIsolatedCrashes && len(crashes) < minCrashes {
+	found := t.EvidenceOn(d)
+	if found.Isolated < minIsolatedCrashes && found.Crashes < minCrashes {
 		return 0
 	}
-	return max(latest(crashes)+t.cfg.TTL-now, 0)
+	return max(latest(t.crashes[d])+t.cfg.TTL-now, 0)
 }
 
 // isolated reports whether c has no common cause with crashes elsewhere: within the
--- a/internal/serve/burdockdirect/attempt.go
+++ b/internal/serve/burdockdirect/attempt.go
@@ -219,6 +219,11 @@
 	_, _ = io.Copy(io.Discard, io.LimitReader(body, maxRefusalBody))
 }
 
+// succeeded reports whether the upstream's response has a status of success.
+func (a *attempt) succeeded() bool {
+	return a.status >= http.StatusOK && a.status < http.StatusMultipleChoices
+}
+
 // claimsNotRun reports whether a status tells callers that the request has not run.
 func claimsNotRun(status int) bool {
 	switch status {
--- a/internal/serve/burdockdirect/crashes.go
+++ b/internal/serve/burdockdirect/crashes.go
@@ -76,6 +76,15 @@
 	return c.tracker.QuarantineRemaining(c.clock.Now(), req.digest())
 }
 
+// answered records that a request was answered with success.
+func (c *crashDetector) answered(req *request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.tracker.Empty() {
+		c.tracker.AddAnswer(req.digest())
+	}
+}
+
 // crashingRequests returns the requests that ran at upstreams that crashed.
 func (c *crashDetector) crashingRequests() []burdockcrash.CrashingRequest {
 	c.mu.Lock()
@@ -100,7 +109,9 @@
 	}
 	c.logDropped()
 	if left := c.tracker.QuarantineRemaining(now, crash.Request); left > 0 {
+		found := c.tracker.EvidenceOn(crash.Request)
 		c.log.Warn("request crashes upstreams", zap.Stringer("request", crash.Request),
+			zap.Int("crashes", found.Crashes), zap.Int("isolated", found.Isolated), zap.Int("answers", found.Answers),
 			zap.String("upstream", string(crash.Process.Upstream)), zap.Int64("startedAtMillis", int64(crash.Process.StartedAt)), zap.Int64("keptMillis", int64(left)))
 	}
 	return true
--- a/internal/serve/burdockdirect/metrics.go
+++ b/internal/serve/burdockdirect/metrics.go
@@ -26,6 +26,8 @@
 	// partQuarantines the parts that were quarantined.
 	partRefusals    *metrics.Counter
 	partQuarantines *metrics.Counter
+	// crashRefusals counts the requests refused because equal ones crashed upstreams.
+	crashRefusals *metrics.Counter
 }
 
 func newMeters(set *metrics.Set) *meters {
@@ -43,6 +45,8 @@
 
 		partRefusals:    set.NewCounter("burdock_direct_part_refusals_total"),
 		partQuarantines: set.NewCounter("burdock_direct_part_quarantines_total"),
+
+		crashRefusals: set.NewCounter("burdock_direct_crash_refusals_total"),
 	}
 }
 
--- a/internal/serve/burdockdirect/offers.go
+++ b/internal/serve/burdockdirect/offers.go
@@ -101,6 +101,7 @@
 		return &rejection
 	}
 	if left := e.crashes.quarantined(req); left > 0 {
+		e.meters.crashRefusals.Inc()
 		return &refusal{http.StatusServiceUnavailable, "not run: it has crashed the upstreams that ran it", left}
 	}
 	return e.parts.refusalFor(req)
@@ -146,6 +147,9 @@
 		}
 		o.logOffer(att, reason, res)
 		if _, ok := res.(answered); ok {
+			if att.succeeded() {
+				o.entry.crashes.answered(o.req)
+			}
 			return true
 		}
 		o.entry.parts.endTrial(o.req)
