Clear a request of crashes when it is answered

Cause: two isolated crashes at which equal content ran quarantined it, however often it was answered. The second crash is often the retry of the request that caused the first.

A request that crashes each upstream that runs it is answered by none. So a 2xx answer, read to its end, refutes the crashes before it, at this entry and, by a record that is written only if others would refuse the request, at all. Crashes at which a quarantined part was pending don't count. A request that was never answered is quarantined after two, as before.

--- a/internal/decide/burdockparts/quarantine.go
+++ b/internal/decide/burdockparts/quarantine.go
@@ -151,6 +151,22 @@
 	return described
 }
 
+// Explains reports whether a quarantined part was pending at a process when it crashed.
+func (t *Tracker) Explains(process burdockid.Process) bool {
+	for _, s := range t.services {
+		c := s.crashes[process]
+		if c == nil {
+			continue
+		}
+		for part := range c.parts {
+			if found := s.suspects[part]; found != nil && found.quarantinedAt != 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // QuarantinedParts returns the number of parts that are quarantined.
 func (t *Tracker) QuarantinedParts() int {
 	n := 0
--- a/internal/serve/burdockdirect/crashes.go
+++ b/internal/serve/burdockdirect/crashes.go
@@ -2,7 +2,9 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"sync"
+	"time"
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
@@ -32,10 +34,16 @@
 	site    *burdocksite.Site
 	log     *zap.Logger
 	publish func([]burdockcrash.Crash) // notifies the other entries; may be nil
-	parts   *partGuard
+	// publishAnswer tells the other entries that a request was answered; may be nil.
+	publishAnswer func(burdockcrash.Answer)
+	parts         *partGuard
 
-	mu           sync.Mutex
-	tracker      *burdockcrash.Tracker
+	mu      sync.Mutex
+	tracker *burdockcrash.Tracker
+	// recent remembers what was answered before any crash.
+	recent *burdockcrash.RecentAnswers
+	// telling holds the requests whose answers may have to be told to the other entries soon.
+	telling      map[burdockcrash.Digest]bool
 	examinations map[burdockid.Process]*examination
 	// crashedAt holds when processes crashed recently.
 	crashedAt map[burdockid.Process]burdockclock.Millis
@@ -46,8 +54,10 @@
 func newCrashDetector(deps Deps, ttl burdockclock.Millis, parts *partGuard) *crashDetector {
 	c := &crashDetector{
 		parts: parts,
-		clock: deps.Clock, site: deps.Site, log: deps.Log, publish: deps.PublishCrashes,
-		tracker:      burdockcrash.New(burdockcrash.Config{TTL: ttl}),
+		clock: deps.Clock, site: deps.Site, log: deps.Log, publish: deps.PublishCrashes, publishAnswer: deps.PublishAnswer,
+		tracker:      burdockcrash.New(burdockcrash.Config{TTL: ttl, Explained: parts.explains}),
+		recent:       burdockcrash.NewRecentAnswers(),
+		telling:      map[burdockcrash.Digest]bool{},
 		examinations: map[burdockid.Process]*examination{}, crashedAt: map[burdockid.Process]burdockclock.Millis{},
 	}
 	deps.Metrics.NewGauge("burdock_direct_crash_evidence_dropped", func() float64 { return float64(c.droppedEvidence()) })
@@ -62,26 +72,105 @@
 
 // digest identifies a request by its content, whatever its ID.
 func (req *request) digest() burdockcrash.Digest {
-	return burdockcrash.DigestOf(req.method, req.target, req.customer, req.body, req.SharedParts...)
+	if req.contentDigest == nil {
+		d := burdockcrash.DigestOf(req.method, req.target, req.customer, req.body, req.SharedParts...)
+		req.contentDigest = &d
+	}
+	return *req.contentDigest
 }
 
 // quarantined returns how much longer a request is kept from upstreams; 0 if it
 // isn't.
 func (c *crashDetector) quarantined(req *request) burdockclock.Millis {
+	if c.empty() {
+		return 0
+	}
+	digest := req.digest()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.tracker.Empty() {
+	left := c.tracker.QuarantineRemaining(c.clock.Now(), digest)
+	if left == 0 {
 		return 0
 	}
-	return c.tracker.QuarantineRemaining(c.clock.Now(), req.digest())
+	if at := c.recent.LastAt(c.recentKey(req)); at != 0 {
+		c.addAnswer(burdockcrash.Answer{Request: digest, At: at})
+		left = c.tracker.QuarantineRemaining(c.clock.Now(), digest)
+	}
+	return left
 }
 
-// answered records that a request was answered with success.
+func (c *crashDetector) empty() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tracker.Empty()
+}
+
+func (c *crashDetector) recentKey(req *request) uint64 {
+	return c.recent.Key(req.method, req.target, req.customer, req.body, req.SharedParts...)
+}
+
+// answered records that a request ran to its end and was answered with success.
 func (c *crashDetector) answered(req *request) {
+	key := c.recentKey(req)
+	suspected := !c.empty()
+	var digest burdockcrash.Digest
+	if suspected {
+		digest = req.digest()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clock.Now()
+	c.recent.Add(now, key)
+	if suspected {
+		c.addAnswer(burdockcrash.Answer{Request: digest, At: now})
+	}
+}
+
+// addAnswer records an answer of this entry. The lock must be held.
+func (c *crashDetector) addAnswer(a burdockcrash.Answer) {
+	now := c.clock.Now()
+	before := c.tracker.QuarantineRemaining(now, a.Request)
+	c.tracker.AddAnswer(now, a)
+	c.logReleased(a, before)
+	c.tell(a.Request)
+}
+
+// logReleased writes a line if an answer has ended a quarantine. The lock must be held.
+func (c *crashDetector) logReleased(a burdockcrash.Answer, remaining burdockclock.Millis) {
+	if remaining > 0 && c.tracker.QuarantineRemaining(c.clock.Now(), a.Request) == 0 {
+		c.log.Warn("request released: it was answered", zap.Stringer("request", a.Request), zap.Int64("answeredAtMillis", int64(a.At)))
+	}
+}
+
+// tell tells the other entries soon that a request was answered, if they need to know. The lock
+// must be held.
+func (c *crashDetector) tell(d burdockcrash.Digest) {
+	if _, untold := c.tracker.Untold(d); !untold || c.telling[d] || c.publishAnswer == nil {
+		return
+	}
+	c.telling[d] = true
+	time.AfterFunc(rand.N(maxSettleDelay).Duration(), func() { c.tellNow(d) })
+}
+
+func (c *crashDetector) tellNow(d burdockcrash.Digest) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.telling, d)
+	if a, untold := c.tracker.Untold(d); untold {
+		c.tracker.AddToldAnswer(c.clock.Now(), a)
+		c.publishAnswer(a)
+	}
+}
+
+// addAnswers records the answers that other entries got.
+func (c *crashDetector) addAnswers(all []burdockcrash.Answer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.tracker.Empty() {
-		c.tracker.AddAnswer(req.digest())
+	now := c.clock.Now()
+	for _, a := range all {
+		before := c.tracker.QuarantineRemaining(now, a.Request)
+		c.tracker.AddToldAnswer(now, a)
+		c.logReleased(a, before)
 	}
 }
 
@@ -108,6 +197,7 @@
 		return false
 	}
 	c.logDropped()
+	c.tell(crash.Request)
 	if left := c.tracker.QuarantineRemaining(now, crash.Request); left > 0 {
 		found := c.tracker.EvidenceOn(crash.Request)
 		c.log.Warn("request crashes upstreams", zap.Stringer("request", crash.Request),
@@ -159,6 +249,9 @@
 // AddCrashes adds the crashes that other entries reported.
 func (e *Entry) AddCrashes(all []burdockcrash.Crash) { e.crashes.addAll(all) }
 
+// AddAnswers adds the successful answers that other entries reported.
+func (e *Entry) AddAnswers(all []burdockcrash.Answer) { e.crashes.addAnswers(all) }
+
 // CrashingRequests returns the requests that ran at upstreams that crashed, for operators.
 func (e *Entry) CrashingRequests() []burdockcrash.CrashingRequest {
 	return e.crashes.crashingRequests()
--- a/internal/serve/burdockdirect/crashes_test.go
+++ b/internal/serve/burdockdirect/crashes_test.go
@@ -10,14 +10,25 @@
 	"time"
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/decide/burdockcrash"
 )
 
-// crashBus passes the crashes that one entry publishes to all entries.
+// crashBus passes the crashes and answers that one entry publishes to all entries.
 type crashBus struct {
 	mu        sync.Mutex
 	entries   []*Entry
 	published []burdockcrash.Crash
+	answers   int
+}
+
+func (b *crashBus) publishAnswer(a burdockcrash.Answer) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.answers++
+	for _, e := range b.entries {
+		go e.AddAnswers([]burdockcrash.Answer{a})
+	}
 }
 
 func (b *crashBus) publish(all []burdockcrash.Crash) {
@@ -46,6 +57,7 @@
 	for range entries {
 		fixture := newFixture(t, testTimeout)
 		fixture.entry.crashes.publish = f.bus.publish
+		fixture.entry.crashes.publishAnswer = f.bus.publishAnswer
 		f.fixtures = append(f.fixtures, fixture)
 		f.bus.entries = append(f.bus.entries, fixture.entry)
 	}
@@ -65,6 +77,9 @@
 	}
 	u = newUpstream(t, func(w http.ResponseWriter, r *http.Request) {
 		if !strings.HasSuffix(r.URL.Path, "crash") {
+			if strings.HasSuffix(r.URL.Path, "slow") {
+				time.Sleep(slowAnswer)
+			}
 			answerOK(w, r)
 			return
 		}
@@ -83,6 +98,9 @@
 	}
 }
 
+// slowAnswer is how long an upstream takes for a path that ends in "slow".
+const slowAnswer = 200 * time.Millisecond
+
 func (f *crashFleet) crashed() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -137,6 +155,81 @@
 	}
 }
 
+// Guards against refusing frequent harmless requests for minutes, since they run wherever others
+// crash upstreams.
+func TestFrequentRequestsAreServedBesideCrashes(t *testing.T) {
+	const crashes = 5
+	f := newCrashFleet(t, 2, 4)
+	ctx, stop := context.WithCancel(context.Background())
+	var load sync.WaitGroup
+	for i := range 24 {
+		load.Go(func() {
+			for ctx.Err() == nil {
+				f.fixtures[i%2].send(t, ctx, fmt.Sprintf("/again/%dslow", i%3), nil)
+			}
+		})
+	}
+	for i := range crashes {
+		time.Sleep(2 * slowAnswer)
+		f.fixtures[i%2].send(t, context.Background(), fmt.Sprintf("/once/%dcrash", i), nil)
+		f.startUpstream(t)
+	}
+	stop()
+	load.Wait()
+	await(t, "the answers are told", func() bool {
+		served := 0
+		for i := range 6 {
+			if f.fixtures[i%2].send(t, context.Background(), fmt.Sprintf("/again/%dslow", i%3), nil).status == http.StatusOK {
+				served++
+			}
+		}
+		return served == 6
+	})
+}
+
+// Guards against an entry that goes on refusing a request which another entry gets answered.
+func TestAnswerAtAnotherEntryEndsQuarantine(t *testing.T) {
+	f := newCrashFleet(t, 2, 2)
+	newRequest := func() *request { return &request{method: http.MethodPost, target: "/again/x"} }
+	digest := newRequest().digest()
+	first, second := f.fixtures[0].entry.crashes, f.fixtures[1].entry.crashes
+	first.answered(newRequest()) // before any crash
+	now := first.clock.Now()
+	f.bus.publish([]burdockcrash.Crash{
+		{Request: digest, Process: burdockid.Process{Upstream: "a", StartedAt: 1}, At: now},
+		{Request: digest, Process: burdockid.Process{Upstream: "b", StartedAt: 1}, At: now},
+	})
+	await(t, "the second entry keeps the request", func() bool { return second.quarantined(newRequest()) > 0 })
+	await(t, "the first entry has read the crashes", func() bool { return !first.empty() })
+	if got := first.quarantined(newRequest()); got != 0 {
+		t.Errorf("quarantine at the entry that had an answer: got %d ms, want none", got)
+	}
+	await(t, "the second entry serves the request", func() bool { return second.quarantined(newRequest()) == 0 })
+	if got, want := f.bus.answers, 1; got != want {
+		t.Errorf("answers told: got %d, want %d", got, want)
+	}
+}
+
+// Guards against error answers that are taken for a sign that a request crashes nothing.
+func TestOnlySuccessClearsARequest(t *testing.T) {
+	for _, c := range []struct {
+		status int
+		want   bool
+	}{{http.StatusOK, true}, {http.StatusNotFound, false}, {http.StatusInternalServerError, false}} {
+		f := newFixture(t, testTimeout, newUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+			sign(w, r)
+			w.WriteHeader(c.status)
+		}))
+		f.send(t, context.Background(), "/once/", nil)
+		req := &request{method: http.MethodPost, target: "/once/", customer: "acme", body: []byte("question")}
+		crashes := f.entry.crashes
+		await(t, "the offer has ended", f.entry.Idle)
+		if got := crashes.recent.LastAt(crashes.recentKey(req)) != 0; got != c.want {
+			t.Errorf("status %d: got remembered as success %v, want %v", c.status, got, c.want)
+		}
+	}
+}
+
 // Guards against quarantining harmless requests whose connections break while the
 // upstreams stay alive.
 func TestBrokenConnectionAloneIsNoCrash(t *testing.T) {
--- a/internal/serve/burdockdirect/entry.go
+++ b/internal/serve/burdockdirect/entry.go
@@ -52,6 +52,9 @@
 	// PublishCrashes notifies the other entries of crashes. It must not block; nil
 	// notifies nobody.
 	PublishCrashes func([]burdockcrash.Crash)
+	// PublishAnswer tells the other entries that a request which ran at upstreams that crashed
+	// was answered with success. It must not block; nil tells nobody.
+	PublishAnswer func(burdockcrash.Answer)
 	// PartNews tells the other entries about parts of prompts that crash upstreams; nil if
 	// there are none.
 	PartNews PartNews
--- a/internal/serve/burdockdirect/partguard.go
+++ b/internal/serve/burdockdirect/partguard.go
@@ -134,6 +134,13 @@
 	}
 }
 
+// explains reports whether a quarantined part was pending at a process when it crashed.
+func (g *partGuard) explains(process burdockid.Process) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.tracker.Explains(process)
+}
+
 // crashed records and publishes a crash at which requests of this entry with the given parts
 // were pending.
 func (g *partGuard) crashed(c burdockparts.Crash, parts []burdockid.PromptPart) {
--- a/internal/serve/burdockdirect/request.go
+++ b/internal/serve/burdockdirect/request.go
@@ -6,6 +6,7 @@
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
+	"burdockbend.example/burdockbend/internal/decide/burdockcrash"
 	"burdockbend.example/burdockbend/internal/decide/burdockqueue"
 	"burdockbend.example/burdockbend/internal/decide/burdocktimeliness"
 	"burdockbend.example/burdockbend/internal/state/burdocksite"
@@ -50,6 +51,8 @@
 	// trial means that the request may go to an upstream although a part of its prompt is
 	// quarantined. The guard's lock protects it.
 	trial bool
+	// contentDigest is computed when it is first needed. Only the request's own goroutine uses it.
+	contentDigest *burdockcrash.Digest
 }
 
 // refusal is an answer by the entry itself.
--- a/internal/serve/burdockhosted/crash.go
+++ b/internal/serve/burdockhosted/crash.go
@@ -18,6 +18,11 @@
 // upstream's id, "@" and the start time of its process.
 const prefixCrash = prefixNotifications + "crash/"
 
+// prefixCrashAnswer is the prefix of the keys that report when a request that ran at upstreams
+// which crashed was answered with success. Each key consists of the prefix and the request's
+// digest.
+const prefixCrashAnswer = prefixNotifications + "crashanswer/"
+
 // crashRecord is the value of a key under prefixCrash.
 type crashRecord struct {
 	AtMillis burdockclock.Millis `json:"atMillis"` // wall clock
@@ -26,6 +31,40 @@
 	StartedAtMillis burdockclock.Millis `json:"startedAtMillis"` // wall clock; 0 if unknown
 }
 
+// crashAnswerRecord is the value of a key under prefixCrashAnswer.
+type crashAnswerRecord struct {
+	AtMillis burdockclock.Millis `json:"atMillis"` // wall clock
+}
+
+// publishAnswer reports to the other entries that a request was answered.
+func (e *entry) publishAnswer(a burdockcrash.Answer) {
+	value, err := json.Marshal(crashAnswerRecord{AtMillis: a.At})
+	if err != nil {
+		e.log.Error("failed to encode an answer", zap.Error(err))
+		return
+	}
+	e.crashPublisher.publish([]burdockkv.Put{{Key: prefixCrashAnswer + a.Request.String(), Value: value}})
+}
+
+// readCrashAnswers returns the answers in the records. It logs and skips records that cannot be
+// decoded.
+func readCrashAnswers(items []burdockkv.Item, log *zap.Logger) []burdockcrash.Answer {
+	var all []burdockcrash.Answer
+	for _, item := range items {
+		digest, err := burdockcrash.ParseDigest(strings.TrimPrefix(item.Key, prefixCrashAnswer))
+		var rec crashAnswerRecord
+		if err == nil {
+			err = json.Unmarshal(item.Value, &rec)
+		}
+		if err != nil {
+			log.Warn("skipping unreadable record of an answer", zap.String("key", item.Key), zap.Error(err))
+			continue
+		}
+		all = append(all, burdockcrash.Answer{Request: digest, At: rec.AtMillis})
+	}
+	return all
+}
+
 // publishCrashes reports crashes to the other entries.
 func (e *entry) publishCrashes(all []burdockcrash.Crash) {
 	var puts []burdockkv.Put
--- a/internal/serve/burdockhosted/entry.go
+++ b/internal/serve/burdockhosted/entry.go
@@ -98,7 +98,7 @@
 			AnswerBytes: int64(settings.MemoryMB) << 20 * answerMemoryPercent / 100},
 		burdockdirect.Deps{
 			Clock: clock, Site: site, Dialect: p.Dialect, Log: log, Metrics: set, Seed: rand.Uint64(),
-			PublishCrashes: e.publishCrashes, PublishSuspected: e.publishSuspected,
+			PublishCrashes: e.publishCrashes, PublishAnswer: e.publishAnswer, PublishSuspected: e.publishSuspected,
 			NeedEntries: e.presence.checkNow, PartNews: e.partNews,
 		},
 	)
--- a/internal/serve/burdockhosted/notifications.go
+++ b/internal/serve/burdockhosted/notifications.go
@@ -47,6 +47,7 @@
 	}
 	n.entry.SetSpeeds(readSpeeds(byPrefix[prefixSpeed], n.log))
 	n.entry.AddCrashes(readCrashes(byPrefix[prefixCrash], n.log))
+	n.entry.AddAnswers(readCrashAnswers(byPrefix[prefixCrashAnswer], n.log))
 	n.parts.read(byPrefix)
 	n.entry.MarkSuspected(n.suspected.updated(byPrefix[prefixSuspected]))
 	for name, epoch := range opened {
--- a/internal/serve/burdockhosted/notifications_test.go
+++ b/internal/serve/burdockhosted/notifications_test.go
@@ -72,6 +72,26 @@
 	}
 }
 
+// Guards against entries that can't read each other's answers, or stop at records that can't be
+// read.
+func TestPublishedAnswerIsReadBack(t *testing.T) {
+	store := newFakeKV()
+	e := &entry{log: zap.NewNop(), crashPublisher: newTestPublisher(store)}
+	want := burdockcrash.Answer{Request: burdockcrash.DigestOf("POST", "/a", "acme", []byte("x")), At: 7}
+	e.publishAnswer(want)
+	e.crashPublisher.writeAll()
+	items, _, _ := store.List(context.Background(), prefixCrashAnswer, burdockkv.ReadLatest)
+	items = append(items,
+		burdockkv.Item{Key: prefixCrashAnswer + "zz", Value: []byte(`{"atMillis":1}`)},
+		burdockkv.Item{Key: prefixCrashAnswer + want.Request.String(), Value: []byte(`{"atMillis":"1"}`)})
+	if got := readCrashAnswers(items, zap.NewNop()); !slices.Equal(got, []burdockcrash.Answer{want}) {
+		t.Errorf("got %v, want %v alone", got, want)
+	}
+	if got := readCrashes(items, zap.NewNop()); len(got) != 0 {
+		t.Errorf("read as crashes: got %v, want none", got)
+	}
+}
+
 // Guards against crashes that don't count because an older entry, which names no start time,
 // reports them.
 func TestCrashRecordOfAnOlderEntryIsRead(t *testing.T) {
