Check a quarantined request before each offer

A request that crashes upstreams could crash one more: it was checked when it was admitted and before a retry, not after it had waited in the queue or for its group.

It is checked before each offer now, as prompt parts are. A request that is given up before its retry, and was only refused so far, now gets the time of its quarantine as Retry-After.

--- a/internal/serve/burdockdirect/crashes_test.go
+++ b/internal/serve/burdockdirect/crashes_test.go
@@ -210,6 +210,41 @@
 	}
 }
 
+// Guards against a request that crashes another upstream because it was in the queue when it was
+// quarantined.
+func TestQueuedRequestIsRefusedWhenItIsQuarantined(t *testing.T) {
+	release := make(chan struct{})
+	u := newUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		<-release
+		answerOK(w, r)
+	})
+	f := newFixture(t, 20_000, u)
+	var done sync.WaitGroup
+	for i := range 4 {
+		done.Go(func() { f.send(t, context.Background(), fmt.Sprintf("/again/%d", i), nil) })
+	}
+	await(t, "all slots are taken", func() bool { return u.seen() == 4 })
+	var queued reply
+	done.Go(func() { queued = f.send(t, context.Background(), "/again/bad", nil) })
+	gate := f.entry.pool("s").gate
+	await(t, "the request is queued", func() bool { return gate.load().Queued == 1 })
+	crashes := f.entry.crashes
+	digest := (&request{method: http.MethodPost, target: "/again/bad", customer: "acme", body: []byte("question")}).digest()
+	now := crashes.clock.Now()
+	f.entry.AddCrashes([]burdockcrash.Crash{
+		{Request: digest, Process: burdockid.Process{Upstream: "a", StartedAt: 1}, At: now},
+		{Request: digest, Process: burdockid.Process{Upstream: "b", StartedAt: 1}, At: now},
+	})
+	close(release)
+	done.Wait()
+	if queued.status != http.StatusServiceUnavailable || queued.header.Get("Retry-After") == "" {
+		t.Errorf("queued request: got status %d and Retry-After %q, want 503 and a time", queued.status, queued.header.Get("Retry-After"))
+	}
+	if got, want := u.seen(), 4; got != want {
+		t.Errorf("offers: got %d, want %d", got, want)
+	}
+}
+
 // Guards against error answers that are taken for a sign that a request crashes nothing.
 func TestOnlySuccessClearsARequest(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/serve/burdockdirect/giveup.go
+++ b/internal/serve/burdockdirect/giveup.go
@@ -49,12 +49,28 @@
 	if rejection == nil {
 		return false
 	}
+	o.refuseQuarantined(*rejection)
+	return true
+}
+
+// refusedForCrashes ends the request, and reports true, if it is quarantined as a whole. It is
+// called before each offer: the request may have waited since it was admitted.
+func (o *offers) refusedForCrashes() bool {
+	rejection := o.entry.crashRefusalFor(o.req)
+	if rejection == nil {
+		return false
+	}
+	o.refuseQuarantined(*rejection)
+	return true
+}
+
+// refuseQuarantined ends a request that is kept from upstreams.
+func (o *offers) refuseQuarantined(rejection refusal) {
 	if o.caller.headWritten || o.lastUnknown != nil {
 		o.giveUp(burdockretry.GiveUp{Reason: burdockretry.ReasonCrashes, RetryAfter: rejection.retryAfter})
-		return true
+		return
 	}
-	o.caller.refuse(o.req, *rejection)
-	return true
+	o.caller.refuse(o.req, rejection)
 }
 
 // giveUp ends the request with its final answer, at once.
--- a/internal/serve/burdockdirect/offers.go
+++ b/internal/serve/burdockdirect/offers.go
@@ -100,13 +100,23 @@
 		rejection := stopRefusal()
 		return &rejection
 	}
-	if left := e.crashes.quarantined(req); left > 0 {
-		e.meters.crashRefusals.Inc()
-		return &refusal{http.StatusServiceUnavailable, "not run: it has crashed the upstreams that ran it", left}
+	if rejection := e.crashRefusalFor(req); rejection != nil {
+		return rejection
 	}
 	return e.parts.refusalFor(req)
 }
 
+// crashRefusalFor returns the refusal of a request that is quarantined as a whole; nil if it
+// isn't.
+func (e *Entry) crashRefusalFor(req *request) *refusal {
+	left := e.crashes.quarantined(req)
+	if left == 0 {
+		return nil
+	}
+	e.meters.crashRefusals.Inc()
+	return &refusal{http.StatusServiceUnavailable, "not run: it has crashed the upstreams that ran it", left}
+}
+
 // refusalInQueue returns the refusal of a request whose context ended while it waited.
 func (e *Entry) refusalInQueue(ctx context.Context, req *request) refusal {
 	if wasStopped(ctx) {
@@ -123,7 +133,7 @@
 func (o *offers) run(caller, ctx context.Context) bool {
 	for {
 		ready := o.awaitMembers(ctx) && o.awaitGroupOpen(ctx)
-		if o.refusedForPart() || o.refusedForStop() {
+		if o.refusedForPart() || o.refusedForCrashes() || o.refusedForStop() {
 			return false
 		}
 		if !ready {
--- a/internal/serve/burdockdirect/retry.go
+++ b/internal/serve/burdockdirect/retry.go
@@ -31,14 +31,7 @@
 		o.giveUp(burdockretry.GiveUp{Reason: burdockretry.ReasonMaxOffers, RetryAfter: retrySpread})
 		return true
 	}
-	if o.retryAfter(caller, ctx, retry.Delay) {
-		return true
-	}
-	if o.entry.crashes.quarantined(o.req) > 0 {
-		o.giveUp(burdockretry.GiveUp{Reason: burdockretry.ReasonCrashes})
-		return true
-	}
-	return false
+	return o.retryAfter(caller, ctx, retry.Delay) || o.refusedForCrashes()
 }
 
 // retryAfter waits before a retry. It reports true if the request has ended meanwhile.
