Only a successful answer clears prompt parts

A part that crashes upstreams could go on crashing them where a request with it is answered with an error before it runs: any answer to a plain request counted as one that had begun on its parts.

Only 2xx answers count now. TestOnlySuccessClearsParts failed before for 404 and 500.

--- a/internal/serve/burdockdirect/attempt.go
+++ b/internal/serve/burdockdirect/attempt.go
@@ -260,7 +260,9 @@
 		return unknown{reason: http.StatusText(res.StatusCode), errorAnswer: ans}
 	}
 	defer ans.body.held.release()
-	a.offers.watch.answerBegan(a.target)
+	if a.succeeded() {
+		a.offers.watch.answerBegan(a.target)
+	}
 	a.offers.caller.writeBuffered(ans)
 	return answered{}
 }
--- a/internal/serve/burdockdirect/partguard_test.go
+++ b/internal/serve/burdockdirect/partguard_test.go
@@ -131,6 +131,29 @@
 	}
 }
 
+// Guards against error answers that are taken for a sign that a part crashes nothing.
+func TestOnlySuccessClearsParts(t *testing.T) {
+	for _, c := range []struct {
+		status int
+		want   int
+	}{{http.StatusOK, 1}, {http.StatusNotFound, 0}, {http.StatusInternalServerError, 0}} {
+		f := newFixture(t, testTimeout, newUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+			sign(w, r)
+			w.WriteHeader(c.status)
+		}))
+		f.send(t, context.Background(), "/once/", withBad)
+		await(t, "the offer has ended", f.entry.Idle)
+		guard := f.entry.parts
+		guard.mu.Lock()
+		guard.tracker.Settle(guard.now() + burdockparts.SettleTime)
+		_, got := guard.tracker.Starts("s", nil)
+		guard.mu.Unlock()
+		if got != c.want {
+			t.Errorf("status %d: got %d answers that began, want %d", c.status, got, c.want)
+		}
+	}
+}
+
 // Guards against requests that an engine has queued and that crash it later.
 func TestRequestAtAnEngineIsCancelledWhenItsPartIsQuarantined(t *testing.T) {
 	var left atomic.Bool
