Quarantine crashing parts of quiet services too

Cause: until five answers had begun in the service, every part counted as one that used to be harmless, which takes six windows over ten seconds and has its first trial after five.

Such a part is uncertain now: five crashes and five bits. A part with an answer isn't suspected where one without any was at all its crashes. A trial goes to a request with a single quarantined part first, so that a sound request clears what all prompts have in common.

--- a/internal/decide/burdockparts/days_test.go
+++ b/internal/decide/burdockparts/days_test.go
@@ -27,7 +27,8 @@
 	fatal     []*fatalPart
 	rate      float64 // requests a second
 	subjects  int
-	burst     int // requests with a fatal part that come at once
+	burst     int  // requests with a fatal part that come at once
+	trials    bool // quarantined parts are tried
 	// sound and refused count the sound requests, and those of them that were refused.
 	sound, refused int
 }
@@ -151,7 +152,7 @@
 // it.
 func (d *day) offer(r *simRequest) {
 	r.entry = d.rnd.IntN(len(d.trackers))
-	_, quarantined := d.trackers[r.entry].Quarantined(d.now, "s", r.parts)
+	quarantined := d.quarantined(r)
 	if r.fatal == nil {
 		d.sound++
 		if quarantined {
@@ -170,6 +171,18 @@
 	d.after(d.between(30, 400), func() { d.begin(u, r) })
 }
 
+// quarantined reports whether a request is kept from upstreams. One that is due as a trial isn't.
+func (d *day) quarantined(r *simRequest) bool {
+	v, quarantined := d.trackers[r.entry].Quarantined(d.now, "s", r.parts)
+	if !quarantined || !d.trials || v.Remaining > 0 {
+		return quarantined
+	}
+	for _, t := range d.trackers {
+		t.AddTrial(d.now, v.Trial)
+	}
+	return false
+}
+
 // begin is when an upstream begins an answer.
 func (d *day) begin(u *simUpstream, r *simRequest) {
 	if !u.running[r] || u.process != r.process {
@@ -291,6 +304,35 @@
 	}
 }
 
+// newQuietDay returns a day of a service with hardly any other requests, or whose entries have
+// just been started: requests with the fatal part come from the start on.
+func newQuietDay(seed uint64) *day {
+	d := newDay(seed, 0)
+	d.rate = []float64{0.05, 0.5, 20}[seed%3]
+	d.trials = true
+	f := &fatalPart{part: "bad0"}
+	d.fatal = append(d.fatal, f)
+	d.after(d.between(0, 1000), func() { d.fatalBurst(f, []float64{0.5, 2.5, 8}[d.rnd.IntN(3)]) })
+	return d
+}
+
+// Guards against parts that go on crashing upstreams in services of which hardly anything is
+// known, and against denying everything there.
+func TestFatalPartsOfQuietServicesAreQuarantined(t *testing.T) {
+	const minShare, minSound = 0.5, 20
+	for seed := range *daysFlag {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			d := newQuietDay(seed)
+			d.run(firstDay + daySpan)
+			d.checkFatal(t)
+			if d.sound >= minSound && float64(d.sound-d.refused) < minShare*float64(d.sound) {
+				t.Errorf("%v: sound requests refused: got %d of %d, want half at most", d, d.refused, d.sound)
+			}
+		})
+	}
+}
+
 func (d *day) String() string {
 	return fmt.Sprintf("%d entries, %d upstreams, lock-step %v, %v requests a second, %d subjects, bursts of %d",
 		len(d.trackers), len(d.upstreams), d.lockstep, d.rate, d.subjects, d.burst)
--- a/internal/decide/burdockparts/decide.go
+++ b/internal/decide/burdockparts/decide.go
@@ -14,13 +14,17 @@
 	// minBits the least evidence, in bits: chance explains it once in 2^minBits.
 	minCrashes = 3
 	minBits    = 10.0
+	// minQuietBits is the least evidence beside certainCrashes in a service of which hardly
+	// anything is known.
+	minQuietBits = 5.0
 	// certainCrashes are enough for a part that isn't known if it was pending at most crashes
 	// of their windows, mostShare of them: one so common would be known.
 	certainCrashes = 5
 	mostShare      = 2.0 / 3
 	// A part on which minKnownStarts answers have begun lately is known to be harmless. It is
 	// quarantined only for crashes in minKnownWindows windows, the first of them minKnownQuiet
-	// ago. Until minServiceStarts answers have begun in the service, every part counts as known.
+	// ago. Until minServiceStarts answers have begun in the service, no part is known to be rare:
+	// certainCrashes are needed for each that isn't known to be harmless.
 	minKnownStarts   = 2
 	minKnownWindows  = 6
 	minKnownQuiet    = 10 * burdockclock.Second
@@ -52,16 +56,21 @@
 	})
 	for _, key := range causes {
 		found := t.services[key.Service].suspects[key.Part]
-		found.quarantinedAt, found.known = now, t.isKnown(key, found)
+		found.quarantinedAt, found.familiarity = now, t.familiarityOf(key)
 	}
 	slices.SortFunc(causes, func(a, b Key) int { return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Part, b.Part)) })
 	return causes
 }
 
 // comesWith reports whether other explains the crashes of key: it was pending at all of them,
-// and is much rarer.
+// and is much rarer or, in a quiet service, the only one of the two without answers.
 func (t *Tracker) comesWith(key, other Key) bool {
-	if key.Service != other.Service || !isMuchRarer(t.startsOn(other), t.startsOn(key)) {
+	if key.Service != other.Service || key == other {
+		return false
+	}
+	starts, others := t.startsOn(key), t.startsOn(other)
+	onlyAnswered := t.isQuiet(key.Service) && starts > 0 && others == 0
+	if !onlyAnswered && !isMuchRarer(others, starts) {
 		return false
 	}
 	for _, c := range t.services[key.Service].suspects[key.Part].crashes {
@@ -85,10 +94,36 @@
 	return n
 }
 
-// isKnown reports whether a part used to be harmless.
-func (t *Tracker) isKnown(key Key, found *suspect) bool {
-	experience := max(t.starts.countOf(key.Service), t.services[key.Service].reportedStarts)
-	return t.startsOn(key) >= minKnownStarts || experience < minServiceStarts
+// familiarity tells what answers that have begun lately say about a part.
+type familiarity int
+
+const (
+	rare      familiarity = iota // hardly any, though there are answers on other parts
+	harmless                     // some
+	uncertain                    // hardly any, as in the whole service
+)
+
+// familiarityOf returns what is known of a part without its crashes.
+func (t *Tracker) familiarityOf(key Key) familiarity {
+	switch {
+	case t.startsOn(key) >= minKnownStarts:
+		return harmless
+	case t.isQuiet(key.Service):
+		return uncertain
+	}
+	return rare
+}
+
+// isQuiet reports whether hardly any answers have begun in a service, at night or because the
+// entries have just been started.
+func (t *Tracker) isQuiet(name burdockid.Service) bool {
+	return t.serviceStarts(name) < minServiceStarts
+}
+
+// serviceStarts returns how many answers have begun in a service lately, as far as this entry
+// knows.
+func (t *Tracker) serviceStarts(name burdockid.Service) int {
+	return max(t.starts.countOf(name), t.services[name].reportedStarts)
 }
 
 // weighing weighs the evidence on the parts of one service.
@@ -118,7 +153,8 @@
 // count.
 func (w *weighing) isConvincing(key Key, found *suspect) bool {
 	t := w.tracker
-	known := t.isKnown(key, found)
+	familiar := t.familiarityOf(key)
+	known := familiar == harmless
 	startedAt := w.startedAt[key.Part]
 	counted := slices.DeleteFunc(slices.Clone(found.crashes), func(c *crash) bool {
 		return c.at <= startedAt || known && w.now-c.at < DecideAfter || w.explained(c, key, known)
@@ -127,8 +163,11 @@
 		return false
 	}
 	sum := evidenceOf(w.windows, counted, w.now)
-	if !known {
+	switch familiar {
+	case rare:
 		return sum.bits >= minBits || sum.most >= certainCrashes
+	case uncertain:
+		return sum.bits >= minQuietBits && sum.most >= certainCrashes
 	}
 	return sum.bits >= minBits && sum.windows >= minKnownWindows && w.now-sum.firstAt >= minKnownQuiet
 }
--- a/internal/decide/burdockparts/quarantine.go
+++ b/internal/decide/burdockparts/quarantine.go
@@ -11,11 +11,15 @@
 const (
 	// firstQuarantine is the time from the latest crash to the first trial, knownQuarantine
 	// that for a part that used to be harmless, and quarantineFactor by how much each further
-	// one is longer, up to maxQuarantine.
-	firstQuarantine  = burdockclock.Minute
-	knownQuarantine  = 5 * burdockclock.Second
-	quarantineFactor = 4
-	maxQuarantine    = 60 * burdockclock.Minute
+	// one is longer, up to maxQuarantine. If hardly anything was known of the service, the first
+	// trial comes after knownQuarantine, and the next one after firstQuarantine.
+	firstQuarantine = burdockclock.Minute
+	knownQuarantine = 5 * burdockclock.Second
+	// severalPartsDelay is how much later the trial of a request with several quarantined parts
+	// is due. One with a single one tells more.
+	severalPartsDelay = 10 * burdockclock.Second
+	quarantineFactor  = 4
+	maxQuarantine     = 60 * burdockclock.Minute
 	// quarantineMemory is how long a part stays quarantined after a trial is due, unless a
 	// request with it comes.
 	quarantineMemory = 2 * maxQuarantine
@@ -33,6 +37,8 @@
 // Quarantine tells why a request is kept from upstreams: a part of its prompt.
 type Quarantine struct {
 	Key
+	// Parts is the number of quarantined parts of the prompt.
+	Parts int
 	// Remaining is how long no trial is due.
 	Remaining burdockclock.Millis
 	// Trial is the next trial if Remaining is 0.
@@ -41,35 +47,52 @@
 
 // until returns when the next trial of a quarantined part is due.
 func (s *suspect) until() burdockclock.Millis {
-	wait := firstQuarantine
-	if s.known {
+	wait, longer := firstQuarantine, s.trials
+	switch {
+	case s.familiarity == harmless:
+		wait = knownQuarantine
+	case s.familiarity == uncertain && s.trials == 0:
 		wait = knownQuarantine
+	case s.familiarity == uncertain:
+		longer--
 	}
-	for range s.trials {
+	for range longer {
 		wait = min(wait*quarantineFactor, maxQuarantine)
 	}
 	return max(s.latestCrashAt(), s.quarantinedAt, s.trialAt) + wait
 }
 
 // Quarantined returns why a request with the given parts is kept from upstreams; false if it
-// isn't.
+// isn't. Of several quarantined parts it is the one whose trial is due last.
 func (t *Tracker) Quarantined(now burdockclock.Millis, name burdockid.Service, parts []burdockid.PromptPart) (Quarantine, bool) {
 	s := t.services[name]
 	if s == nil {
 		return Quarantine{}, false
 	}
+	var latest *suspect
+	quarantined := 0
 	for _, part := range parts {
 		found := s.suspects[part]
 		if found == nil || found.quarantinedAt == 0 {
 			continue
 		}
-		key := Key{name, part}
-		return Quarantine{
-			Key: key, Remaining: max(found.until()-now, 0),
-			Trial: Trial{Key: key, Number: found.trials + 1, At: now},
-		}, true
+		quarantined++
+		if latest == nil || found.until() > latest.until() {
+			latest = found
+		}
+	}
+	if latest == nil {
+		return Quarantine{}, false
 	}
-	return Quarantine{}, false
+	until := latest.until()
+	if quarantined > 1 {
+		until += severalPartsDelay
+	}
+	key := Key{name, latest.part}
+	return Quarantine{
+		Key: key, Parts: quarantined, Remaining: max(until-now, 0),
+		Trial: Trial{Key: key, Number: latest.trials + 1, At: now},
+	}, true
 }
 
 // AddTrial records a trial of this or another entry.
@@ -99,6 +122,10 @@
 	// Remaining is how long no trial is due, and Trials the number of those so far.
 	Remaining burdockclock.Millis `json:"remainingMillis"`
 	Trials    int                 `json:"trials"`
+	// Starts is the number of answers that have begun on the part lately, ServiceStarts that of
+	// all in the service.
+	Starts        int `json:"starts"`
+	ServiceStarts int `json:"serviceStarts"`
 }
 
 // Suspects returns the parts with crashes: quarantined ones first, then those with the most.
@@ -108,7 +135,7 @@
 	for name, s := range t.services {
 		for part, found := range s.suspects {
 			if len(found.crashes) > 0 {
-				all = append(all, found.describe(now, Key{name, part}))
+				all = append(all, t.describe(now, Key{name, part}, found))
 			}
 		}
 	}
@@ -132,12 +159,18 @@
 func (t *Tracker) Describe(now burdockclock.Millis, key Key) Suspect {
 	if s := t.services[key.Service]; s != nil {
 		if found := s.suspects[key.Part]; found != nil {
-			return found.describe(now, key)
+			return t.describe(now, key, found)
 		}
 	}
 	return Suspect{Service: key.Service, Part: key.Part}
 }
 
+func (t *Tracker) describe(now burdockclock.Millis, key Key, found *suspect) Suspect {
+	described := found.describe(now, key)
+	described.Starts, described.ServiceStarts = t.startsOn(key), t.serviceStarts(key.Service)
+	return described
+}
+
 func (s *suspect) describe(now burdockclock.Millis, key Key) Suspect {
 	described := Suspect{Service: key.Service, Part: key.Part, SoundAt: s.soundAt, Quarantined: s.quarantinedAt != 0, Trials: s.trials}
 	crashes := slices.SortedFunc(slices.Values(s.crashes), func(a, b *crash) int { return cmp.Compare(a.at, b.at) })
--- a/internal/decide/burdockparts/tracker.go
+++ b/internal/decide/burdockparts/tracker.go
@@ -86,8 +86,8 @@
 	reportedStarts int
 	// quarantinedAt is 0 if the part isn't quarantined.
 	quarantinedAt burdockclock.Millis
-	known         bool // it used to be harmless before
-	trials        int  // in this quarantine, at all entries
+	familiarity   familiarity // before
+	trials        int         // in this quarantine, at all entries
 	trialAt       burdockclock.Millis
 }
 
--- a/internal/decide/burdockparts/tracker_test.go
+++ b/internal/decide/burdockparts/tracker_test.go
@@ -168,6 +168,46 @@
 	wantQuarantined(t, tracker, 3000, "subject", true)
 }
 
+// Guards against a part that goes on crashing upstreams because hardly anything else is asked of
+// the service, or the entries have just been started.
+func TestPartOfAQuietServiceIsQuarantined(t *testing.T) {
+	tracker := New()
+	addCrashes(tracker, 1000, 0, 4, "bad")
+	wantQuarantined(t, tracker, 4600, "bad", false)
+	addCrash(tracker, 5000, 4, "bad")
+	wantQuarantined(t, tracker, 5600, "bad", true)
+}
+
+// Guards against denying a harmless part for minutes in a quiet service after crashes of another
+// cause.
+func TestHarmlessPartOfAQuietServiceIsServed(t *testing.T) {
+	tracker := New()
+	settledStart(tracker, 500, 0, "c0")
+	addCrashes(tracker, 1000, 0, 5, "c0", "bad")
+	wantQuarantined(t, tracker, 5600, "bad", true)
+	wantQuarantined(t, tracker, 5600, "c0", false)
+}
+
+// Guards against denying a part for minutes that nothing tells from the one which crashes
+// upstreams: a request with the harmless one alone is tried first.
+func TestSinglePartIsTriedFirst(t *testing.T) {
+	tracker := New()
+	addCrashes(tracker, 1000, 0, 5, "c0", "bad")
+	due := 5000 + DecideAfter + knownQuarantine
+	alone, _ := tracker.Quarantined(due, "s", []burdockid.PromptPart{"c0"})
+	if alone.Remaining != 0 || alone.Parts != 1 {
+		t.Errorf("request with one quarantined part: got %+v, want its trial due", alone)
+	}
+	both, _ := tracker.Quarantined(due, "s", []burdockid.PromptPart{"c0", "bad"})
+	if both.Remaining == 0 || both.Parts != 2 {
+		t.Errorf("request with both: got %+v, want its trial later", both)
+	}
+	tracker.AddTrial(due, alone.Trial)
+	tracker.AddSound(due+1000, Key{"s", "c0"}, due+1000)
+	wantQuarantined(t, tracker, due+1000, "c0", false)
+	wantQuarantined(t, tracker, due+1000, "bad", true)
+}
+
 // Guards against a part that is tried again at every entry, or each minute.
 func TestTrialsBecomeRarer(t *testing.T) {
 	tracker := newBusyTracker()
--- a/internal/serve/burdockdirect/partguard.go
+++ b/internal/serve/burdockdirect/partguard.go
@@ -270,7 +270,8 @@
 	}
 	g.log.Warn(message, zap.String("service", string(key.Service)), zap.String("part", string(key.Part)),
 		zap.Strings("crashed", names), zap.Int64("latestCrashAtMillis", int64(s.LatestCrashAt)),
-		zap.Int64("soundAtMillis", int64(s.SoundAt)), zap.Int("trials", s.Trials), zap.Int64("remainingMillis", int64(s.Remaining)))
+		zap.Int64("soundAtMillis", int64(s.SoundAt)), zap.Int("trials", s.Trials),
+		zap.Int("starts", s.Starts), zap.Int("serviceStarts", s.ServiceStarts), zap.Int64("remainingMillis", int64(s.Remaining)))
 }
 
 // processOf returns the process that a record is of.
--- a/internal/serve/burdockdirect/parttrial.go
+++ b/internal/serve/burdockdirect/parttrial.go
@@ -16,14 +16,21 @@
 // partTrials holds the trials that this entry has claimed or asked for. The guard's lock
 // protects it.
 type partTrials struct {
-	// usableUntil holds until when a request may be the trial of a part.
-	usableUntil map[burdockparts.Key]burdockclock.Millis
+	usable map[burdockparts.Key]usableTrial
 	// claimedAt holds when the latest trial of a part was asked for.
 	claimedAt map[burdockparts.Key]burdockclock.Millis
 }
 
+// usableTrial is a trial that this entry has and no request has been yet.
+type usableTrial struct {
+	until burdockclock.Millis
+	// parts is the most quarantined parts that the request may have: with more, it would tell
+	// nothing about the one that is tried.
+	parts int
+}
+
 func newPartTrials() partTrials {
-	return partTrials{usableUntil: map[burdockparts.Key]burdockclock.Millis{}, claimedAt: map[burdockparts.Key]burdockclock.Millis{}}
+	return partTrials{usable: map[burdockparts.Key]usableTrial{}, claimedAt: map[burdockparts.Key]burdockclock.Millis{}}
 }
 
 // startTrial reports whether a request with a quarantined part may go to an upstream, to find
@@ -31,9 +38,9 @@
 // The lock must be held.
 func (g *partGuard) startTrial(req *request, v burdockparts.Quarantine) bool {
 	now := g.now()
-	if until, ok := g.trials.usableUntil[v.Key]; ok {
-		delete(g.trials.usableUntil, v.Key)
-		if now < until {
+	if usable, ok := g.trials.usable[v.Key]; ok && v.Parts <= usable.parts {
+		delete(g.trials.usable, v.Key)
+		if now < usable.until {
 			req.trial = true
 			g.log.Warn("trial of a quarantined prompt part", zap.String("service", string(v.Service)), zap.String("part", string(v.Part)), requestID(req.ID))
 			return true
@@ -41,7 +48,7 @@
 	}
 	if v.Remaining == 0 && now-g.trials.claimedAt[v.Key] >= claimInterval {
 		g.trials.claimedAt[v.Key] = now
-		go partClaim{g, v.Trial}.run()
+		go partClaim{g, v.Trial, v.Parts}.run()
 	}
 	return false
 }
@@ -60,6 +67,7 @@
 type partClaim struct {
 	guard *partGuard
 	trial burdockparts.Trial
+	parts int // quarantined ones of the request for which the trial is claimed
 }
 
 func (c partClaim) run() { c.guard.news.ClaimPartTrial(c.trial, c.done) }
@@ -73,5 +81,5 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.tracker.AddTrial(g.now(), c.trial)
-	g.trials.usableUntil[c.trial.Key] = g.now() + trialGrace
+	g.trials.usable[c.trial.Key] = usableTrial{g.now() + trialGrace, c.parts}
 }
