Upstreams that were replaced together are gone at once

Cause: three or more records, and a quarter of all, that disappear in one answer were taken for an outage of the store. Evidence: both entries write "many records lapsed at once; the store seems to have been out" right then, and drop the upstreams 2.2 s later.

Upstreams that joined the same service within ten seconds explain as many that disappear: while the store is out, none can join. An outage empties no pool still (TestRecordsThatLapsedInAnUndetectedOutage).

--- a/internal/state/burdockfollow/follow.go
+++ b/internal/state/burdockfollow/follow.go
@@ -4,6 +4,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -81,6 +82,9 @@
 	// all 18 of 18 disappeared, or 13 of 32 where the known ones included restarted upstreams.
 	minLapsed     = 3
 	lapsedDivisor = 4
+	// replacementWindow is how long after an upstream has joined a service it may be what
+	// replaces one that disappears.
+	replacementWindow = 10 * burdockclock.Second
 	// sweepInterval is the time between two checks of the records that are missing after
 	// an outage.
 	sweepInterval = 100 * time.Millisecond
@@ -106,6 +110,8 @@
 	sweepTimer         *time.Timer
 	// gone holds the boot time at which each upstream was last found gone.
 	gone map[burdockid.Upstream]burdockclock.Millis
+	// joined holds when upstreams were first reported, by service.
+	joined map[burdockid.Service][]burdockclock.Millis
 	// restored reports that the next listing is of a store that was restored.
 	restored bool
 	// reported holds the position at which each unreadable key was logged.
@@ -117,7 +123,7 @@
 	return &Records{
 		topic: topic, decoder: decoder, site: site, clock: clock, log: log,
 		missing: map[burdockid.Upstream]burdockclock.Millis{}, missingEvacuations: map[burdockid.DataCentre]burdockclock.Millis{},
-		gone: map[burdockid.Upstream]burdockclock.Millis{}, reported: map[string]burdockkv.Position{},
+		gone: map[burdockid.Upstream]burdockclock.Millis{}, joined: map[burdockid.Service][]burdockclock.Millis{}, reported: map[string]burdockkv.Position{},
 	}
 }
 
@@ -199,6 +205,9 @@
 // would be refused for a second. Upstreams mark themselves as leaving before they stop, and
 // failing ones disappear one by one or with their VM. Many that disappear at once could not
 // renew their records.
+//
+// Unless others have just taken their places: upstreams that are replaced together may
+// disappear at once without having left.
 func (r *Records) detectOutage(changes []Change) {
 	known := r.site.Now().Upstreams
 	lapsed := map[burdockid.Upstream]bool{}
@@ -209,12 +218,23 @@
 			lapsed[c.ID] = ok && !u.Leaving
 		case UpstreamWritten:
 			lapsed[c.Upstream.ID] = false
+			if _, ok := known[c.Upstream.ID]; !ok {
+				r.joined[c.Upstream.Service] = append(r.joined[c.Upstream.Service], r.clock.Boot())
+			}
 		}
 	}
-	n := 0
-	for _, gone := range lapsed {
+	byService := map[burdockid.Service]int{}
+	for id, gone := range lapsed {
 		if gone {
-			n++
+			byService[known[id].Service]++
+		}
+	}
+	n := 0
+	for service, gone := range byService {
+		replaced := min(gone, r.countJoined(service))
+		n += gone - replaced
+		if gone >= minLapsed && replaced > 0 {
+			r.log.Info("upstreams replaced at once", zap.String("service", string(service)), zap.Int("gone", gone), zap.Int("joined", replaced))
 		}
 	}
 	if n >= minLapsed && n*lapsedDivisor >= len(known) {
@@ -223,6 +243,14 @@
 	}
 }
 
+// countJoined returns how many upstreams have joined a service within replacementWindow.
+func (r *Records) countJoined(service burdockid.Service) int {
+	now := r.clock.Boot()
+	recent := slices.DeleteFunc(r.joined[service], func(at burdockclock.Millis) bool { return now-at > replacementWindow })
+	r.joined[service] = recent
+	return len(recent)
+}
+
 // StoreRecovered implements burdockkv.Sink.
 func (r *Records) StoreRecovered(outage burdockclock.Millis) {
 	r.mu.Lock()
--- a/internal/state/burdockfollow/follow_test.go
+++ b/internal/state/burdockfollow/follow_test.go
@@ -203,3 +203,43 @@
 		t.Errorf("snapshots for a listing and an answer: got %d, want %d", got, want)
 	}
 }
+
+func deleted(keys ...string) []burdockkv.Item {
+	items := make([]burdockkv.Item, len(keys))
+	for i, key := range keys {
+		items[i] = burdockkv.Item{Key: key, Deleted: true}
+	}
+	return items
+}
+
+// Guards against requests that go on reaching upstreams which were replaced together, as if the
+// store had been out.
+func TestReplacedUpstreamsAreGoneAtOnce(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		joins []string // at once before the others go
+		wait  burdockclock.Millis
+		more  []string // in the same answer
+		want  string
+	}{
+		{"replacements before", []string{"e", "f", "g"}, 100, nil, "d e f g"},
+		{"replacements before and in the same answer", []string{"e"}, 100, []string{"f", "g"}, "d e f g"},
+		{"too few replacements to explain it: an outage", nil, 0, nil, "a b c d"},
+		{"others joined long before: an outage", []string{"e", "f", "g"}, replacementWindow + 1, nil, "a b c d e f g"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newTestRecords()
+			r.Listed([]burdockkv.Item{put("a", "up"), put("b", "up"), put("c", "up"), put("d", "up")})
+			for _, key := range c.joins {
+				r.Changed([]burdockkv.Item{put(key, "up")})
+			}
+			r.advance(c.wait)
+			var items []burdockkv.Item
+			for _, key := range c.more {
+				items = append(items, put(key, "up"))
+			}
+			r.Changed(append(items, deleted("a", "b", "c")...))
+			r.wantMembers(t, "after the answer", c.want)
+		})
+	}
+}
