Times of crashes don't jump when the wall clock is set

Where a VM's wall clock was set back, an answer seemed older than the crashes before it and didn't clear them. The times of prompt parts were steady already, those of whole requests weren't. Both use one steady clock now; an examination had two times for this reason.

--- a/internal/base/burdockclock/clock.go
+++ b/internal/base/burdockclock/clock.go
@@ -67,15 +67,29 @@
 
 // Manual is a clock that only Advance moves, for tests and experiments.
 type Manual struct {
-	mu  sync.Mutex
-	now Millis
+	mu       sync.Mutex
+	now      Millis
+	wallStep Millis // by which the wall clock was set forward
 }
 
 // NewManual returns a manual clock that is set to start.
 func NewManual(start Millis) *Manual { return &Manual{now: start} }
 
 // Clock returns the Clock that reads m.
-func (m *Manual) Clock() Clock { return Clock{now: m.read, boot: m.read} }
+func (m *Manual) Clock() Clock { return Clock{now: m.readWall, boot: m.read} }
+
+// StepWall sets the wall clock forward by d, or back if d is negative.
+func (m *Manual) StepWall(d Millis) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.wallStep += d
+}
+
+func (m *Manual) readWall() Millis {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.now + m.wallStep
+}
 
 // Advance moves the clock forward by d.
 func (m *Manual) Advance(d Millis) {
--- a/internal/decide/burdockcrash/days_test.go
+++ b/internal/decide/burdockcrash/days_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"container/heap"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -54,7 +55,7 @@
 	dayPlan
 	rnd       *rand.Rand
 	now       burdockclock.Millis
-	events    []event
+	events    events
 	entryList []*dayEntry
 	nodes     []*dayUpstream
 	crashes   []burdockclock.Millis
@@ -68,6 +69,19 @@
 	do func()
 }
 
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at < e[j].at }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
 type dayEntry struct {
 	tracker *Tracker
 	recent  map[Digest]burdockclock.Millis
@@ -85,7 +99,6 @@
 	entry  *dayEntry
 	digest Digest
 	retry  bool
-	sent   *sentRequest
 	over   bool
 }
 
@@ -114,24 +127,14 @@
 }
 
 func (d *day) after(delay burdockclock.Millis, do func()) {
-	d.events = append(d.events, event{d.now + delay, do})
+	heap.Push(&d.events, event{d.now + delay, do})
 }
 
 func (d *day) play() {
 	d.after(0, d.soundArrives)
 	d.after(troubleFrom, d.troubleArrives)
-	for len(d.events) > 0 {
-		i := 0
-		for j := range d.events {
-			if d.events[j].at < d.events[i].at {
-				i = j
-			}
-		}
-		next := d.events[i]
-		d.events = slices.Delete(d.events, i, i+1)
-		if next.at > dayLength {
-			continue
-		}
+	for len(d.events) > 0 && d.events[0].at <= dayLength {
+		next := heap.Pop(&d.events).(event)
 		d.now = next.at
 		next.do()
 	}
@@ -299,7 +302,10 @@
 				for _, upstreams := range []int{1, 4, 16} {
 					for seed := range uint64(*days) {
 						plan := dayPlan{entries: 1 + int(seed)%12, upstreams: upstreams, perSecond: 60, frequent: frequent, duration: duration, culprit: cause}
-						t.Run(fmt.Sprintf("%s_%v_%d_%d_%d", cause, frequent, duration, upstreams, seed), func(t *testing.T) { checkDay(t, seed, plan) })
+						t.Run(fmt.Sprintf("%s_%v_%d_%d_%d", cause, frequent, duration, upstreams, seed), func(t *testing.T) {
+							t.Parallel()
+							checkDay(t, seed, plan)
+						})
 					}
 				}
 			}
--- a/internal/serve/burdockdirect/crashes.go
+++ b/internal/serve/burdockdirect/crashes.go
@@ -2,9 +2,8 @@
 
 import (
 	"maps"
-	"math/rand/v2"
+	"net/http"
 	"sync"
-	"time"
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
@@ -28,9 +27,9 @@
 )
 
 // crashDetector finds the requests that crash the upstreams that run them, and keeps them
-// from others. It uses the wall clock, since entries exchange the times of crashes.
+// from others.
 type crashDetector struct {
-	clock   burdockclock.Clock
+	clock   steadyClock
 	site    *burdocksite.Site
 	log     *zap.Logger
 	publish func([]burdockcrash.Crash) // notifies the other entries; may be nil
@@ -54,7 +53,7 @@
 func newCrashDetector(deps Deps, ttl burdockclock.Millis, parts *partGuard) *crashDetector {
 	c := &crashDetector{
 		parts: parts,
-		clock: deps.Clock, site: deps.Site, log: deps.Log, publish: deps.PublishCrashes, publishAnswer: deps.PublishAnswer,
+		clock: newSteadyClock(deps.Clock), site: deps.Site, log: deps.Log, publish: deps.PublishCrashes, publishAnswer: deps.PublishAnswer,
 		tracker:      burdockcrash.New(burdockcrash.Config{TTL: ttl, Explained: parts.explains}),
 		recent:       burdockcrash.NewRecentAnswers(),
 		telling:      map[burdockcrash.Digest]bool{},
@@ -88,13 +87,13 @@
 	digest := req.digest()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	left := c.tracker.QuarantineRemaining(c.clock.Now(), digest)
+	left := c.tracker.QuarantineRemaining(c.clock.now(), digest)
 	if left == 0 {
 		return 0
 	}
 	if at := c.recent.LastAt(c.recentKey(req)); at != 0 {
 		c.addAnswer(burdockcrash.Answer{Request: digest, At: at})
-		left = c.tracker.QuarantineRemaining(c.clock.Now(), digest)
+		left = c.tracker.QuarantineRemaining(c.clock.now(), digest)
 	}
 	return left
 }
@@ -105,87 +104,18 @@
 	return c.tracker.Empty()
 }
 
-func (c *crashDetector) recentKey(req *request) uint64 {
-	return c.recent.Key(req.method, req.target, req.customer, req.body, req.SharedParts...)
-}
-
-// answered records that a request ran to its end and was answered with success.
-func (c *crashDetector) answered(req *request) {
-	key := c.recentKey(req)
-	suspected := !c.empty()
-	var digest burdockcrash.Digest
-	if suspected {
-		digest = req.digest()
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := c.clock.Now()
-	c.recent.Add(now, key)
-	if suspected {
-		c.addAnswer(burdockcrash.Answer{Request: digest, At: now})
-	}
-}
-
-// addAnswer records an answer of this entry. The lock must be held.
-func (c *crashDetector) addAnswer(a burdockcrash.Answer) {
-	now := c.clock.Now()
-	before := c.tracker.QuarantineRemaining(now, a.Request)
-	c.tracker.AddAnswer(now, a)
-	c.logReleased(a, before)
-	c.tell(a.Request)
-}
-
-// logReleased writes a line if an answer has ended a quarantine. The lock must be held.
-func (c *crashDetector) logReleased(a burdockcrash.Answer, remaining burdockclock.Millis) {
-	if remaining > 0 && c.tracker.QuarantineRemaining(c.clock.Now(), a.Request) == 0 {
-		c.log.Warn("request released: it was answered", zap.Stringer("request", a.Request), zap.Int64("answeredAtMillis", int64(a.At)))
-	}
-}
-
-// tell tells the other entries soon that a request was answered, if they need to know. The lock
-// must be held.
-func (c *crashDetector) tell(d burdockcrash.Digest) {
-	if _, untold := c.tracker.Untold(d); !untold || c.telling[d] || c.publishAnswer == nil {
-		return
-	}
-	c.telling[d] = true
-	time.AfterFunc(rand.N(maxSettleDelay).Duration(), func() { c.tellNow(d) })
-}
-
-func (c *crashDetector) tellNow(d burdockcrash.Digest) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.telling, d)
-	if a, untold := c.tracker.Untold(d); untold {
-		c.tracker.AddToldAnswer(c.clock.Now(), a)
-		c.publishAnswer(a)
-	}
-}
-
-// addAnswers records the answers that other entries got.
-func (c *crashDetector) addAnswers(all []burdockcrash.Answer) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := c.clock.Now()
-	for _, a := range all {
-		before := c.tracker.QuarantineRemaining(now, a.Request)
-		c.tracker.AddToldAnswer(now, a)
-		c.logReleased(a, before)
-	}
-}
-
 // crashingRequests returns the requests that ran at upstreams that crashed.
 func (c *crashDetector) crashingRequests() []burdockcrash.CrashingRequest {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.tracker.CrashingRequests(c.clock.Now())
+	return c.tracker.CrashingRequests(c.clock.now())
 }
 
 // addAll adds the crashes that other entries reported.
 func (c *crashDetector) addAll(all []burdockcrash.Crash) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := c.clock.Now()
+	now := c.clock.now()
 	for _, crash := range all {
 		c.add(now, crash)
 	}
@@ -246,12 +176,20 @@
 	return false
 }
 
+// crashRefusalFor returns the refusal of a request that is quarantined as a whole; nil if it
+// isn't.
+func (e *Entry) crashRefusalFor(req *request) *refusal {
+	left := e.crashes.quarantined(req)
+	if left == 0 {
+		return nil
+	}
+	e.meters.crashRefusals.Inc()
+	return &refusal{http.StatusServiceUnavailable, "not run: it has crashed the upstreams that ran it", left}
+}
+
 // AddCrashes adds the crashes that other entries reported.
 func (e *Entry) AddCrashes(all []burdockcrash.Crash) { e.crashes.addAll(all) }
 
-// AddAnswers adds the successful answers that other entries reported.
-func (e *Entry) AddAnswers(all []burdockcrash.Answer) { e.crashes.addAnswers(all) }
-
 // CrashingRequests returns the requests that ran at upstreams that crashed, for operators.
 func (e *Entry) CrashingRequests() []burdockcrash.CrashingRequest {
 	return e.crashes.crashingRequests()
--- a/internal/serve/burdockdirect/crashes_test.go
+++ b/internal/serve/burdockdirect/crashes_test.go
@@ -194,7 +194,7 @@
 	digest := newRequest().digest()
 	first, second := f.fixtures[0].entry.crashes, f.fixtures[1].entry.crashes
 	first.answered(newRequest()) // before any crash
-	now := first.clock.Now()
+	now := first.clock.now()
 	f.bus.publish([]burdockcrash.Crash{
 		{Request: digest, Process: burdockid.Process{Upstream: "a", StartedAt: 1}, At: now},
 		{Request: digest, Process: burdockid.Process{Upstream: "b", StartedAt: 1}, At: now},
@@ -230,7 +230,7 @@
 	await(t, "the request is queued", func() bool { return gate.load().Queued == 1 })
 	crashes := f.entry.crashes
 	digest := (&request{method: http.MethodPost, target: "/again/bad", customer: "acme", body: []byte("question")}).digest()
-	now := crashes.clock.Now()
+	now := crashes.clock.now()
 	f.entry.AddCrashes([]burdockcrash.Crash{
 		{Request: digest, Process: burdockid.Process{Upstream: "a", StartedAt: 1}, At: now},
 		{Request: digest, Process: burdockid.Process{Upstream: "b", StartedAt: 1}, At: now},
--- a/internal/serve/burdockdirect/examination.go
+++ b/internal/serve/burdockdirect/examination.go
@@ -33,13 +33,11 @@
 	crashes   *crashDetector
 	upstream  burdocksite.Upstream
 	startedAt burdockclock.Millis
-	// brokeAt is the same time by the clock of the parts' guard.
-	brokeAt  burdockclock.Millis
-	requests []burdockcrash.Digest
-	parts    pendingParts // of requests whose answers may have crashed the upstream
-	reported int          // parts that were reported
-	broken   int          // requests whose connections broke
-	crashed  bool
+	requests  []burdockcrash.Digest
+	parts     pendingParts // of requests whose answers may have crashed the upstream
+	reported  int          // parts that were reported
+	broken    int          // requests whose connections broke
+	crashed   bool
 	// dialled is closed once it is known whether the upstream accepts connections.
 	dialled chan struct{}
 }
@@ -59,14 +57,14 @@
 func (c *crashDetector) connectionBroke(u burdocksite.Upstream, req brokenRequest) <-chan struct{} {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := c.clock.Now()
+	now := c.clock.now()
 	c.expireCrashes(now)
 	x := c.examinations[processOf(u)]
 	switch {
 	case x == nil && req.silent && c.mayBeStall(now):
 		return closedChannel
 	case x == nil:
-		x = &examination{crashes: c, upstream: u, startedAt: now, brokeAt: c.parts.now(), dialled: make(chan struct{})}
+		x = &examination{crashes: c, upstream: u, startedAt: now, dialled: make(chan struct{})}
 		c.examinations[processOf(u)] = x
 		go x.run()
 	}
@@ -157,7 +155,7 @@
 func (x *examination) recordRemoved() bool {
 	ticker := time.NewTicker(examineInterval)
 	defer ticker.Stop()
-	for until := x.startedAt + examineTimeout; x.crashes.clock.Now() < until; <-ticker.C {
+	for until := x.startedAt + examineTimeout; x.crashes.clock.now() < until; <-ticker.C {
 		if u, there := x.crashes.site.Now().Upstreams[x.upstream.ID]; !there || restarted(x.upstream, u) {
 			return true
 		} else if u.Leaving {
@@ -174,7 +172,7 @@
 	c.log.Info("upstream examined", zap.String("upstream", string(x.upstream.ID)), zap.String("service", string(x.upstream.Service)),
 		zap.String("found", string(found)), zap.Int("requests", x.broken),
 		zap.Bool("massCrash", found.crashed() && c.isMassCrash(x.upstream.Service, x.startedAt)),
-		zap.Int64("tookMillis", int64(c.clock.Now()-x.startedAt)))
+		zap.Int64("tookMillis", int64(c.clock.now()-x.startedAt)))
 }
 
 // confirmCrash records the crash for the requests that ran at the upstream.
@@ -195,7 +193,7 @@
 	if len(x.parts.all) > x.reported {
 		x.reported = len(x.parts.all)
 		c.parts.crashed(burdockparts.Crash{
-			Process: processOf(x.upstream), Service: x.upstream.Service, At: x.brokeAt,
+			Process: processOf(x.upstream), Service: x.upstream.Service, At: x.startedAt,
 			Members: len(c.site.Now().Members(x.upstream.Service)),
 		}, x.parts.lastFirst())
 	}
@@ -207,7 +205,7 @@
 	var added []burdockcrash.Crash
 	for _, d := range requests {
 		crash := burdockcrash.Crash{Request: d, Process: processOf(x.upstream), At: x.startedAt}
-		if c.add(c.clock.Now(), crash) {
+		if c.add(c.clock.now(), crash) {
 			added = append(added, crash)
 		}
 	}
--- a/internal/serve/burdockdirect/offers.go
+++ b/internal/serve/burdockdirect/offers.go
@@ -106,17 +106,6 @@
 	return e.parts.refusalFor(req)
 }
 
-// crashRefusalFor returns the refusal of a request that is quarantined as a whole; nil if it
-// isn't.
-func (e *Entry) crashRefusalFor(req *request) *refusal {
-	left := e.crashes.quarantined(req)
-	if left == 0 {
-		return nil
-	}
-	e.meters.crashRefusals.Inc()
-	return &refusal{http.StatusServiceUnavailable, "not run: it has crashed the upstreams that ran it", left}
-}
-
 // refusalInQueue returns the refusal of a request whose context ended while it waited.
 func (e *Entry) refusalInQueue(ctx context.Context, req *request) refusal {
 	if wasStopped(ctx) {
--- a/internal/serve/burdockdirect/partguard.go
+++ b/internal/serve/burdockdirect/partguard.go
@@ -14,25 +14,6 @@
 	"go.uber.org/zap"
 )
 
-// PartNews tells the other entries what this one finds out about parts of prompts that crash
-// upstreams. No method may block.
-type PartNews interface {
-	PublishPartCrash(burdockparts.Crash)
-	PublishPartSound(burdockparts.Sound)
-	// ClaimPartTrial claims a trial, and calls done with whether this entry has it. At most one
-	// entry may.
-	ClaimPartTrial(trial burdockparts.Trial, done func(claimed bool))
-}
-
-// noPartNews is used by an entry that is alone.
-type noPartNews struct{}
-
-func (noPartNews) PublishPartCrash(burdockparts.Crash) {}
-func (noPartNews) PublishPartSound(burdockparts.Sound) {}
-func (noPartNews) ClaimPartTrial(_ burdockparts.Trial, done func(bool)) {
-	done(true)
-}
-
 const (
 	// maxSettleDelay spreads over time what many entries find out from the same crash, so that
 	// most of them hear it before they would tell it.
@@ -53,13 +34,10 @@
 
 // partGuard keeps requests with a part that crashes upstreams from those.
 type partGuard struct {
-	clock  burdockclock.Clock
+	clock  steadyClock
 	log    *zap.Logger
 	news   PartNews
 	meters *meters
-	// clockOffset is the wall clock less the boot clock at the start. The times that entries
-	// exchange must not jump when the wall clock does.
-	clockOffset burdockclock.Millis
 
 	mu       sync.Mutex
 	tracker  *burdockparts.Tracker
@@ -74,9 +52,8 @@
 
 func newPartGuard(deps Deps, m *meters) *partGuard {
 	g := &partGuard{
-		clock: deps.Clock, log: deps.Log, news: deps.PartNews, meters: m,
-		clockOffset: deps.Clock.Now() - deps.Clock.Boot(),
-		tracker:     burdockparts.New(), active: map[*partWatch]bool{}, trials: newPartTrials(),
+		clock: newSteadyClock(deps.Clock), log: deps.Log, news: deps.PartNews, meters: m,
+		tracker: burdockparts.New(), active: map[*partWatch]bool{}, trials: newPartTrials(),
 	}
 	if g.news == nil {
 		g.news = noPartNews{}
@@ -107,7 +84,7 @@
 	g.log.Warn("evidence on prompt parts dropped", zap.Int("dropped", dropped), zap.Int("unreported", g.unreported))
 }
 
-func (g *partGuard) now() burdockclock.Millis { return g.clock.Boot() + g.clockOffset }
+func (g *partGuard) now() burdockclock.Millis { return g.clock.now() }
 
 func (g *partGuard) quarantinedParts() int {
 	g.mu.Lock()
