Judge whole requests by service

On a route that is split between services, an answer of one could clear a request of the crashes of the other's upstreams, which would go on. What is known of a request was kept for all services together.

The digest has the service now. TestServicesHaveDigestsOfTheirOwn. Entries of an earlier version compute other digests, so during a rolling update each version counts by itself.

--- a/internal/decide/burdockcrash/answers.go
+++ b/internal/decide/burdockcrash/answers.go
@@ -70,10 +70,10 @@
 }
 
 // Key returns the key of a request in this memory. It is safe for concurrent use.
-func (r *RecentAnswers) Key(method, target string, customer burdockid.Customer, body []byte, shared ...burdockid.PromptPart) uint64 {
+func (r *RecentAnswers) Key(service burdockid.Service, method, target string, customer burdockid.Customer, body []byte, shared ...burdockid.PromptPart) uint64 {
 	var h maphash.Hash
 	h.SetSeed(r.seed)
-	for _, part := range []string{method, target, string(customer)} {
+	for _, part := range []string{string(service), method, target, string(customer)} {
 		maphash.WriteComparable(&h, len(part))
 		_, _ = h.WriteString(part) // never fails
 	}
--- a/internal/decide/burdockcrash/answers_test.go
+++ b/internal/decide/burdockcrash/answers_test.go
@@ -108,7 +108,7 @@
 
 func TestRecentAnswersAreBoundedAndForgotten(t *testing.T) {
 	r := NewRecentAnswers()
-	key := func(n int) uint64 { return r.Key("POST", "/a", "acme", fmt.Append(nil, n)) }
+	key := func(n int) uint64 { return r.Key("s", "POST", "/a", "acme", fmt.Append(nil, n)) }
 	r.Add(100, key(1))
 	if got, want := r.LastAt(key(1)), burdockclock.Millis(100); got != want {
 		t.Errorf("answered at: got %d, want %d", got, want)
@@ -129,19 +129,19 @@
 	r := NewRecentAnswers()
 	keys := map[uint64]string{}
 	for name, key := range map[string]uint64{
-		"plain":          r.Key("POST", "/a", "b", []byte("c")),
-		"target longer":  r.Key("POST", "/ab", "", []byte("c")),
-		"body longer":    r.Key("POST", "/a", "", []byte("bc")),
-		"with a part":    r.Key("POST", "/a", "b", []byte("c"), "d"),
-		"with two parts": r.Key("POST", "/a", "b", []byte("c"), "d", "e"),
-		"parts joined":   r.Key("POST", "/a", "b", []byte("c"), "de"),
+		"plain":          r.Key("s", "POST", "/a", "b", []byte("c")),
+		"target longer":  r.Key("s", "POST", "/ab", "", []byte("c")),
+		"body longer":    r.Key("s", "POST", "/a", "", []byte("bc")),
+		"with a part":    r.Key("s", "POST", "/a", "b", []byte("c"), "d"),
+		"with two parts": r.Key("s", "POST", "/a", "b", []byte("c"), "d", "e"),
+		"parts joined":   r.Key("s", "POST", "/a", "b", []byte("c"), "de"),
 	} {
 		if other, taken := keys[key]; taken {
 			t.Errorf("%s: got the key of %s, want another one", name, other)
 		}
 		keys[key] = name
 	}
-	if got, want := r.Key("POST", "/a", "b", []byte("c"), "d"), r.Key("POST", "/a", "b", []byte("c"), "d"); got != want {
+	if got, want := r.Key("s", "POST", "/a", "b", []byte("c"), "d"), r.Key("s", "POST", "/a", "b", []byte("c"), "d"); got != want {
 		t.Errorf("same content: got %d, want %d", got, want)
 	}
 }
@@ -153,13 +153,13 @@
 		r := NewRecentAnswers()
 		b.ReportAllocs()
 		for i := 0; b.Loop(); i++ {
-			r.Add(burdockclock.Millis(i), r.Key("POST", "/a", "acme", body, "c0", "c1"))
+			r.Add(burdockclock.Millis(i), r.Key("s", "POST", "/a", "acme", body, "c0", "c1"))
 		}
 	})
 	b.Run("digest", func(b *testing.B) {
 		b.ReportAllocs()
 		for b.Loop() {
-			DigestOf("POST", "/a", "acme", body, "c0", "c1")
+			DigestOf("s", "POST", "/a", "acme", body, "c0", "c1")
 		}
 	})
 }
--- a/internal/decide/burdockcrash/crash_test.go
+++ b/internal/decide/burdockcrash/crash_test.go
@@ -9,7 +9,7 @@
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 )
 
-func digest(n int) Digest { return DigestOf("POST", "/a", "acme", fmt.Append(nil, n)) }
+func digest(n int) Digest { return DigestOf("s", "POST", "/a", "acme", fmt.Append(nil, n)) }
 
 func crashOf(d Digest, u burdockid.Upstream, at burdockclock.Millis) Crash {
 	return Crash{Request: d, Process: burdockid.Process{Upstream: u}, At: at}
@@ -130,7 +130,7 @@
 	for range rounds {
 		requests := make([]Digest, upstreams*slots)
 		for i := range requests {
-			requests[i] = DigestOf("POST", "/", "acme", fmt.Append(nil, rnd.Uint64()))
+			requests[i] = DigestOf("s", "POST", "/", "acme", fmt.Append(nil, rnd.Uint64()))
 		}
 		for range crashes {
 			now += 3 * burdockclock.Second
@@ -168,13 +168,25 @@
 	}
 }
 
+// Guards against an answer of one service that clears a request of its crashes at another's
+// upstreams.
+func TestServicesHaveDigestsOfTheirOwn(t *testing.T) {
+	if a, b := DigestOf("a", "POST", "/", "acme", nil), DigestOf("b", "POST", "/", "acme", nil); a == b {
+		t.Errorf("same content for two services: got the same digest %v, want two", a)
+	}
+	r := NewRecentAnswers()
+	if a, b := r.Key("a", "POST", "/", "acme", nil), r.Key("b", "POST", "/", "acme", nil); a == b {
+		t.Errorf("same content for two services: got the same key %v, want two", a)
+	}
+}
+
 // Two requests have the same digest only if all of their parts are the same.
 func FuzzCrashingRequestDigest(f *testing.F) {
 	f.Add("POST", "/a", "acme", []byte("x"), "POST", "/a", "acme", []byte("y"))
 	f.Add("POST", "/a", "b", []byte("c"), "POST", "/ab", "", []byte("c"))
 	f.Fuzz(func(t *testing.T, m1, p1, c1 string, b1 []byte, m2, p2, c2 string, b2 []byte) {
-		one := DigestOf(m1, p1, burdockid.Customer(c1), b1)
-		two := DigestOf(m2, p2, burdockid.Customer(c2), b2)
+		one := DigestOf("s", m1, p1, burdockid.Customer(c1), b1)
+		two := DigestOf("s", m2, p2, burdockid.Customer(c2), b2)
 		same := m1 == m2 && p1 == p2 && c1 == c2 && string(b1) == string(b2)
 		if (one == two) != same {
 			t.Errorf("same digest: got %v, want %v", one == two, same)
--- a/internal/decide/burdockcrash/days_test.go
+++ b/internal/decide/burdockcrash/days_test.go
@@ -172,7 +172,7 @@
 		if len(d.partCrash) >= partFoundAfter {
 			return
 		}
-		r.digest = DigestOf("POST", "/part", "acme", fmt.Append(nil, d.now))
+		r.digest = DigestOf("s", "POST", "/part", "acme", fmt.Append(nil, d.now))
 	}
 	if !d.quarantined(r) {
 		d.offer(r, d.culprit)
--- a/internal/decide/burdockcrash/digest.go
+++ b/internal/decide/burdockcrash/digest.go
@@ -19,16 +19,16 @@
 // fleet practically impossible.
 const digestBytes = 16
 
-// Digest identifies a request by its content, whatever request id its caller uses for
-// this attempt.
+// Digest identifies a request to a service by its content, whatever request id its caller uses
+// for this attempt.
 type Digest [digestBytes]byte
 
-// DigestOf returns the digest of a request's method, path and query, customer, body and
-// shared parts of its prompt, which may stand in a header. Each of them is preceded by its length, so that requests whose parts merely split at
-// different positions have different digests.
-func DigestOf(method, target string, customer burdockid.Customer, body []byte, shared ...burdockid.PromptPart) Digest {
+// DigestOf returns the digest of a request's service, method, path and query, customer, body and
+// shared parts of its prompt, which may stand in a header. Each of them is preceded by its length,
+// so that requests whose parts merely split at different positions have different digests.
+func DigestOf(service burdockid.Service, method, target string, customer burdockid.Customer, body []byte, shared ...burdockid.PromptPart) Digest {
 	h := sha256.New()
-	parts := [][]byte{[]byte(method), []byte(target), []byte(customer), body}
+	parts := [][]byte{[]byte(service), []byte(method), []byte(target), []byte(customer), body}
 	for _, part := range shared {
 		parts = append(parts, []byte(part))
 	}
--- a/internal/serve/burdockdirect/crashanswers.go
+++ b/internal/serve/burdockdirect/crashanswers.go
@@ -9,8 +9,9 @@
 	"go.uber.org/zap"
 )
 
+// recentKey identifies a request as its digest does, at less cost.
 func (c *crashDetector) recentKey(req *request) uint64 {
-	return c.recent.Key(req.method, req.target, req.customer, req.body, req.SharedParts...)
+	return c.recent.Key(req.service, req.method, req.target, req.customer, req.body, req.SharedParts...)
 }
 
 // answered records that a request ran to its end and was answered with success.
--- a/internal/serve/burdockdirect/crashes.go
+++ b/internal/serve/burdockdirect/crashes.go
@@ -69,10 +69,11 @@
 	return c.tracker.Dropped()
 }
 
-// digest identifies a request by its content, whatever its ID.
+// digest identifies a request by its content and service, whatever its ID. What crashes one
+// service's upstreams may be answered by another's, on a route that is split between both.
 func (req *request) digest() burdockcrash.Digest {
 	if req.contentDigest == nil {
-		d := burdockcrash.DigestOf(req.method, req.target, req.customer, req.body, req.SharedParts...)
+		d := burdockcrash.DigestOf(req.service, req.method, req.target, req.customer, req.body, req.SharedParts...)
 		req.contentDigest = &d
 	}
 	return *req.contentDigest
--- a/internal/serve/burdockdirect/crashes_test.go
+++ b/internal/serve/burdockdirect/crashes_test.go
@@ -229,7 +229,7 @@
 	gate := f.entry.pool("s").gate
 	await(t, "the request is queued", func() bool { return gate.load().Queued == 1 })
 	crashes := f.entry.crashes
-	digest := (&request{method: http.MethodPost, target: "/again/bad", customer: "acme", body: []byte("question")}).digest()
+	digest := (&request{service: "s", method: http.MethodPost, target: "/again/bad", customer: "acme", body: []byte("question")}).digest()
 	now := crashes.clock.now()
 	f.entry.AddCrashes([]burdockcrash.Crash{
 		{Request: digest, Process: burdockid.Process{Upstream: "a", StartedAt: 1}, At: now},
@@ -256,7 +256,7 @@
 			w.WriteHeader(c.status)
 		}))
 		f.send(t, context.Background(), "/once/", nil)
-		req := &request{method: http.MethodPost, target: "/once/", customer: "acme", body: []byte("question")}
+		req := &request{service: "s", method: http.MethodPost, target: "/once/", customer: "acme", body: []byte("question")}
 		crashes := f.entry.crashes
 		await(t, "the offer has ended", f.entry.Idle)
 		if got := crashes.recent.LastAt(crashes.recentKey(req)) != 0; got != c.want {
--- a/internal/serve/burdockhosted/notifications_test.go
+++ b/internal/serve/burdockhosted/notifications_test.go
@@ -60,7 +60,7 @@
 func TestPublishedCrashIsReadBack(t *testing.T) {
 	store := newFakeKV()
 	e := &entry{log: zap.NewNop(), crashPublisher: newTestPublisher(store)}
-	want := burdockcrash.Crash{Request: burdockcrash.DigestOf("POST", "/a", "acme", []byte("x")), Process: burdockid.Process{Upstream: "u@x", StartedAt: 5}, At: 7}
+	want := burdockcrash.Crash{Request: burdockcrash.DigestOf("s", "POST", "/a", "acme", []byte("x")), Process: burdockid.Process{Upstream: "u@x", StartedAt: 5}, At: 7}
 	e.publishCrashes([]burdockcrash.Crash{want})
 	e.crashPublisher.writeAll()
 	items, _, _ := store.List(context.Background(), prefixCrash, burdockkv.ReadLatest)
@@ -77,7 +77,7 @@
 func TestPublishedAnswerIsReadBack(t *testing.T) {
 	store := newFakeKV()
 	e := &entry{log: zap.NewNop(), crashPublisher: newTestPublisher(store)}
-	want := burdockcrash.Answer{Request: burdockcrash.DigestOf("POST", "/a", "acme", []byte("x")), At: 7}
+	want := burdockcrash.Answer{Request: burdockcrash.DigestOf("s", "POST", "/a", "acme", []byte("x")), At: 7}
 	e.publishAnswer(want)
 	e.crashPublisher.writeAll()
 	items, _, _ := store.List(context.Background(), prefixCrashAnswer, burdockkv.ReadLatest)
@@ -95,7 +95,7 @@
 // Guards against crashes that don't count because an older entry, which names no start time,
 // reports them.
 func TestCrashRecordOfAnOlderEntryIsRead(t *testing.T) {
-	digest := burdockcrash.DigestOf("POST", "/a", "acme", []byte("x"))
+	digest := burdockcrash.DigestOf("s", "POST", "/a", "acme", []byte("x"))
 	got := readCrashes([]burdockkv.Item{{Key: prefixCrash + digest.String() + "/u", Value: []byte(`{"atMillis":7}`)}}, zap.NewNop())
 	want := []burdockcrash.Crash{{Request: digest, Process: burdockid.Process{Upstream: "u"}, At: 7}}
 	if !slices.Equal(got, want) {
