Refuse as not run what is ended before its first offer

At the end of a planned stop a request that had waited and never reached an upstream got 502, which tells its caller that it may have run, where 503 lets it go to another entry at once.

Cause: the requests that run are ended first, and their places go to those that wait, whose contexts end a moment later. Such a request was offered with a context that was about to end, or had. The result of an offer that was cancelled locally was 'unknown' even if no connection had been established. The same happened to a request with a part of its prompt that was quarantined before it was sent.

Before each offer the end of the entry's requests is now looked up itself, and an offer without a connection whose request has ended counts as not sent.

--- a/internal/serve/burdockdirect/giveup.go
+++ b/internal/serve/burdockdirect/giveup.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 
 	"burdockbend.example/burdockbend/internal/decide/burdockretry"
@@ -18,20 +19,13 @@
 		o.caller.abort()
 	case wasStopped(ctx):
 		o.giveUp(burdockretry.GiveUp{Reason: burdockretry.ReasonStop, RetryAfter: stopRetryAfter})
+	case errors.Is(context.Cause(ctx), errPartQuarantined):
+		o.giveUp(burdockretry.GiveUp{Reason: burdockretry.ReasonCrashes, RetryAfter: minPartRetryAfter})
 	default:
 		o.caller.refuse(o.req, refusal{status: http.StatusGatewayTimeout, reason: "no answer within the time allowed"})
 	}
 }
 
-// groupStayedClosed ends a request that waited in vain for its group to open.
-func (o *offers) groupStayedClosed(caller, ctx context.Context) {
-	if ctx.Err() != nil {
-		o.finish(caller, ctx)
-		return
-	}
-	o.giveUp(o.pool.giveUpGroupClosed(o.entry.now()))
-}
-
 // refusedForStop ends the request, and reports true, if the process stops before the offer that
 // is due would be answered. A stream that has begun goes on: its caller loses nothing by that.
 func (o *offers) refusedForStop() bool {
--- a/internal/serve/burdockdirect/offers.go
+++ b/internal/serve/burdockdirect/offers.go
@@ -36,6 +36,7 @@
 	retryPaid atomic.Bool
 	// watch cancels the request if a part of its prompt is quarantined.
 	watch          *partWatch
+	cancel         context.CancelCauseFunc // ends the request
 	lastEventID    string
 	eventCount     int
 	admittedAt     burdockclock.Millis // when the request was admitted
@@ -44,6 +45,14 @@
 	maxEventGap burdockclock.Millis
 }
 
+// newOffers returns the offers of a request that has just been admitted.
+func newOffers(p *pool, req *request, c *caller, w *partWatch, cancel context.CancelCauseFunc) *offers {
+	return &offers{
+		entry: p.entry, pool: p, req: req, caller: c, excluded: map[burdockid.Upstream]bool{},
+		watch: w, cancel: cancel, lastEventID: req.LastEventID, admittedAt: p.entry.now(),
+	}
+}
+
 // maxUnreached bounds the offers of one request for which no connection was established.
 const maxUnreached = 6
 
@@ -83,7 +92,7 @@
 		return
 	}
 	e.meters.waits.Update((e.now() - req.arrived).Duration().Seconds())
-	o := &offers{admittedAt: e.now(), entry: e, pool: p, req: req, caller: c, excluded: map[burdockid.Upstream]bool{}, lastEventID: req.LastEventID, watch: watch}
+	o := newOffers(p, req, c, watch, cancel)
 	served := burdockid.Tokens(0)
 	defer func() { p.gate.finish(id, served) }()
 	defer o.dropErrorAnswer()
@@ -122,11 +131,18 @@
 func (o *offers) run(caller, ctx context.Context) bool {
 	for {
 		ready := o.awaitMembers(ctx) && o.awaitGroupOpen(ctx)
+		if o.entry.ending.Err() != nil {
+			o.cancel(errStopped) // its turn may come before the end reaches its context
+		}
 		if o.refusedForPart() || o.refusedForCrashes() || o.refusedForStop() {
 			return false
 		}
+		if ctx.Err() != nil {
+			o.finish(caller, ctx)
+			return false
+		}
 		if !ready {
-			o.groupStayedClosed(caller, ctx)
+			o.giveUp(o.pool.giveUpGroupClosed(o.entry.now()))
 			return false
 		}
 		target, reason, ok := o.pool.choose(o.entry.now(), o.req, o.excluded, o.preferred)
