Believe refusals of upstreams that name no request

A request that may run only once got 502, 'outcome unknown', from upstreams whose refusals bear no request ID, where it had certainly not run.

Cause: its first offer takes a kept connection. There a refusal without an ID may be a late copy of another request's, so it isn't believed. Nothing tells the two apart on a connection that is used again.

Once a refusal of a service has named no request, offers of such requests to that service get a connection of their own for a minute; a refusal there can only be theirs. Services whose refusals bear IDs open no connection more. The first such refusal on a kept connection is still not believed.

TestRefusalThatNamesNoRequestIsPassedOn failed before (502 for both requests that may run once).

--- a/internal/serve/burdockdirect/attempt.go
+++ b/internal/serve/burdockdirect/attempt.go
@@ -58,7 +58,9 @@
 		defer close(w.done)
 		go w.run()
 	}
-	res, err := a.offers.entry.upstreams.forOffer(a.offers.req, a.earlier).Do(a.upstreamRequest().WithContext(ctx))
+	unnamed := a.offers.pool.unnamed.expected(a.offers.entry.now())
+	client := a.offers.entry.upstreams.forOffer(a.offers.req, a.earlier, unnamed)
+	res, err := client.Do(a.upstreamRequest().WithContext(ctx))
 	switch {
 	case err == nil:
 		return a.handleResponse(ctx, cancel, res)
@@ -148,6 +150,9 @@
 	defer func() { _ = res.Body.Close() }()
 	head := a.offers.entry.deps.Dialect.ParseResponse(res.StatusCode, res.Header)
 	a.status, a.fromUpstream = res.StatusCode, head.FromUpstream
+	if head.NotRun && head.RequestID == "" && a.offers.req.ID != "" {
+		a.offers.pool.unnamed.observe(a.offers.entry.now())
+	}
 	if !a.isOwnResponse(head) {
 		// With the body unread, the connection is closed and not used again.
 		return unknown{reason: "the answer is for another request"}
--- a/internal/serve/burdockdirect/pool.go
+++ b/internal/serve/burdockdirect/pool.go
@@ -40,6 +40,7 @@
 	lengths *lengths
 	// exportRoom registers the gauges of shared admission, once.
 	exportRoom sync.Once
+	unnamed    unnamedRefusals
 	urgency    urgency // guarded by mu
 	random     *rand.Rand
 
--- a/internal/serve/burdockdirect/secondanswer_test.go
+++ b/internal/serve/burdockdirect/secondanswer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -171,3 +172,18 @@
 		})
 	}
 }
+
+// Guards against 502, which tells the caller that its request may have run, for a request that may
+// run only once and is refused by upstreams whose refusals name no request.
+func TestRefusalThatNamesNoRequestIsPassedOn(t *testing.T) {
+	u := newUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		r.Header.Del("X-Id")
+		refuseNotRun(w, r)
+	})
+	f := newFixture(t, testTimeout, u)
+	for _, path := range []string{"/again/", "/once/", "/once/"} {
+		if got, want := f.send(t, context.Background(), path, nil).status, http.StatusServiceUnavailable; got != want {
+			t.Errorf("%s: got status %d, want %d", path, got, want)
+		}
+	}
+}
--- a/internal/serve/burdockdirect/upstreamclients.go
+++ b/internal/serve/burdockdirect/upstreamclients.go
@@ -4,8 +4,10 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
+	"burdockbend.example/burdockbend/internal/base/burdockclock"
 	"burdockbend.example/burdockbend/internal/wire/burdocktransport"
 )
 
@@ -48,19 +50,34 @@
 	}
 }
 
-// forOffer returns the client for an offer of a request, of which earlier ones were made.
+// forOffer returns the client for an offer of a request, of which earlier ones were made. Unnamed
+// means that refusals of the service have lately named no request.
 //
 // A response names its request and not its offer. On a connection that has carried an offer of the
 // request, a late second copy of its refusal would be taken for the response to the next one,
 // which runs; the request would then run twice. A request without an ID can't be told from any
-// other one.
-func (c upstreamClients) forOffer(req *request, earlier int) *http.Client {
-	if req.ID == "" || earlier > 0 && !req.route.Repeatable() {
+// other one, nor can a refusal without one be told from a copy of another request's refusal.
+func (c upstreamClients) forOffer(req *request, earlier int, unnamed bool) *http.Client {
+	if req.ID == "" || !req.route.Repeatable() && (earlier > 0 || unnamed) {
 		return c.fresh
 	}
 	return c.kept
 }
 
+// unnamedRefusalTTL is how long after a refusal that named no request others are expected.
+const unnamedRefusalTTL = burdockclock.Minute
+
+// unnamedRefusals remembers that upstreams of a service leave the request's ID out of refusals.
+type unnamedRefusals struct{ until atomic.Int64 }
+
+func (u *unnamedRefusals) observe(now burdockclock.Millis) {
+	u.until.Store(int64(now + unnamedRefusalTTL))
+}
+
+func (u *unnamedRefusals) expected(now burdockclock.Millis) bool {
+	return now < burdockclock.Millis(u.until.Load())
+}
+
 // dialUpstream connects to an upstream so that closing the connection discards what has
 // not arrived.
 //
