--- a/internal/serve/burdockdirect/attempt.go
+++ b/internal/serve/burdockdirect/attempt.go
@@ -38,7 +38,7 @@
 }
 
 // run makes the offer and passes the answer on.
-func (a *attempt) run(request context.Context) result {
+func (a *attempt) run(parent context.Context) result {
 	var sent atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		sent.Store(true)
@@ -47,7 +47,7 @@
 			a.offers.entry.meters.connections.Inc()
 		}
 	}}
-	ctx, cancel := context.WithCancelCause(httptrace.WithClientTrace(request, trace))
+	ctx, cancel := context.WithCancelCause(httptrace.WithClientTrace(parent, trace))
 	defer cancel(nil)
 	if a.offers.req.route.Stream {
 		a.offers.pool.gate.streamOffered(a.target.ID)
@@ -64,7 +64,7 @@
 	switch {
 	case err == nil:
 		return a.handleResponse(ctx, cancel, res)
-	case request.Err() != nil && !sent.Load():
+	case parent.Err() != nil && !sent.Load():
 		return ended{}
 	case cancelledLocally(ctx):
 		return unknown{reason: context.Cause(ctx).Error()}
--- a/internal/serve/burdockdirect/pool.go
+++ b/internal/serve/burdockdirect/pool.go
@@ -40,8 +40,8 @@
 	lengths *lengths
 	// exportRoom registers the gauges of shared admission, once.
 	exportRoom sync.Once
-	unnamed    unnamedRefusals
-	urgency    urgency // guarded by mu
+	unnamed    unnamedRefusals // lately, by any upstream of the service
+	urgency    urgency         // guarded by mu
 	random     *rand.Rand
 
 	mu       sync.Mutex
