--- a/internal/decide/burdockcrash/days_test.go
+++ b/internal/decide/burdockcrash/days_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -10,6 +9,7 @@
 	"testing"
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/base/burdockevents"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 )
 
@@ -53,9 +53,8 @@
 // day plays entries in front of upstreams that crash.
 type day struct {
 	dayPlan
+	*burdockevents.Queue
 	rnd       *rand.Rand
-	now       burdockclock.Millis
-	events    events
 	entryList []*dayEntry
 	nodes     []*dayUpstream
 	crashes   []burdockclock.Millis
@@ -64,24 +63,6 @@
 	sent      []sentRequest
 }
 
-type event struct {
-	at burdockclock.Millis
-	do func()
-}
-
-type events []event
-
-func (e events) Len() int           { return len(e) }
-func (e events) Less(i, j int) bool { return e[i].at < e[j].at }
-func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	last := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return last
-}
-
 type dayEntry struct {
 	tracker *Tracker
 	recent  map[Digest]burdockclock.Millis
@@ -110,7 +91,7 @@
 }
 
 func newDay(seed uint64, plan dayPlan) *day {
-	d := &day{dayPlan: plan, rnd: rand.New(rand.NewPCG(seed, seed)), partCrash: map[burdockid.Process]bool{}, offers: map[Digest]int{}}
+	d := &day{dayPlan: plan, Queue: burdockevents.New(0), rnd: rand.New(rand.NewPCG(seed, seed)), partCrash: map[burdockid.Process]bool{}, offers: map[Digest]int{}}
 	for range plan.entries {
 		d.entryList = append(d.entryList, &dayEntry{
 			tracker: New(Config{Explained: d.explained}), recent: map[Digest]burdockclock.Millis{}, telling: map[Digest]bool{},
@@ -126,29 +107,21 @@
 	return len(d.partCrash) >= partFoundAfter && d.partCrash[p]
 }
 
-func (d *day) after(delay burdockclock.Millis, do func()) {
-	heap.Push(&d.events, event{d.now + delay, do})
-}
-
 func (d *day) play() {
-	d.after(0, d.soundArrives)
-	d.after(troubleFrom, d.troubleArrives)
-	for len(d.events) > 0 && d.events[0].at <= dayLength {
-		next := heap.Pop(&d.events).(event)
-		d.now = next.at
-		next.do()
-	}
+	d.After(0, d.soundArrives)
+	d.After(troubleFrom, d.troubleArrives)
+	d.RunUntil(dayLength + 1)
 }
 
 var frequentContent = digest(-1)
 
 func (d *day) soundArrives() {
-	d.after(1+burdockclock.Millis(d.rnd.ExpFloat64()*1000/float64(d.perSecond)), d.soundArrives)
+	d.After(1+burdockclock.Millis(d.rnd.ExpFloat64()*1000/float64(d.perSecond)), d.soundArrives)
 	content, frequent := digest(len(d.sent)), d.rnd.Float64() < d.frequent
 	if frequent {
 		content = frequentContent
 	}
-	d.sent = append(d.sent, sentRequest{at: d.now, frequent: frequent})
+	d.sent = append(d.sent, sentRequest{at: d.Now(), frequent: frequent})
 	at := len(d.sent) - 1
 	r := &run{entry: d.entryList[d.rnd.IntN(d.entries)], digest: content}
 	if d.quarantined(r) {
@@ -160,19 +133,19 @@
 
 func (d *day) troubleArrives() {
 	if d.culprit == hardware {
-		d.after(hardwareEvery, d.troubleArrives)
+		d.After(hardwareEvery, d.troubleArrives)
 		if up := d.up(); len(up) > 0 {
 			d.crash(up[d.rnd.IntN(len(up))])
 		}
 		return
 	}
-	d.after(troubleEvery, d.troubleArrives)
+	d.After(troubleEvery, d.troubleArrives)
 	r := &run{entry: d.entryList[d.rnd.IntN(d.entries)], digest: guilty}
 	if d.culprit == onePart {
 		if len(d.partCrash) >= partFoundAfter {
 			return
 		}
-		r.digest = DigestOf("s", "POST", "/part", "acme", fmt.Append(nil, d.now))
+		r.digest = DigestOf("s", "POST", "/part", "acme", fmt.Append(nil, d.Now()))
 	}
 	if !d.quarantined(r) {
 		d.offer(r, d.culprit)
@@ -182,11 +155,11 @@
 var guilty = digest(-2)
 
 func (d *day) quarantined(r *run) bool {
-	left := r.entry.tracker.QuarantineRemaining(d.now, r.digest)
+	left := r.entry.tracker.QuarantineRemaining(d.Now(), r.digest)
 	if at := r.entry.recent[r.digest]; left > 0 && at > 0 {
-		r.entry.tracker.AddAnswer(d.now, Answer{r.digest, at})
+		r.entry.tracker.AddAnswer(d.Now(), Answer{r.digest, at})
 		d.tell(r.entry, r.digest)
-		left = r.entry.tracker.QuarantineRemaining(d.now, r.digest)
+		left = r.entry.tracker.QuarantineRemaining(d.Now(), r.digest)
 	}
 	return left > 0
 }
@@ -215,7 +188,7 @@
 		}
 		return
 	}
-	d.after(d.duration, func() { d.answered(u, r) })
+	d.After(d.duration, func() { d.answered(u, r) })
 }
 
 func (d *day) answered(u *dayUpstream, r *run) {
@@ -223,8 +196,8 @@
 		return
 	}
 	u.running = slices.DeleteFunc(u.running, func(other *run) bool { return other == r })
-	r.entry.recent[r.digest] = d.now
-	r.entry.tracker.AddAnswer(d.now, Answer{r.digest, d.now})
+	r.entry.recent[r.digest] = d.Now()
+	r.entry.tracker.AddAnswer(d.Now(), Answer{r.digest, d.Now()})
 	d.tell(r.entry, r.digest)
 }
 
@@ -234,16 +207,16 @@
 		return
 	}
 	e.telling[content] = true
-	d.after(burdockclock.Millis(d.rnd.Int64N(int64(burdockclock.Second))), func() {
+	d.After(burdockclock.Millis(d.rnd.Int64N(int64(burdockclock.Second))), func() {
 		e.telling[content] = false
 		a, untold := e.tracker.Untold(content)
 		if !untold {
 			return
 		}
-		e.tracker.AddToldAnswer(d.now, a)
-		d.after(newsDelay, func() {
+		e.tracker.AddToldAnswer(d.Now(), a)
+		d.After(newsDelay, func() {
 			for _, other := range d.entryList {
-				other.tracker.AddToldAnswer(d.now, a)
+				other.tracker.AddToldAnswer(d.Now(), a)
 			}
 		})
 	})
@@ -251,15 +224,15 @@
 
 // crash ends an upstream. Its requests are suspects, and harmless ones are sent again once.
 func (d *day) crash(u *dayUpstream) {
-	d.crashes = append(d.crashes, d.now)
+	d.crashes = append(d.crashes, d.Now())
 	u.down = true
 	running := u.running
 	u.running = nil
 	for _, r := range running {
 		r.over = true
-		c := Crash{Request: r.digest, Process: u.process, At: d.now}
+		c := Crash{Request: r.digest, Process: u.process, At: d.Now()}
 		d.addCrash(r.entry, c)
-		d.after(newsDelay, func() {
+		d.After(newsDelay, func() {
 			for _, other := range d.entryList {
 				d.addCrash(other, c)
 			}
@@ -267,14 +240,14 @@
 	}
 	for _, r := range running {
 		if r.digest != guilty && !r.retry && !d.quarantined(r) {
-			d.after(5, func() { d.offer(&run{entry: r.entry, digest: r.digest, retry: true}, "") })
+			d.After(5, func() { d.offer(&run{entry: r.entry, digest: r.digest, retry: true}, "") })
 		}
 	}
-	d.after(downtime, func() { u.down, u.process.StartedAt = false, d.now })
+	d.After(downtime, func() { u.down, u.process.StartedAt = false, d.Now() })
 }
 
 func (d *day) addCrash(e *dayEntry, c Crash) {
-	if e.tracker.Add(d.now, c) {
+	if e.tracker.Add(d.Now(), c) {
 		d.tell(e, c.Request)
 	}
 }
--- a/internal/decide/burdockparts/days_test.go
+++ b/internal/decide/burdockparts/days_test.go
@@ -1,7 +1,6 @@
 package burdockparts
 
 import (
-	"container/heap"
 	"flag"
 	"fmt"
 	"math"
@@ -9,6 +8,7 @@
 	"testing"
 
 	"burdockbend.example/burdockbend/internal/base/burdockclock"
+	"burdockbend.example/burdockbend/internal/base/burdockevents"
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 )
 
@@ -16,9 +16,8 @@
 // pairs, upstreams that crash because of parts or of other causes, and entries that hear of
 // each other's crashes with a delay, or not at all.
 type day struct {
+	*burdockevents.Queue
 	rnd       *rand.Rand
-	now       burdockclock.Millis
-	queue     events
 	upstreams []*simUpstream
 	trackers  []*Tracker
 	deaf      []bool // entries that are cut off from the store
@@ -54,37 +53,6 @@
 	arrivals []burdockclock.Millis
 }
 
-// event is something that happens at a time.
-type event struct {
-	at burdockclock.Millis
-	do func()
-}
-
-type events []event
-
-func (e events) Len() int           { return len(e) }
-func (e events) Less(i, j int) bool { return e[i].at < e[j].at }
-func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	last := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return last
-}
-
-func (d *day) after(delay burdockclock.Millis, do func()) {
-	heap.Push(&d.queue, event{d.now + delay, do})
-}
-
-func (d *day) run(until burdockclock.Millis) {
-	for len(d.queue) > 0 && d.queue[0].at < until {
-		next := heap.Pop(&d.queue).(event)
-		d.now = next.at
-		next.do()
-	}
-}
-
 // between returns a random time.
 func (d *day) between(from, to burdockclock.Millis) burdockclock.Millis {
 	return from + burdockclock.Millis(d.rnd.Int64N(int64(to-from+1)))
@@ -106,7 +74,7 @@
 )
 
 func newDay(seed uint64, fatal int) *day {
-	d := &day{rnd: rand.New(rand.NewPCG(seed, 1)), now: firstDay}
+	d := &day{Queue: burdockevents.New(firstDay), rnd: rand.New(rand.NewPCG(seed, 1))}
 	entries := []int{2, 4, 12, 60}[d.rnd.IntN(4)]
 	for range entries {
 		d.trackers = append(d.trackers, New())
@@ -122,16 +90,16 @@
 	for i := range fatal {
 		d.fatal = append(d.fatal, &fatalPart{part: burdockid.PromptPart(fmt.Sprint("bad", i))})
 	}
-	d.after(0, d.request)
+	d.After(0, d.request)
 	for _, f := range d.fatal {
-		d.after(warmUp+d.between(0, 3000), func() { d.fatalBurst(f, []float64{0.5, 2, 8}[d.rnd.IntN(3)]) })
+		d.After(warmUp+d.between(0, 3000), func() { d.fatalBurst(f, []float64{0.5, 2, 8}[d.rnd.IntN(3)]) })
 	}
 	return d
 }
 
 // request sends a sound request and plans the next one.
 func (d *day) request() {
-	d.after(d.gap(d.rate), d.request)
+	d.After(d.gap(d.rate), d.request)
 	// Low numbers are common: their parts come in pairs.
 	n := int(math.Pow(d.rnd.Float64(), 2) * float64(d.subjects))
 	r := &simRequest{parts: []burdockid.PromptPart{"c0", burdockid.PromptPart(fmt.Sprint("s", n)), burdockid.PromptPart(fmt.Sprint("t", n))}}
@@ -139,10 +107,10 @@
 }
 
 func (d *day) fatalBurst(f *fatalPart, perSecond float64) {
-	if d.now > firstDay+warmUp+fatalSpan {
+	if d.Now() > firstDay+warmUp+fatalSpan {
 		return
 	}
-	d.after(d.gap(perSecond)*burdockclock.Millis(d.burst), func() { d.fatalBurst(f, perSecond) })
+	d.After(d.gap(perSecond)*burdockclock.Millis(d.burst), func() { d.fatalBurst(f, perSecond) })
 	for range d.burst {
 		d.offer(&simRequest{parts: []burdockid.PromptPart{"c0", f.part}, fatal: f})
 	}
@@ -160,25 +128,25 @@
 		}
 	}
 	u := d.upstreams[d.rnd.IntN(len(d.upstreams))]
-	if quarantined || d.now < u.downTil || d.lockstep && d.now < d.closed {
+	if quarantined || d.Now() < u.downTil || d.lockstep && d.Now() < d.closed {
 		return
 	}
 	r.process = u.process
 	u.running[r] = true
 	if r.fatal != nil {
-		r.fatal.arrivals = append(r.fatal.arrivals, d.now)
+		r.fatal.arrivals = append(r.fatal.arrivals, d.Now())
 	}
-	d.after(d.between(30, 400), func() { d.begin(u, r) })
+	d.After(d.between(30, 400), func() { d.begin(u, r) })
 }
 
 // quarantined reports whether a request is kept from upstreams. One that is due as a trial isn't.
 func (d *day) quarantined(r *simRequest) bool {
-	v, quarantined := d.trackers[r.entry].Quarantined(d.now, "s", r.parts)
+	v, quarantined := d.trackers[r.entry].Quarantined(d.Now(), "s", r.parts)
 	if !quarantined || !d.trials || v.Remaining > 0 {
 		return quarantined
 	}
 	for _, t := range d.trackers {
-		t.AddTrial(d.now, v.Trial)
+		t.AddTrial(d.Now(), v.Trial)
 	}
 	return false
 }
@@ -189,20 +157,20 @@
 		return
 	}
 	if r.fatal != nil {
-		r.fatal.crashes = append(r.fatal.crashes, d.now)
+		r.fatal.crashes = append(r.fatal.crashes, d.Now())
 		d.crash(u)
 		return
 	}
-	r.began = d.now
-	d.trackers[r.entry].AddStart(d.now, "s", u.process, r.parts)
-	d.after(SettleTime+d.between(0, 1000), func() { d.settle(r.entry) })
-	d.after(d.between(300, 3000), func() { delete(u.running, r) })
+	r.began = d.Now()
+	d.trackers[r.entry].AddStart(d.Now(), "s", u.process, r.parts)
+	d.After(SettleTime+d.between(0, 1000), func() { d.settle(r.entry) })
+	d.After(d.between(300, 3000), func() { delete(u.running, r) })
 }
 
 // settle publishes what an entry finds harmless.
 func (d *day) settle(entry int) {
-	for _, sound := range d.trackers[entry].Settle(d.now) {
-		d.publish(entry, func(t *Tracker) { t.AddSound(d.now, sound.Key, sound.At) })
+	for _, sound := range d.trackers[entry].Settle(d.Now()) {
+		d.publish(entry, func(t *Tracker) { t.AddSound(d.Now(), sound.Key, sound.At) })
 	}
 }
 
@@ -210,7 +178,7 @@
 func (d *day) publish(entry int, apply func(*Tracker)) {
 	for i, t := range d.trackers {
 		if i != entry && !d.deaf[i] && !d.deaf[entry] {
-			d.after(d.between(10, 90), func() { apply(t) })
+			d.After(d.between(10, 90), func() { apply(t) })
 		}
 	}
 }
@@ -220,7 +188,7 @@
 func (d *day) crash(u *simUpstream) {
 	parts := map[int][]burdockid.PromptPart{}
 	for r := range u.running {
-		if r.began == 0 || d.now-r.began < SettleTime {
+		if r.began == 0 || d.Now()-r.began < SettleTime {
 			parts[r.entry] = append(parts[r.entry], r.parts...)
 		}
 	}
@@ -228,19 +196,19 @@
 		if len(parts[entry]) == 0 {
 			continue
 		}
-		c := Crash{Process: u.process, Service: "s", At: d.now, Members: len(d.upstreams)}
+		c := Crash{Process: u.process, Service: "s", At: d.Now(), Members: len(d.upstreams)}
 		c.Parts, c.Starts = d.trackers[entry].Starts("s", parts[entry])
 		report := func(t *Tracker) {
-			t.AddCrash(d.now, c)
-			t.Decide(d.now)
-			d.after(DecideAfter, func() { t.Decide(d.now) })
+			t.AddCrash(d.Now(), c)
+			t.Decide(d.Now())
+			d.After(DecideAfter, func() { t.Decide(d.Now()) })
 		}
-		d.after(1, func() { report(d.trackers[entry]) })
+		d.After(1, func() { report(d.trackers[entry]) })
 		d.publish(entry, report)
 	}
 	u.running = map[*simRequest]bool{}
-	u.downTil = d.now + d.between(700, 4000)
-	u.process.StartedAt = d.now
+	u.downTil = d.Now() + d.between(700, 4000)
+	u.process.StartedAt = d.Now()
 	if !d.lockstep {
 		return
 	}
@@ -253,7 +221,7 @@
 // trouble draws crashes that no part causes: of single upstreams, of one again and again, and
 // of a part or all of them at once.
 func (d *day) trouble() {
-	d.after(d.between(1000, 8000), d.trouble)
+	d.After(d.between(1000, 8000), d.trouble)
 	switch d.rnd.IntN(4) {
 	case 0:
 		d.crash(d.upstreams[d.rnd.IntN(len(d.upstreams))])
@@ -261,7 +229,7 @@
 		d.crash(d.upstreams[0])
 	case 2:
 		for _, i := range d.rnd.Perm(len(d.upstreams))[:d.rnd.IntN(len(d.upstreams))+1] {
-			d.after(d.between(0, 200), func() { d.crash(d.upstreams[i]) })
+			d.After(d.between(0, 200), func() { d.crash(d.upstreams[i]) })
 		}
 	default:
 		for _, u := range d.upstreams {
@@ -278,8 +246,8 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			d := newDay(seed, 0)
-			d.after(warmUp, d.trouble)
-			d.run(firstDay + daySpan)
+			d.After(warmUp, d.trouble)
+			d.RunUntil(firstDay + daySpan)
 			d.checkSound(t)
 		})
 	}
@@ -294,9 +262,9 @@
 				t.Parallel()
 				d := newDay(seed, 1+int(seed%2))
 				if trouble {
-					d.after(warmUp, d.trouble)
+					d.After(warmUp, d.trouble)
 				}
-				d.run(firstDay + daySpan)
+				d.RunUntil(firstDay + daySpan)
 				d.checkFatal(t)
 				d.checkSound(t)
 			})
@@ -312,7 +280,7 @@
 	d.trials = true
 	f := &fatalPart{part: "bad0"}
 	d.fatal = append(d.fatal, f)
-	d.after(d.between(0, 1000), func() { d.fatalBurst(f, []float64{0.5, 2.5, 8}[d.rnd.IntN(3)]) })
+	d.After(d.between(0, 1000), func() { d.fatalBurst(f, []float64{0.5, 2.5, 8}[d.rnd.IntN(3)]) })
 	return d
 }
 
@@ -324,7 +292,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			d := newQuietDay(seed)
-			d.run(firstDay + daySpan)
+			d.RunUntil(firstDay + daySpan)
 			d.checkFatal(t)
 			if d.sound >= minSound && float64(d.sound-d.refused) < minShare*float64(d.sound) {
 				t.Errorf("%v: sound requests refused: got %d of %d, want half at most", d, d.refused, d.sound)
