Play canned prompts beside a part that crashes replicas

Sound requests of the processes' own test were all different, so that it never met content that runs at each crash.

What tests of fatal parts send is a type of its own; the requests of the other cases are as before, but for the paths of those with the part.

--- a/internal/proof/burdockhostedproof/fatalpart_test.go
+++ b/internal/proof/burdockhostedproof/fatalpart_test.go
@@ -1,6 +1,7 @@
 package burdockhostedproof
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -32,12 +33,20 @@
 	random            *rand.Rand
 	// turns is the number of parts that all prompts have before those that differ.
 	turns int
+	// canned is the number of different sound requests; 0 if no two are alike.
+	canned int
 
 	done    sync.WaitGroup
 	mu      sync.Mutex
 	replies []partReply
 }
 
+// partRequest is a request of a partLoad.
+type partRequest struct {
+	id, path, prompt string
+	sound            bool
+}
+
 type partReply struct {
 	status int
 	sentAt time.Time
@@ -55,45 +64,64 @@
 	defer ticker.Stop()
 	for n := 0; ctx.Err() == nil; n++ {
 		<-ticker.C
-		sound := fmt.Sprintf("c0:800,%x:100,%x:50", 0x100+l.random.IntN(soundParts), 0x10000+n)
-		l.start(n, sound, true)
+		l.start(l.soundRequest(n))
 		if n%l.fatalEvery != 0 || time.Now().Before(fatalFrom) {
 			continue
 		}
 		for i := range l.burst {
 			part := l.fatal[l.random.IntN(len(l.fatal))]
-			l.start(n, fmt.Sprintf("c0:800,%s:100,%x:50", part.ID, 0xf0000+n*l.burst+i), false)
+			l.start(fatalRequest(part, n*l.burst+i))
 		}
 	}
 	l.done.Wait()
 }
 
-func (l *partLoad) start(n int, prompt string, sound bool) {
+// soundRequest returns the nth sound request.
+func (l *partLoad) soundRequest(n int) partRequest {
+	topic, rest := 0x100+l.random.IntN(soundParts), 0x10000+n
+	path := rest
+	if l.canned > 0 {
+		topic = 0x100 + l.random.IntN(l.canned)
+		path, rest = topic, topic
+	}
+	return partRequest{
+		id: fmt.Sprintf("sound-%d", n), path: fmt.Sprintf("/my66/%x", path),
+		prompt: fmt.Sprintf("c0:800,%x:100,%x:50", topic, rest), sound: true,
+	}
+}
+
+// fatalRequest returns the nth request with a part that crashes replicas.
+func fatalRequest(part *burdockfakeplatform.FatalPart, n int) partRequest {
+	return partRequest{
+		id: fmt.Sprintf("%s-%d", part.ID, n), path: fmt.Sprintf("/my66/fatal/%x", n),
+		prompt: fmt.Sprintf("c0:800,%s:100,%x:50", part.ID, 0xf0000+n),
+	}
+}
+
+func (l *partLoad) start(r partRequest) {
 	e := l.site.entries[l.random.IntN(len(l.site.entries))]
-	l.done.Go(func() { l.send(e, n, prompt, sound) })
+	l.done.Go(func() { l.send(e, r) })
 }
 
-func (l *partLoad) send(e *entry, n int, prompt string, sound bool) {
-	attemptID := prompt
-	prompt = conversation(l.turns) + prompt
-	req, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/my66/%x", e.callers, n), nil)
+func (l *partLoad) send(e *entry, r partRequest) {
+	req, err := http.NewRequest(http.MethodGet, "http://"+e.callers+r.path, nil)
 	if err != nil {
 		panic(err) // unreachable: the addresses are those of listeners
 	}
 	req.Host = host
 	req.Header.Set("Authorization", "Bearer "+apiKey)
-	req.Header.Set("Burdockbend-Attempt-Id", attemptID)
-	req.Header.Set("Burdockbend-Prompt-Prefix", prompt)
+	req.Header.Set("Burdockbend-Attempt-Id", r.id)
+	req.Header.Set("Burdockbend-Prompt-Prefix", conversation(l.turns)+r.prompt)
 	req.Header.Set("Burdockbend-Time-Budget-Ms", "1500")
-	r := partReply{sentAt: time.Now()}
+	got := partReply{sentAt: time.Now()}
 	if res, err := http.DefaultClient.Do(req); err == nil {
-		r.status = res.StatusCode
+		got.status = res.StatusCode
 		_ = res.Body.Close()
 	}
-	if sound {
+	if r.sound {
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		l.replies = append(l.replies, r)
+		l.replies = append(l.replies, got)
 	}
 }
 
@@ -122,14 +150,21 @@
 	return float64(served) / float64(max(n, 1)), n
 }
 
-// startFatalSite starts entries in front of 16 replicas that the parts crash.
-func startFatalSite(t *testing.T, entries int, keepID bool, fatal ...*burdockfakeplatform.FatalPart) *site {
+// fatalSite tells how many entries and replicas a site has, and how the replicas work.
+type fatalSite struct {
+	entries, replicas int
+	work              time.Duration
+	keepID            bool
+}
+
+// start starts entries in front of replicas that the parts crash.
+func (c fatalSite) start(t *testing.T, fatal ...*burdockfakeplatform.FatalPart) *site {
 	t.Helper()
-	s := startSite(t, entries, 0, nil)
-	for i := range 16 {
+	s := startSite(t, c.entries, 0, nil)
+	for i := range cmp.Or(c.replicas, 16) {
 		p, err := burdockfakeplatform.StartProcess(burdockfakeplatform.ProcessConfig{
 			Name: fmt.Sprint("fatal-", i), Service: service, Zone: "hall-a", Slots: 16,
-			Work: 2 * workTime, Downtime: partDowntime, KeepID: keepID, Fatal: fatal,
+			Work: cmp.Or(c.work, 2*workTime), Downtime: partDowntime, KeepID: c.keepID, Fatal: fatal,
 		}, s.store)
 		if err != nil {
 			t.Fatal(err)
@@ -140,29 +175,32 @@
 }
 
 // Guards against one part of prompts that crashes one replica after the other, whatever else
-// the requests with it hold.
+// the requests with it hold, and against sound requests that are taken for such a request.
 func TestPartThatCrashesReplicasIsKeptFromThem(t *testing.T) {
 	for _, c := range []struct {
 		name              string
-		entries           int
+		site              fatalSite
 		fatalEvery, burst int
 		parts             int
-		keepID            bool
-		turns             int
+		turns, canned     int
 	}{
-		{name: "one at a time", entries: 2, fatalEvery: 15, burst: 1, parts: 1},
-		{name: "six at once, twelve entries", entries: 12, fatalEvery: 90, burst: 6, parts: 1},
-		{name: "replicas keep their IDs", entries: 4, fatalEvery: 15, burst: 1, parts: 1, keepID: true},
-		{name: "two parts", entries: 4, fatalEvery: 15, burst: 2, parts: 2},
-		{name: "late in long prompts", entries: 4, fatalEvery: 15, burst: 1, parts: 1, turns: 1000},
+		{name: "one at a time", site: fatalSite{entries: 2}, fatalEvery: 15, burst: 1, parts: 1},
+		{name: "six at once, twelve entries", site: fatalSite{entries: 12}, fatalEvery: 90, burst: 6, parts: 1},
+		{name: "replicas keep their IDs", site: fatalSite{entries: 4, keepID: true}, fatalEvery: 15, burst: 1, parts: 1},
+		{name: "two parts", site: fatalSite{entries: 4}, fatalEvery: 15, burst: 2, parts: 2},
+		{name: "late in long prompts", site: fatalSite{entries: 4}, fatalEvery: 15, burst: 1, parts: 1, turns: 1000},
+		{
+			name: "beside three canned prompts", site: fatalSite{entries: 2, replicas: 4, work: 250 * time.Millisecond},
+			fatalEvery: 120, burst: 1, parts: 1, canned: 3,
+		},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var fatal []*burdockfakeplatform.FatalPart
 			for i := range c.parts {
 				fatal = append(fatal, &burdockfakeplatform.FatalPart{ID: fmt.Sprintf("bad%d", i)})
 			}
-			s := startFatalSite(t, c.entries, c.keepID, fatal...)
-			l := &partLoad{site: s, fatal: fatal, fatalEvery: c.fatalEvery, burst: c.burst, turns: c.turns, random: rand.New(rand.NewPCG(*seedFlag, 5))}
+			s := c.site.start(t, fatal...)
+			l := &partLoad{site: s, fatal: fatal, fatalEvery: c.fatalEvery, burst: c.burst, turns: c.turns, canned: c.canned, random: rand.New(rand.NewPCG(*seedFlag, 5))}
 			began := time.Now()
 			fatalFrom := began.Add(time.Second)
 			ctx, cancel := context.WithDeadline(context.Background(), began.Add(11*time.Second))
@@ -211,7 +249,7 @@
 // the others keep from them.
 func TestStartedEntryKnowsQuarantinedParts(t *testing.T) {
 	part := &burdockfakeplatform.FatalPart{ID: "bad0"}
-	s := startFatalSite(t, 2, false, part)
+	s := fatalSite{entries: 2}.start(t, part)
 	l := &partLoad{site: s, fatal: []*burdockfakeplatform.FatalPart{part}, fatalEvery: 15, burst: 1, random: rand.New(rand.NewPCG(*seedFlag, 6))}
 	began := time.Now()
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(5*time.Second))
@@ -223,7 +261,7 @@
 	e.start(t)
 	e.waitReady(t)
 	for i := range 20 {
-		l.send(e, i, fmt.Sprintf("c0:800,%s:100,%x:50", part.ID, 0xe0000+i), false)
+		l.send(e, fatalRequest(part, 0xe0000+i))
 	}
 	if got := len(part.Arrivals()) - before; before == 0 || got != 0 {
 		t.Errorf("requests with the part from the started entry: got %d after %d before, want none after some", got, before)
