Play fatal parts until sound requests can be counted

In the whole script on, at a load of 45 on 8 processors, the load of the case with canned prompts ended before the time from which sound requests count: none of none was served. The load now lasts until then, a minute at most, and a second longer. Bounds and what is sent are as before.

--- a/internal/proof/burdockhostedproof/fatalpart_test.go
+++ b/internal/proof/burdockhostedproof/fatalpart_test.go
@@ -56,6 +56,11 @@
 	partTick     = 10 * time.Millisecond
 	soundParts   = 40
 	partDowntime = 700 * time.Millisecond
+	// minPartLoad and maxPartLoad bound how long requests come. They come for soundSpan after
+	// the time from which sound ones count, which is late on a busy machine.
+	minPartLoad = 11 * time.Second
+	maxPartLoad = time.Minute
+	soundSpan   = time.Second
 )
 
 // run sends requests for as long as the context lasts. Until fatalFrom, none has a fatal part.
@@ -203,26 +208,63 @@
 			l := &partLoad{site: s, fatal: fatal, fatalEvery: c.fatalEvery, burst: c.burst, turns: c.turns, canned: c.canned, random: rand.New(rand.NewPCG(*seedFlag, 5))}
 			began := time.Now()
 			fatalFrom := began.Add(time.Second)
-			ctx, cancel := context.WithDeadline(context.Background(), began.Add(11*time.Second))
+			ctx, cancel := context.WithTimeout(context.Background(), maxPartLoad)
 			defer cancel()
+			go (&loadEnd{load: l, notBefore: began.Add(minPartLoad), cancel: cancel}).run(ctx)
 			l.run(ctx, fatalFrom)
 			checkFatal(t, l, began, fatalFrom)
 		})
 	}
 }
 
+// loadEnd ends a load some time after sound requests have begun to count, and not before a given
+// time.
+type loadEnd struct {
+	load      *partLoad
+	notBefore time.Time
+	cancel    context.CancelFunc
+}
+
+func (e *loadEnd) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		time.Sleep(partTick)
+		now := time.Now()
+		if now.After(e.notBefore) && now.After(e.load.settledAt().Add(soundSpan)) {
+			e.cancel()
+		}
+	}
+}
+
+// settledAt returns from when on sound requests count, given the crashes so far.
+func (l *partLoad) settledAt() time.Time {
+	var at time.Time
+	for _, part := range l.fatal {
+		crashes := part.Crashes()
+		if len(crashes) == 0 {
+			continue
+		}
+		if settled := lateFrom(crashes).Add(crashSettleTime); settled.After(at) {
+			at = settled
+		}
+	}
+	return at
+}
+
+// lateFrom returns from when on requests with a part are late, given the crashes that it caused.
+func lateFrom(crashes []time.Time) time.Time {
+	return crashes[min(fatalCrashes, len(crashes))-1].Add(crashSettleTime)
+}
+
 // checkFatal fails the test if too many requests with a fatal part reached replicas, or too few
 // sound ones were served.
 func checkFatal(t *testing.T, l *partLoad, began, fatalFrom time.Time) {
 	t.Helper()
-	settled := fatalFrom
 	for _, part := range l.fatal {
 		crashes := part.Crashes()
 		if len(crashes) == 0 {
 			t.Fatalf("seed %d: part %s crashed no replica, want some", *seedFlag, part.ID)
 		}
-		bound := crashes[min(fatalCrashes, len(crashes))-1].Add(crashSettleTime)
-		late := 0
+		bound, late := lateFrom(crashes), 0
 		for _, a := range part.Arrivals() {
 			if len(crashes) >= fatalCrashes && a.At.After(bound) {
 				late++
@@ -233,12 +275,9 @@
 			t.Errorf("seed %d: requests with part %s at replicas later than %v after the %dth crash: got %d, want at most %d",
 				*seedFlag, part.ID, crashSettleTime, fatalCrashes, late, maxFatalLate)
 		}
-		if at := bound.Add(crashSettleTime); at.After(settled) {
-			settled = at
-		}
 	}
 	before, _ := l.soundShare(began, fatalFrom)
-	after, n := l.soundShare(settled, time.Now())
+	after, n := l.soundShare(l.settledAt(), time.Now())
 	t.Logf("sound requests served: %.3f before, %.3f of %d at the end", before, after, n)
 	if n < 20 || after < minSoundShare*before {
 		t.Errorf("seed %d: sound requests served: got %.3f of %d, want at least %.2f of %.3f", *seedFlag, after, n, minSoundShare, before)
