Name the transport of all hops for more than sending once

The clients of upstreams, engines, stores and other processes of ours go through one RoundTripper. It is named for that and not for the one thing that it does so far, so that what holds for the answers of all of them has a place. No behaviour changes.

--- a/internal/external/burdockengine/grouphttp.go
+++ b/internal/external/burdockengine/grouphttp.go
@@ -98,7 +98,7 @@
 		base: "http://" + address,
 		client: &http.Client{
 			Timeout: groupTimeout,
-			Transport: burdocktransport.NewOnce(&http.Transport{
+			Transport: burdocktransport.New(&http.Transport{
 				MaxResponseHeaderBytes: burdocktransport.MaxResponseHeader,
 				DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
 				IdleConnTimeout:        idleTimeout,
--- a/internal/external/burdockengine/http.go
+++ b/internal/external/burdockengine/http.go
@@ -33,7 +33,7 @@
 	return &httpEngine{
 		address: address,
 		base:    "http://" + address,
-		transport: burdocktransport.NewOnce(&http.Transport{
+		transport: burdocktransport.New(&http.Transport{
 			MaxResponseHeaderBytes: burdocktransport.MaxResponseHeader,
 			DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
 			MaxIdleConnsPerHost:    maxIdleConns,
--- a/internal/external/burdockstore/http.go
+++ b/internal/external/burdockstore/http.go
@@ -39,7 +39,7 @@
 // A call is never sent a second time when its connection breaks: a write that took effect
 // the first time would be reported as a conflict with itself.
 func NewHTTP(addresses []string) Store {
-	client := &http.Client{Transport: burdocktransport.NewOnce(&http.Transport{
+	client := &http.Client{Transport: burdocktransport.New(&http.Transport{
 		MaxResponseHeaderBytes: burdocktransport.MaxResponseHeader,
 		DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		IdleConnTimeout:        idleTimeout,
--- a/internal/serve/burdockdirect/upstreamclients.go
+++ b/internal/serve/burdockdirect/upstreamclients.go
@@ -38,7 +38,7 @@
 func newUpstreamClient(fresh bool) *http.Client {
 	return &http.Client{
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-		Transport: burdocktransport.NewOnce(&http.Transport{
+		Transport: burdocktransport.New(&http.Transport{
 			DialContext:         dialUpstream,
 			MaxIdleConnsPerHost: maxIdlePerUpstream,
 			IdleConnTimeout:     upstreamIdleTimeout,
--- a/internal/serve/burdockrank/pipe_test.go
+++ b/internal/serve/burdockrank/pipe_test.go
@@ -27,7 +27,7 @@
 func (n pipeNetwork) peers(t *testing.T) *burdocktransport.Peers {
 	t.Helper()
 	peers := burdocktransport.NewPeers(nil)
-	peers.Client.Transport = burdocktransport.NewOnce(&http.Transport{DialContext: n.dial})
+	peers.Client.Transport = burdocktransport.New(&http.Transport{DialContext: n.dial})
 	t.Cleanup(peers.DropIdle)
 	return peers
 }
--- a/internal/tool/burdockload/client.go
+++ b/internal/tool/burdockload/client.go
@@ -38,7 +38,7 @@
 // newClient returns a client that sends each call at most once, so that the counts
 // at the caller and at the server can be compared.
 func newClient(cfg Config, address string) *client {
-	return &client{cfg: cfg, address: address, http: &http.Client{Transport: burdocktransport.NewOnce(&http.Transport{
+	return &client{cfg: cfg, address: address, http: &http.Client{Transport: burdocktransport.New(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		MaxIdleConns:        maxIdleConns,
 		MaxIdleConnsPerHost: maxIdleConns,
--- a/internal/wire/burdocktransport/once.go
+++ b/internal/wire/burdocktransport/once.go
@@ -1,34 +1,20 @@
-// Package burdocktransport holds the HTTP and RPC transport settings that hops share.
 package burdocktransport
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 )
 
-// once is a RoundTripper that gives each request a body that can't be read again.
-type once struct{ next http.RoundTripper }
-
-// NewOnce returns a RoundTripper that sends each request at most once.
+// sendableOnce returns a copy of a request, with another context, that net/http sends at most once.
 //
 // When a kept-alive connection breaks, net/http's Transport sends a GET again, and a POST
 // that has an Idempotency-Key header, so that the server may run it twice unnoticed. It does
 // so only if the request's body is absent or can be read again. A body that can be read only
 // once, even an empty one, prevents that for every method.
-func NewOnce(next http.RoundTripper) http.RoundTripper { return once{next: next} }
-
-// CloseIdleConnections closes the idle connections of the wrapped RoundTripper. It is called by
-// http.Client.CloseIdleConnections.
-func (o once) CloseIdleConnections() {
-	if c, ok := o.next.(interface{ CloseIdleConnections() }); ok {
-		c.CloseIdleConnections()
-	}
-}
-
-// RoundTrip implements http.RoundTripper.
-func (o once) RoundTrip(req *http.Request) (*http.Response, error) {
-	sent := req.WithContext(req.Context()) // a shallow copy
+func sendableOnce(ctx context.Context, req *http.Request) *http.Request {
+	sent := req.WithContext(ctx) // a shallow copy
 	sent.GetBody = nil
 	switch {
 	case sent.Body != nil && sent.Body != http.NoBody:
@@ -43,7 +29,7 @@
 	default:
 		sent.Body, sent.ContentLength = http.NoBody, 0
 	}
-	return o.next.RoundTrip(sent)
+	return sent
 }
 
 // unknownLength is the ContentLength of a body whose length is not known. With 0, net/http
--- a/internal/wire/burdocktransport/once_test.go
+++ b/internal/wire/burdocktransport/once_test.go
@@ -90,7 +90,7 @@
 			s := newExchangeServer(t)
 			req := httptest.NewRequest(c.method, "http://"+s.listener.Addr().String()+"/", nil)
 			req.RequestURI, req.Body = "", body
-			res, err := NewOnce(&http.Transport{}).RoundTrip(req)
+			res, err := New(&http.Transport{}).RoundTrip(req)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -109,7 +109,7 @@
 		{http.MethodGet, ""}, {http.MethodHead, ""}, {http.MethodOptions, ""}, {http.MethodPost, ""}, {http.MethodPost, "key-1"}, {http.MethodDelete, ""},
 	} {
 		s := newExchangeServer(t)
-		client := &http.Client{Transport: NewOnce(&http.Transport{})}
+		client := &http.Client{Transport: New(&http.Transport{})}
 		for range 2 {
 			req, err := http.NewRequest(c.method, "http://"+s.listener.Addr().String(), nil)
 			if err != nil {
--- a/internal/wire/burdocktransport/peers.go
+++ b/internal/wire/burdocktransport/peers.go
@@ -31,7 +31,7 @@
 	}
 	return &Peers{
 		scheme: scheme,
-		Client: &http.Client{Transport: NewOnce(&http.Transport{
+		Client: &http.Client{Transport: New(&http.Transport{
 			MaxResponseHeaderBytes: MaxResponseHeader,
 			DialContext:            (&net.Dialer{Timeout: peerDialTimeout}).DialContext,
 			TLSClientConfig:        cfg,
