Don't take a part of an early answer for the whole one

A caller that sent a long upload got the first bytes of an answer as a complete one (200, a length of 7, 'half an'): an upstream had answered at once without a length and reset the connection while the upload was still being sent.

Cause: a socket reports an error once. The write of the upload took it (ECONNRESET), and the read after it, or beside it, found the end of the file, which is how a body ends that has neither a length nor chunks.

Remembering a failed write isn't enough, as the read may come before the write has returned. The body of an answer that only its connection ends now counts as whole only once the whole request has been sent without an error, which is awaited at its end; the connection has ended, so sending ends too. This is in the transport that all hops share, for streams and engines' answers as well. Answers with a length or in chunks were always found to be cut.

An early answer without a length or chunks is never delivered now, whole or not: nothing tells the two apart. The request may have run, so it gets 502 or, if it is idempotent, another offer, as after any broken connection.

--- a/internal/external/burdockengine/http.go
+++ b/internal/external/burdockengine/http.go
@@ -69,7 +69,7 @@
 	if err != nil {
 		return Answer{}, ErrBroken.Wrap(err, "no answer from %s", e.base)
 	}
-	return Answer{Status: res.StatusCode, Header: res.Header, Body: res.Body, Framed: framed(res)}, nil
+	return Answer{Status: res.StatusCode, Header: res.Header, Body: res.Body, Framed: burdocktransport.Framed(res)}, nil
 }
 
 // Check implements Engine.
@@ -87,9 +87,3 @@
 	}
 	return e.base + call.Path + "?" + call.Query
 }
-
-// framed reports whether the response has a length or is chunked. Otherwise a broken
-// connection looks like the end of the body.
-func framed(res *http.Response) bool {
-	return res.ContentLength >= 0 || len(res.TransferEncoding) > 0
-}
--- /dev/null
+++ b/internal/wire/burdocktransport/answer_test.go
@@ -0,0 +1,87 @@
+package burdocktransport
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"burdockbend.example/burdockbend/internal/standin/burdockraw"
+	"github.com/joomcode/errorx"
+)
+
+// rawClient is a client of a server that gives the same answer to each request.
+type rawClient struct {
+	*http.Client
+	server *burdockraw.Server
+}
+
+func newRawClient(t *testing.T, answer burdockraw.Answer) rawClient {
+	t.Helper()
+	s, err := burdockraw.Start(func(*http.Request) burdockraw.Answer { return answer })
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := rawClient{Client: &http.Client{Transport: New(&http.Transport{})}, server: s}
+	t.Cleanup(s.Close)
+	t.Cleanup(c.CloseIdleConnections)
+	return c
+}
+
+// post sends a body and reads the answer to its end.
+func (c rawClient) post(body []byte) (status int, text string, err error) {
+	res, err := c.Post("http://"+c.server.Address(), "text/plain", bytes.NewReader(body))
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = res.Body.Close() }()
+	read, err := io.ReadAll(res.Body)
+	return res.StatusCode, string(read), err
+}
+
+// longBody is longer than what both sockets of a connection hold.
+var longBody = make([]byte, 6<<20)
+
+// Guards against the part of an answer that looks whole, since the write of the request took the
+// error by which reading finds out that the connection was reset.
+func TestPartOfAnEarlyAnswerFailsToBeRead(t *testing.T) {
+	for play := range 30 {
+		pause := time.Duration(play) * time.Millisecond
+		c := newRawClient(t, burdockraw.Answer{Text: "HTTP/1.1 200 OK\r\n\r\nhalf an", BodyUnread: true, Pause: pause, Ending: burdockraw.Reset})
+		if status, text, err := c.post(longBody); err == nil {
+			t.Errorf("pause %v: got status %d and %q without an error, want an error", pause, status, text)
+		}
+	}
+}
+
+// Guards against whole answers that are taken for cut.
+func TestWholeAnswerIsRead(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		answer burdockraw.Answer
+	}{
+		{"ended by its connection", burdockraw.Answer{Text: "HTTP/1.1 200 OK\r\n\r\nwhole", Ending: burdockraw.Close}},
+		{"early, length", burdockraw.Answer{Text: "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", BodyUnread: true, Ending: burdockraw.Hold}},
+		{"early, chunks", burdockraw.Answer{Text: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", BodyUnread: true, Ending: burdockraw.Hold}},
+	} {
+		for _, body := range [][]byte{nil, []byte("short"), longBody} {
+			client := newRawClient(t, c.answer)
+			if status, text, err := client.post(body); err != nil || status != http.StatusOK || text != "whole" {
+				t.Errorf("%s, after %d bytes: got status %d, %q and error %v, want 200 and %q", c.name, len(body), status, text, err, "whole")
+			}
+		}
+	}
+}
+
+// Guards against a request that goes on when reading is repeated after the answer was found cut.
+func TestCutAnswerStaysCut(t *testing.T) {
+	s := &sending{written: make(chan error, 1)}
+	s.written <- io.ErrClosedPipe
+	b := &unframedBody{ReadCloser: io.NopCloser(bytes.NewReader(nil)), ctx: t.Context(), sending: s}
+	for range 2 {
+		if n, err := b.Read(make([]byte, 1)); n != 0 || !errorx.IsOfType(err, ErrCutShort) {
+			t.Errorf("got %d bytes and error %v, want none and %v", n, err, ErrCutShort)
+		}
+	}
+}
