Don't pass on answers without a valid status

Answers with status 000, 007, 099 or '+20' left their callers with a closed connection and the log without a line, since net/http's server panics when it is to write such a status. 101, which nobody had asked for, and 600 and 999 were passed on as they were; after 101 the caller waited on a connection that had left HTTP. A refusal with such a status was believed, and answered 503, which promises that the request has not run.

Cause: net/http's reader takes any three characters that make a number for a status, and nothing looked at it before it was passed on.

The transport of all hops now fails for a final answer whose status isn't 200 to 599, the range that HTTP knows for them, and closes its connection: net/http may have put that back for further requests before it returned the answer. What a failed exchange means was there already: 502, which promises nothing, or another offer of an idempotent request, a line in the log, and a mark for the upstream.

--- a/internal/standin/burdockraw/server.go
+++ b/internal/standin/burdockraw/server.go
@@ -67,7 +67,7 @@
 // Address returns the server's IP and port.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
-// Connections returns the number of connections that have been opened.
+// Connections returns the number of connections on which a request has arrived.
 func (s *Server) Connections() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -99,17 +99,19 @@
 			return
 		}
 		s.mu.Lock()
-		s.connections++
 		s.open[conn] = struct{}{}
 		s.mu.Unlock()
 		go (&serverConn{server: s, Conn: conn}).run()
 	}
 }
 
-func (s *Server) countRequest() {
+func (s *Server) countRequest(firstOfConnection bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.requests++
+	if firstOfConnection {
+		s.connections++
+	}
 }
 
 func (s *Server) drop(conn net.Conn) {
@@ -128,12 +130,12 @@
 	defer c.server.drop(c.Conn)
 	defer func() { _ = c.Conn.Close() }()
 	in := bufio.NewReader(c.Conn)
-	for {
+	for first := true; ; first = false {
 		req, err := http.ReadRequest(in)
 		if err != nil {
 			return
 		}
-		c.server.countRequest()
+		c.server.countRequest(first)
 		if !c.answer(req, c.server.respond(req)) {
 			return
 		}
--- a/internal/wire/burdocktransport/answer_test.go
+++ b/internal/wire/burdocktransport/answer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net/http"
 	"testing"
@@ -85,3 +86,28 @@
 		}
 	}
 }
+
+// Guards against answers without a valid status, which a server can't pass on.
+func TestAnswerWithAnInvalidStatusFails(t *testing.T) {
+	for _, status := range []string{"000", "007", "099", "+20", "101", "600", "999"} {
+		testMalformedHead(t, "HTTP/1.1 "+status+" OK\r\n")
+	}
+}
+
+// testMalformedHead checks that an answer fails whose head begins with a text, and that its
+// connection is not used again.
+func testMalformedHead(t *testing.T, start string) {
+	t.Helper()
+	for _, rest := range []string{"Content-Length: 0\r\n\r\n", "Content-Length: 5\r\n\r\nwhole", "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"} {
+		c := newRawClient(t, burdockraw.Answer{Text: start + rest})
+		for range 2 {
+			_, _, err := c.post([]byte("question"))
+			if e := (&errorx.Error{}); !errors.As(err, &e) || !e.IsOfType(ErrMalformedHead) {
+				t.Errorf("%q: got error %v, want %v", start+rest, err, ErrMalformedHead)
+			}
+		}
+		if got, want := c.server.Connections(), 2; got != want {
+			t.Errorf("%q: got %d connections for two requests, want %d", start+rest, got, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/wire/burdocktransport/head.go
@@ -0,0 +1,22 @@
+package burdocktransport
+
+import "net/http"
+
+// ErrMalformedHead means that the head of an answer isn't valid HTTP, so that nothing in the answer
+// can be relied on.
+var ErrMalformedHead = Errors.NewType("malformedHead")
+
+// Statuses of final answers are between these. No request asks for another protocol, so 101 is not
+// among them.
+const (
+	minStatus = 200
+	maxStatus = 599
+)
+
+// checkHead finds what net/http's reader of heads lets pass.
+func checkHead(res *http.Response) error {
+	if res.StatusCode < minStatus || res.StatusCode > maxStatus {
+		return ErrMalformedHead.New("%q is not the status of an answer", res.Status)
+	}
+	return nil
+}
--- a/internal/wire/burdocktransport/sending.go
+++ b/internal/wire/burdocktransport/sending.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http/httptrace"
 	"sync"
 	"time"
@@ -17,8 +18,9 @@
 
 // sending follows how a request is sent.
 type sending struct {
-	mu sync.Mutex
-	// written gets the outcome on the latest connection.
+	mu   sync.Mutex
+	conn net.Conn
+	// written gets the outcome on conn.
 	written chan error
 }
 
@@ -27,9 +29,10 @@
 	return &httptrace.ClientTrace{GotConn: s.gotConn, WroteRequest: s.wroteRequest}
 }
 
-func (s *sending) gotConn(httptrace.GotConnInfo) {
+func (s *sending) gotConn(info httptrace.GotConnInfo) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.conn = info.Conn
 	s.written = make(chan error, 1)
 }
 
@@ -46,6 +49,14 @@
 	return s.written
 }
 
+// closeConn closes the request's connection. net/http may have put it back for use by other
+// requests before it returned the answer, and then has no other way to take it out.
+func (s *sending) closeConn() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_ = s.conn.Close()
+}
+
 // awaitEnd returns nil once the whole request has been sent, and an error if it never will be.
 func (s *sending) awaitEnd(ctx context.Context) error {
 	timer := time.NewTimer(sendEndTimeout)
--- a/internal/wire/burdocktransport/transport.go
+++ b/internal/wire/burdocktransport/transport.go
@@ -14,9 +14,11 @@
 // roundTripper is what New returns.
 type roundTripper struct{ next *http.Transport }
 
-// New returns the RoundTripper for all HTTP clients. It sends each request at most once. The
-// body of an answer that only the end of its connection ends fails with ErrCutShort, in place of
-// io.EOF, unless the whole request has been sent.
+// New returns the RoundTripper for all HTTP clients. It sends each request at most once.
+//
+// An answer with an invalid head is not returned; it fails with ErrMalformedHead, and its connection
+// is closed. The body of an answer that only the end of its connection ends fails with ErrCutShort, in
+// place of io.EOF, unless the whole request has been sent.
 func New(t *http.Transport) http.RoundTripper { return roundTripper{t} }
 
 // CloseIdleConnections closes the idle connections. It is called by
@@ -31,6 +33,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := checkHead(res); err != nil {
+		_ = res.Body.Close()
+		s.closeConn()
+		return nil, err
+	}
 	if !Framed(res) && res.Body != http.NoBody {
 		res.Body = &unframedBody{ReadCloser: res.Body, ctx: ctx, sending: s}
 	}
