Don't pass on answers with a blank in the name of a field

An answer with 'Content-Length : 4' and eight bytes was passed on with all eight, one with 'Transfer-Encoding : chunked' with the framing of its chunks as its body. Other lines with a blank in their name were dropped and the answer passed on. A refusal with such a line was believed.

Cause: net/http's reader of heads lets a blank in a name pass, and no other byte that a name can't have. Such a field has another name than the one that it resembles, so that the body is read without its length or coding.

The transport of all hops now fails for such a head, as for any that net/http finds malformed: 502 or another offer of an idempotent request, a line in the log, a mark for the upstream, and the connection is closed.

What held already: a tab, control bytes, zero, bytes over 127 and nothing at all as a name, control bytes in values, two lengths, a length with a sign, an unknown coding. Their cases stay, as do those of sound answers: folded lines, and such lines in interim answers and trailers, of which nothing is passed on.

--- a/internal/serve/burdockdirect/brokenhead_test.go
+++ b/internal/serve/burdockdirect/brokenhead_test.go
@@ -31,6 +31,36 @@
 	{"interim answer, then 000", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 OK\r\n"},
 }
 
+// invalidLines are heads with a line that isn't a valid field.
+var invalidLines = []brokenHead{
+	{"blank in a name", "HTTP/1.1 200 OK\r\nX Broken: 1\r\n"},
+	{"blank before the colon", "HTTP/1.1 200 OK\r\nX-Broken : 1\r\n"},
+	{"blank before the colon, HTTP/1.0", "HTTP/1.0 200 OK\r\nX-Broken : 1\r\n"},
+	{"blank before the colon of an empty field", "HTTP/1.1 204 No Content\r\nX-Broken :\r\n"},
+	{"blank before the colon of the length", "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n"},
+	{"blank before the colon of the coding", "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n"},
+	{"blank in the name of a known field", "HTTP/1.1 200 OK\r\nContent Length: 4\r\n"},
+	{"blank in a name, refused", "HTTP/1.1 503 Service Unavailable\r\nX Broken: 1\r\n"},
+	{"blank in a name, interim answer first", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nX Broken: 1\r\n"},
+	{"blank at the beginning", "HTTP/1.1 200 OK\r\n X-Broken: 1\r\n"},
+	{"tab in a name", "HTTP/1.1 200 OK\r\nX\tBroken: 1\r\n"},
+	{"tab before the colon", "HTTP/1.1 200 OK\r\nContent-Length\t: 4\r\n"},
+	{"control byte in a name", "HTTP/1.1 200 OK\r\nX\x01Broken: 1\r\n"},
+	{"delete in a name", "HTTP/1.1 200 OK\r\nX\x7fBroken: 1\r\n"},
+	{"return in a name", "HTTP/1.1 200 OK\r\nX\rBroken: 1\r\n"},
+	{"zero in a name", "HTTP/1.1 200 OK\r\nX\x00Broken: 1\r\n"},
+	{"byte over 127 in a name", "HTTP/1.1 200 OK\r\nX\xe4Broken: 1\r\n"},
+	{"empty name", "HTTP/1.1 200 OK\r\n: 1\r\n"},
+	{"no colon", "HTTP/1.1 200 OK\r\nX-Broken\r\n"},
+	{"control byte in a value", "HTTP/1.1 200 OK\r\nX-Broken: 1\x012\r\n"},
+	{"zero in a value", "HTTP/1.1 200 OK\r\nX-Broken: 1\x002\r\n"},
+	{"two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 7\r\n"},
+	{"length with a sign", "HTTP/1.1 200 OK\r\nContent-Length: +4\r\n"},
+	{"control byte in the length", "HTTP/1.1 200 OK\r\nContent-Length: 4\x01\r\n"},
+	{"unknown coding", "HTTP/1.1 200 OK\r\nTransfer-Encoding: x-chunked\r\n"},
+	{"control byte in the coding", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\x0b\r\n"},
+}
+
 // signedLines mark an answer as the upstream's own, to its request.
 const signedLines = "X-Id: ID\r\nX-Signed: 1\r\n"
 
@@ -54,6 +84,12 @@
 	testBrokenHeads(t, invalidStatuses)
 }
 
+// Guards against answers with a line in their head that isn't a valid field, which are passed on with a
+// body that is not the upstream's.
+func TestAnswerWithAnInvalidFieldIsNotPassedOn(t *testing.T) {
+	testBrokenHeads(t, invalidLines)
+}
+
 func testBrokenHeads(t *testing.T, heads []brokenHead) {
 	t.Helper()
 	for _, head := range heads {
@@ -135,3 +171,34 @@
 		}
 	}
 }
+
+// Guards against lines that are neither part of the answer's head nor passed on, but have the answer
+// kept back, and against lines that only look odd.
+func TestAnswerBesideOddLinesIsPassedOn(t *testing.T) {
+	const ok, chunked = "HTTP/1.1 200 OK\r\n" + signedLines, "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n"
+	for _, c := range []struct{ name, text string }{
+		{"blank in a name of an interim answer", "HTTP/1.1 103 Early Hints\r\nX Broken: 1\r\nContent-Length : 4\r\n\r\n" + ok + "Content-Length: 5\r\n\r\nwhole"},
+		{"trailer", ok + chunked + "X-Trailer: 1\r\n\r\n"},
+		{"blank in a name of a trailer", ok + chunked + "X Broken: 1\r\n\r\n"},
+		{"announced trailer with a blank in its name", ok + "Trailer: X Broken\r\n" + chunked + "X Broken: 1\r\n\r\n"},
+		{"folded line", ok + "X-Folded: a\r\n b\r\nContent-Length: 5\r\n\r\nwhole"},
+		{"no blank after the colon", ok + "Content-Length:5\r\n\r\nwhole"},
+		{"blanks around a value", ok + "Content-Length: \t 5 \t\r\n\r\nwhole"},
+		{"empty value", ok + "X-Empty:\r\nContent-Length: 5\r\n\r\nwhole"},
+		{"the same length twice", ok + "Content-Length: 5\r\nContent-Length: 5\r\n\r\nwhole"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t, testTimeout)
+			f.putRaw(t, burdockraw.Answer{Text: c.text})
+			got := f.send(t, context.Background(), "/once/", nil)
+			if got.err != nil || got.status != http.StatusOK || got.body != "whole" {
+				t.Errorf("got status %d, body %q and error %v, want 200 and %q", got.status, got.body, got.err, "whole")
+			}
+			for name := range got.header {
+				if strings.Contains(name, "Broken") || strings.Contains(name, "Trailer") {
+					t.Errorf("got a field %q, want none", name)
+				}
+			}
+		})
+	}
+}
--- a/internal/wire/burdocktransport/answer_test.go
+++ b/internal/wire/burdocktransport/answer_test.go
@@ -111,3 +111,10 @@
 		}
 	}
 }
+
+// Guards against a field that is not read as what it is, so that the body has another end.
+func TestAnswerWithABlankInANameFails(t *testing.T) {
+	for _, line := range []string{"Content-Length : 4", "Transfer-Encoding : chunked", "X Broken: 1", "X-Broken :"} {
+		testMalformedHead(t, "HTTP/1.1 200 OK\r\n"+line+"\r\n")
+	}
+}
--- a/internal/wire/burdocktransport/head.go
+++ b/internal/wire/burdocktransport/head.go
@@ -1,6 +1,9 @@
 package burdocktransport
 
-import "net/http"
+import (
+	"net/http"
+	"strings"
+)
 
 // ErrMalformedHead means that the head of an answer isn't valid HTTP, so that nothing in the answer
 // can be relied on.
@@ -13,10 +16,17 @@
 	maxStatus = 599
 )
 
-// checkHead finds what net/http's reader of heads lets pass.
+// checkHead finds what net/http's reader of heads lets pass: any number of three characters as the
+// status, and a blank in the name of a field. Such a name isn't the field that it resembles, so that a
+// body may be read without its length or coding.
 func checkHead(res *http.Response) error {
 	if res.StatusCode < minStatus || res.StatusCode > maxStatus {
 		return ErrMalformedHead.New("%q is not the status of an answer", res.Status)
 	}
+	for name := range res.Header {
+		if strings.Contains(name, " ") {
+			return ErrMalformedHead.New("%q is not the name of a field", name)
+		}
+	}
 	return nil
 }
