Refuse statuses from agents that no answer can have

In a deployment with agents, an entry that got status 0, 7 or 1000 from one closed the caller's connection without an answer; 101 and 600 were passed on as they were, 100 and 199 as a 200.

Cause: the entry writes the status from the agent's message as it is, and net/http's server panics for one that it can't write. Agents of this version get no such answer from their engines any more, as those pass the transport. During an update, one of an earlier version may still send it.

The entry now ends such an offer as it ends one with an event of another request: the request may have run (502), and is not offered again. Names with a blank can't be passed on here, as the server writes no such field.

TestInvalidStatusFromAnAgentIsAnsweredAsUnknown failed before for all of its nine statuses.

--- a/internal/serve/burdockentry/attempt.go
+++ b/internal/serve/burdockentry/attempt.go
@@ -11,6 +11,7 @@
 	"burdockbend.example/burdockbend/internal/base/burdockid"
 	"burdockbend.example/burdockbend/internal/config/burdockmember"
 	"burdockbend.example/burdockbend/internal/decide/burdockeject"
+	"burdockbend.example/burdockbend/internal/wire/burdocktransport"
 	"burdockbend.example/burdockbend/internal/wire/burdockwire"
 	"connectrpc.com/connect"
 	"go.uber.org/zap"
@@ -173,7 +174,7 @@
 func (a *attempt) handleEvent(event *burdockwire.RunEvent) result {
 	if event.GetRequestId() != string(a.dispatcher.req.id) {
 		// Nothing on a stream with an event of another request can be trusted.
-		return a.wrongRequest()
+		return a.untrusted("the agent sent an event of another request")
 	}
 	switch ev := event.GetEvent().(type) {
 	case *burdockwire.RunEvent_Admitted:
@@ -183,6 +184,9 @@
 		a.reportLoad(ev.Refused.GetLoad())
 		return refused{refusal: ev.Refused}
 	case *burdockwire.RunEvent_Head:
+		if !burdocktransport.IsFinalStatus(int(ev.Head.GetStatus())) {
+			return a.untrusted("the answer has no valid status")
+		}
 		a.dispatcher.response.setHead(ev.Head)
 	case *burdockwire.RunEvent_Chunk:
 		return a.handleChunk(ev.Chunk)
@@ -198,8 +202,8 @@
 	return nil
 }
 
-func (a *attempt) wrongRequest() result {
-	const reason = "the agent sent an event of another request"
+// untrusted returns the result for an agent that sent something that can't be right.
+func (a *attempt) untrusted(reason string) result {
 	if a.dispatcher.response.headWritten {
 		return truncated{reason: reason}
 	}
--- a/internal/serve/burdockentry/entry_test.go
+++ b/internal/serve/burdockentry/entry_test.go
@@ -195,6 +195,25 @@
 	return res.StatusCode, string(body), err
 }
 
+// Guards against an agent, of an earlier version perhaps, that passes on a status which no answer can
+// have: net/http's server panics, and the caller gets no answer.
+func TestInvalidStatusFromAnAgentIsAnsweredAsUnknown(t *testing.T) {
+	for _, status := range []int32{-1, 0, 7, 99, 100, 101, 199, 600, 1000} {
+		agent := &scriptedAgent{script: func(id string) []*burdockwire.RunEvent {
+			invalid := &burdockwire.RunEvent{RequestId: id, Event: &burdockwire.RunEvent_Head{Head: &burdockwire.Head{Status: status}}}
+			return []*burdockwire.RunEvent{admitted(id), invalid, chunk(id, 0, "abc"), end(id, 3)}
+		}}
+		server, key := startEntry(t, agent)
+		got, body, err := post(server.URL+"/cards/1", key)
+		if err != nil || got != http.StatusBadGateway || strings.Contains(body, "abc") {
+			t.Errorf("status %d: got status %d, body %q and error %v, want %d", status, got, body, err, http.StatusBadGateway)
+		}
+		if got, want := agent.runs.Load(), int64(1); got != want {
+			t.Errorf("status %d: got %d offers, want %d", status, got, want)
+		}
+	}
+}
+
 // A caller with an unknown API key must not learn which routes exist.
 func TestUnknownAPIKeyRevealsNoRoutes(t *testing.T) {
 	server, _ := startEntry(t, &scriptedAgent{})
--- a/internal/wire/burdocktransport/head.go
+++ b/internal/wire/burdocktransport/head.go
@@ -9,18 +9,21 @@
 // can be relied on.
 var ErrMalformedHead = Errors.NewType("malformedHead")
 
-// Statuses of final answers are between these. No request asks for another protocol, so 101 is not
-// among them.
+// Statuses of final answers are between these.
 const (
-	minStatus = 200
-	maxStatus = 599
+	minFinalStatus = 200
+	maxFinalStatus = 599
 )
 
+// IsFinalStatus reports whether an answer may have a status, as opposed to an interim answer. No
+// request asks for another protocol, so 101 is not the status of an answer.
+func IsFinalStatus(status int) bool { return status >= minFinalStatus && status <= maxFinalStatus }
+
 // checkHead finds what net/http's reader of heads lets pass: any number of three characters as the
 // status, and a blank in the name of a field. Such a name isn't the field that it resembles, so that a
 // body may be read without its length or coding.
 func checkHead(res *http.Response) error {
-	if res.StatusCode < minStatus || res.StatusCode > maxStatus {
+	if !IsFinalStatus(res.StatusCode) {
 		return ErrMalformedHead.New("%q is not the status of an answer", res.Status)
 	}
 	for name := range res.Header {
