Read the membership list and the trial's answers as all others

A membership list in an answer with a blank in the name of a field was believed.

Cause: the clients of the list and of 'burdock try' didn't go through the transport that finds broken answers. Now they do; the list's keeps the settings of net/http's default. What is left outside are the two calls by which the command line and 'burdock measure' read the state and metrics of processes of ours, and the pass-through that is measured as a baseline.

--- a/internal/external/burdocklist/http.go
+++ b/internal/external/burdocklist/http.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"burdockbend.example/burdockbend/internal/wire/burdocktransport"
 	"github.com/dghubble/sling"
 	"github.com/joomcode/errorx"
 )
@@ -20,7 +21,8 @@
 
 // NewHTTP returns a List at baseURL.
 func NewHTTP(baseURL string) List {
-	return &httpList{client: &http.Client{Timeout: callTimeout}, base: sling.New().Base(baseURL)}
+	transport := burdocktransport.New(http.DefaultTransport.(*http.Transport).Clone())
+	return &httpList{client: &http.Client{Transport: transport, Timeout: callTimeout}, base: sling.New().Base(baseURL)}
 }
 
 // VMs implements List.
--- a/internal/tool/burdocktry/send.go
+++ b/internal/tool/burdocktry/send.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"burdockbend.example/burdockbend/internal/wire/burdocktransport"
 	"github.com/joomcode/errorx"
 )
 
@@ -38,7 +39,8 @@
 // sendSampleRequests sends the sample requests to the entries in turn and prints the
 // answers.
 func (f *fleet) sendSampleRequests(ctx context.Context, w io.Writer, key string) error {
-	client := &http.Client{Timeout: sendTimeout}
+	client := &http.Client{Transport: burdocktransport.New(&http.Transport{}), Timeout: sendTimeout}
+	defer client.CloseIdleConnections()
 	for i, r := range sampleRequests {
 		base := "http://" + f.entries[i%len(f.entries)].Address()
 		status, body, err := r.send(ctx, client, base, key)
