--- a/internal/standin/burdockraw/server.go
+++ b/internal/standin/burdockraw/server.go
@@ -19,7 +19,7 @@
 // Endings of a connection.
 const (
 	// Keep serves further requests on the connection.
-	Keep Ending = "keep"
+	Keep Ending = ""
 	// Close closes the connection. If bytes of the request are unread, the kernel resets it.
 	Close Ending = "close"
 	// Reset resets the connection.
