Tests of raw answers share one stand-in

The stand-in starts with a test and ends with it, so that its users need no lines for that, and the one that answered without a length is a use of it.

--- a/internal/external/burdockengine/brokenanswer_test.go
+++ b/internal/external/burdockengine/brokenanswer_test.go
@@ -10,21 +10,11 @@
 	"github.com/joomcode/errorx"
 )
 
-func startRaw(t *testing.T, answer burdockraw.Answer) string {
-	t.Helper()
-	s, err := burdockraw.StartFixed(answer)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(s.Close)
-	return s.Address()
-}
-
 // Guards against an engine's answer that is passed on although its head is broken or its body cut. A
 // body without a length or chunks is told by Framed.
 func TestBrokenAnswerOfAnEngineIsNotPassedOn(t *testing.T) {
 	for _, c := range burdockraw.BrokenAnswers(`{"choices":[]}`) {
-		answer, err := NewHTTP(startRaw(t, c.Answer)).Do(t.Context(), Call{Method: http.MethodPost, Path: "/", Body: []byte("{}")})
+		answer, err := NewHTTP(burdockraw.StartFixed(t, c.Answer).Address()).Do(t.Context(), Call{Method: http.MethodPost, Path: "/", Body: []byte("{}")})
 		if err == nil {
 			_, err = io.Copy(io.Discard, answer.Body)
 			_ = answer.Body.Close()
@@ -38,7 +28,7 @@
 // Guards against a report or the status after an order that is believed although the answer is broken.
 func TestBrokenAnswerAboutAGroupIsNoAnswer(t *testing.T) {
 	for _, c := range burdockraw.BrokenAnswers(`{"life":"a"}`) {
-		g := NewGroupHTTP(startRaw(t, c.Answer))
+		g := NewGroupHTTP(burdockraw.StartFixed(t, c.Answer).Address())
 		if got, err := g.Counts(t.Context()); !errorx.IsOfType(err, ErrBroken) {
 			t.Errorf("%s: counts: got %+v and error %v, want %v", c.Name, got, err, ErrBroken)
 		}
--- a/internal/external/burdocklist/http_test.go
+++ b/internal/external/burdocklist/http_test.go
@@ -9,11 +9,7 @@
 // Guards against a membership list that is believed although its head is broken or its body cut.
 func TestBrokenListIsNoList(t *testing.T) {
 	for _, c := range burdockraw.BrokenAnswers(`[{"name":"a","state":"live"},{"name":"b","state":"live"}]`) {
-		s, err := burdockraw.StartFixed(c.Answer)
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(s.Close)
+		s := burdockraw.StartFixed(t, c.Answer)
 		if got, err := NewHTTP("http://" + s.Address()).VMs(t.Context()); err == nil {
 			t.Errorf("%s: got %+v, want an error", c.Name, got)
 		}
--- a/internal/external/burdockstore/http_test.go
+++ b/internal/external/burdockstore/http_test.go
@@ -10,11 +10,7 @@
 // Guards against a store's answer that is believed although its head is broken or its body cut.
 func TestBrokenAnswerOfTheStoreIsNoAnswer(t *testing.T) {
 	for _, c := range burdockraw.BrokenAnswers(`{"key":"k","value":"MQ==","revision":3}`) {
-		s, err := burdockraw.StartFixed(c.Answer)
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(s.Close)
+		s := burdockraw.StartFixed(t, c.Answer)
 		if got, err := NewHTTP([]string{s.Address()}).Get(t.Context(), "k"); !errorx.IsOfType(err, ErrUnavailable) {
 			t.Errorf("%s: got %+v and error %v, want %v", c.Name, got, err, ErrUnavailable)
 		}
--- a/internal/serve/burdockdirect/rawanswer_test.go
+++ b/internal/serve/burdockdirect/rawanswer_test.go
@@ -15,15 +15,11 @@
 // request's ID.
 func (f *fixture) putRaw(t *testing.T, answer burdockraw.Answer) *burdockraw.Server {
 	t.Helper()
-	s, err := burdockraw.Start(func(r *http.Request) burdockraw.Answer {
+	s := burdockraw.Start(t, func(r *http.Request) burdockraw.Answer {
 		named := answer
 		named.Text = strings.ReplaceAll(answer.Text, "ID", r.Header.Get("X-Id"))
 		return named
 	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(s.Close)
 	f.putAddress(s.Address())
 	return s
 }
--- a/internal/standin/burdockraw/broken.go
+++ b/internal/standin/burdockraw/broken.go
@@ -1,9 +1,6 @@
 package burdockraw
 
-import (
-	"fmt"
-	"net/http"
-)
+import "fmt"
 
 // BrokenAnswer is an answer that no client may believe.
 type BrokenAnswer struct {
@@ -31,8 +28,3 @@
 	}
 	return broken
 }
-
-// StartFixed starts a server that gives the same answer to each request.
-func StartFixed(a Answer) (*Server, error) {
-	return Start(func(*http.Request) Answer { return a })
-}
--- a/internal/standin/burdockraw/server.go
+++ b/internal/standin/burdockraw/server.go
@@ -8,9 +8,8 @@
 	"net"
 	"net/http"
 	"sync"
+	"testing"
 	"time"
-
-	"github.com/joomcode/errorx"
 )
 
 // Ending is how a connection ends after an answer.
@@ -52,16 +51,24 @@
 	open        map[net.Conn]struct{}
 }
 
-// Start starts a server on loopback. It calls respond for each request, before the request's body
-// has been read.
-func Start(respond func(*http.Request) Answer) (*Server, error) {
+// Start starts a server on loopback, until the test ends. It calls respond for each request, before
+// the request's body has been read.
+func Start(t testing.TB, respond func(*http.Request) Answer) *Server {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return nil, errorx.Decorate(err, "listen")
+		t.Fatal(err)
 	}
 	s := &Server{listener: l, respond: respond, closed: make(chan struct{}), open: map[net.Conn]struct{}{}}
+	t.Cleanup(s.close)
 	go s.run()
-	return s, nil
+	return s
+}
+
+// StartFixed starts a server that gives the same answer to each request.
+func StartFixed(t testing.TB, a Answer) *Server {
+	t.Helper()
+	return Start(t, func(*http.Request) Answer { return a })
 }
 
 // Address returns the server's IP and port.
@@ -81,8 +88,8 @@
 	return s.requests
 }
 
-// Close closes the listener and all connections. It must be called once.
-func (s *Server) Close() {
+// close closes the listener and all connections.
+func (s *Server) close() {
 	close(s.closed)
 	_ = s.listener.Close()
 	s.mu.Lock()
--- a/internal/tool/burdockload/brokenanswer_test.go
+++ b/internal/tool/burdockload/brokenanswer_test.go
@@ -15,11 +15,7 @@
 		if strings.Contains(c.Name, "without a length") {
 			continue
 		}
-		s, err := burdockraw.StartFixed(c.Answer)
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(s.Close)
+		s := burdockraw.StartFixed(t, c.Answer)
 		client := newClient(testConfig(), s.Address())
 		t.Cleanup(client.close)
 		if got := client.send(t.Context(), call{kind: kindWhole, tokens: 1}, time.Now()); got.ending == endingAnswered {
--- a/internal/wire/burdocktransport/answer_test.go
+++ b/internal/wire/burdocktransport/answer_test.go
@@ -20,12 +20,7 @@
 
 func newRawClient(t *testing.T, answer burdockraw.Answer) rawClient {
 	t.Helper()
-	s, err := burdockraw.Start(func(*http.Request) burdockraw.Answer { return answer })
-	if err != nil {
-		t.Fatal(err)
-	}
-	c := rawClient{Client: &http.Client{Transport: New(&http.Transport{})}, server: s}
-	t.Cleanup(s.Close)
+	c := rawClient{Client: &http.Client{Transport: New(&http.Transport{})}, server: burdockraw.StartFixed(t, answer)}
 	t.Cleanup(c.CloseIdleConnections)
 	return c
 }
--- a/internal/wire/burdocktransport/peers_test.go
+++ b/internal/wire/burdocktransport/peers_test.go
@@ -17,11 +17,7 @@
 		if strings.Contains(c.Name, "without a length") {
 			continue
 		}
-		server, err := burdockraw.StartFixed(c.Answer)
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(server.Close)
+		server := burdockraw.StartFixed(t, c.Answer)
 		res, err := peers.Client.Get(peers.URL(server.Address()))
 		if err == nil {
 			_, err = io.Copy(io.Discard, res.Body)
