Test of old fences: all ranks have read before the old order comes

The test was wrong. A rank that has just started refuses to read ('busy') while it still asks its engine for its state; it hasn't learned the fence then. A controller asks again; the test didn't look whether its read had been taken, and sent the old order. It now reads as a controller does, and fails for any other refusal or a rank that goes on refusing. What it checks of the old order is unchanged. TestMapDifferenceNeedsKnownBase read in the same way.

--- a/internal/serve/burdockrank/relay_test.go
+++ b/internal/serve/burdockrank/relay_test.go
@@ -148,6 +148,39 @@
 	return reports, failures
 }
 
+// read has all ranks but the first read with a fence. Like a controller, it asks again while a rank is
+// still learning its engine's state.
+func (g *relayGroup) read(t *testing.T, fence uint64) {
+	t.Helper()
+	for range 1000 {
+		reports, failures := g.send(t, &burdockwire.GroupRelayRequest{Fence: fence, Kind: burdockwire.GroupOrderKind_GROUP_ORDER_KIND_READ})
+		if len(failures) > 0 {
+			t.Fatalf("reads that failed: got %v, want none", failures)
+		}
+		if !anyRefused(t, reports) {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("a rank goes on refusing to read")
+}
+
+// anyRefused reports whether a rank has refused to read as it does for a while after its start.
+func anyRefused(t *testing.T, reports map[burdockid.Rank]*burdockwire.GroupReport) bool {
+	t.Helper()
+	refused := false
+	for rank, report := range reports {
+		switch burdockgroup.Refusal(report.GetRefusal()) {
+		case burdockgroup.RefusalNone:
+		case burdockgroup.RefusalLearning, burdockgroup.RefusalBusy:
+			refused = true
+		default:
+			t.Fatalf("rank %d: got refusal %q to a read, want none", rank, report.GetRefusal())
+		}
+	}
+	return refused
+}
+
 // A large group is stalled while one rank lacks its order. A round is relayed by agents
 // some of which are killed or frozen. Every other rank must still get its order, and the
 // controller must learn which ranks did not. Each frozen agent may delay the ranks behind
@@ -184,7 +217,7 @@
 // fence of its successor and refuses the order, as it would refuse a direct one.
 func TestRelayedOrderWithOldFenceIsRefused(t *testing.T) {
 	g := newRelayGroup(t, 10)
-	g.send(t, &burdockwire.GroupRelayRequest{Fence: 7, Kind: burdockwire.GroupOrderKind_GROUP_ORDER_KIND_READ})
+	g.read(t, 7)
 	reports, _ := g.send(t, &burdockwire.GroupRelayRequest{Fence: 6, Kind: burdockwire.GroupOrderKind_GROUP_ORDER_KIND_ARM, Map: 9, At: 12})
 	for rank := burdockid.Rank(1); rank < 10; rank++ {
 		if got, want := reports[rank].GetRefusal(), string(burdockgroup.RefusalOldNumber); got != want {
@@ -222,7 +255,7 @@
 			m.mu.Unlock()
 		}
 	}
-	g.send(t, &burdockwire.GroupRelayRequest{Fence: 2, Kind: burdockwire.GroupOrderKind_GROUP_ORDER_KIND_READ})
+	g.read(t, 2)
 	reports, failures := g.send(t, &burdockwire.GroupRelayRequest{
 		Fence: 3, Kind: burdockwire.GroupOrderKind_GROUP_ORDER_KIND_LOAD, Map: 51, Content: difference, Base: 50, Digest: next.Digest(),
 	})
