Check heads at the connection, before it can be used again

A request got 502 without having been sent, after another one at the same upstream had got an answer with a malformed head and no body.

Cause: net/http puts the connection of an answer without a body back before it returns the answer. The transport looked at the head only then, and closed the connection; until net/http noticed, it was given to other requests.

The connection itself now checks the head while it arrives, from the moment at which a request gets the connection, and fails the read. To net/http that is a connection that broke: it is never put back. The check after the answer stays for TLS, where the connection sees no heads.

TestConnectionOfAMalformedHeadIsNotHandedOut failed before: of 1,600 requests of eight concurrent callers 1,067 and 1,094 arrived in two runs. Now all do, each on a connection of its own.

--- a/internal/wire/burdocktransport/answer_test.go
+++ b/internal/wire/burdocktransport/answer_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -97,7 +98,7 @@
 		c := newRawClient(t, burdockraw.Answer{Text: start + rest})
 		for range 2 {
 			_, _, err := c.post([]byte("question"))
-			if e := (&errorx.Error{}); !errors.As(err, &e) || !e.IsOfType(ErrMalformedHead) {
+			if !isMalformedHead(err) {
 				t.Errorf("%q: got error %v, want %v", start+rest, err, ErrMalformedHead)
 			}
 		}
@@ -107,9 +108,38 @@
 	}
 }
 
+func isMalformedHead(err error) bool {
+	var typed *errorx.Error
+	return errors.As(err, &typed) && typed.IsOfType(ErrMalformedHead)
+}
+
 // Guards against a field that is not read as what it is, so that the body has another end.
 func TestAnswerWithABlankInANameFails(t *testing.T) {
 	for _, line := range []string{"Content-Length : 4", "Transfer-Encoding : chunked", "X Broken: 1", "X-Broken :"} {
 		testMalformedHead(t, "HTTP/1.1 200 OK\r\n"+line+"\r\n")
 	}
 }
+
+// Guards against a request that fails, unsent, because it is given the connection of a malformed head
+// before net/http has noticed that it was closed.
+func TestConnectionOfAMalformedHeadIsNotHandedOut(t *testing.T) {
+	c := newRawClient(t, burdockraw.Answer{Text: "HTTP/1.1 200 OK\r\nX Broken: 1\r\nContent-Length: 0\r\n\r\n"})
+	const callers, requests = 8, 200
+	var wg sync.WaitGroup
+	for range callers {
+		wg.Go(func() {
+			for range requests {
+				if _, _, err := c.post([]byte("question")); !isMalformedHead(err) {
+					t.Errorf("got error %v, want %v", err, ErrMalformedHead)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	if got, want := c.server.Requests(), callers*requests; got != want {
+		t.Errorf("requests that arrived: got %d, want %d", got, want)
+	}
+	if got, want := c.server.Connections(), callers*requests; got != want {
+		t.Errorf("connections: got %d, want %d", got, want)
+	}
+}
--- a/internal/wire/burdocktransport/sending.go
+++ b/internal/wire/burdocktransport/sending.go
@@ -33,6 +33,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conn = info.Conn
+	if conn, ok := info.Conn.(*checkedConn); ok {
+		conn.expectAnswer()
+	}
 	s.written = make(chan error, 1)
 }
 
--- a/internal/wire/burdocktransport/transport.go
+++ b/internal/wire/burdocktransport/transport.go
@@ -19,7 +19,12 @@
 // An answer with an invalid head is not returned; it fails with ErrMalformedHead, and its connection
 // is closed. The body of an answer that only the end of its connection ends fails with ErrCutShort, in
 // place of io.EOF, unless the whole request has been sent.
-func New(t *http.Transport) http.RoundTripper { return roundTripper{t} }
+//
+// New changes t, which must not be used otherwise.
+func New(t *http.Transport) http.RoundTripper {
+	t.DialContext = checked(t.DialContext)
+	return roundTripper{t}
+}
 
 // CloseIdleConnections closes the idle connections. It is called by
 // http.Client.CloseIdleConnections.
@@ -33,7 +38,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := checkHead(res); err != nil {
+	if err := checkHead(res); err != nil { // with TLS, the connection doesn't see heads
 		_ = res.Body.Close()
 		s.closeConn()
 		return nil, err
